--- /dev/null
+++ b/benchlink/main.cpp
@@ -0,0 +1,21 @@
+#include <exception>
+#include <iostream>
+#include <string>
+
+#include "wire.h"
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  std::cin.tie(nullptr);
+  flintweir::benchlink::Wire wire;
+  std::string line;
+  try {
+    while (std::getline(std::cin, line)) {
+      if (line.find_first_not_of(" \t\r") == std::string::npos) continue;
+      std::cout << wire.answer(line) << '\n' << std::flush;
+    }
+  } catch (const std::exception& e) {
+    std::cerr << "flintweir_benchlink: " << e.what() << '\n';
+    return 1;
+  }
+}
--- /dev/null
+++ b/benchlink/wire.cpp
@@ -0,0 +1,503 @@
+#include "wire.h"
+
+#include <simdjson.h>
+
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <unordered_map>
+#include <vector>
+
+#include "balance.h"
+
+namespace flintweir::benchlink {
+namespace {
+
+using simdjson::dom::array;
+using simdjson::dom::element;
+using simdjson::dom::element_type;
+
+[[noreturn]] void bad(std::string what) { throw BadInput(std::move(what)); }
+
+std::uint64_t hash(std::string_view text) {
+  std::uint64_t h = 14695981039346656037ull;  // FNV-1a
+  for (const unsigned char c : text) h = (h ^ c) * 1099511628211ull;
+  return h;
+}
+
+// A host's id is worked out from its address alone, so that it is the same at every node.
+HostId host_id(std::string_view address) { return {hash(address)}; }
+
+// The values of one message, read in their order; `what` names it in complaints.
+class Reader {
+ public:
+  Reader(array values, std::string_view what, std::size_t skip) : what_(what) {
+    it_ = values.begin();
+    end_ = values.end();
+    for (; skip > 0 && it_ != end_; --skip) ++it_;
+  }
+
+  std::optional<element> next() {
+    if (it_ == end_) return std::nullopt;
+    const element e = *it_;
+    ++it_;
+    return e.is_null() ? std::nullopt : std::optional(e);
+  }
+  element need(std::string_view field) {
+    const auto e = next();
+    if (!e) bad(std::string(what_) + ": " + std::string(field) + " is missing");
+    return *e;
+  }
+  std::uint64_t number(std::string_view field) { return whole(need(field), field); }
+  std::uint64_t number_or(std::uint64_t other, std::string_view field) {
+    const auto e = next();
+    return e ? whole(*e, field) : other;
+  }
+  std::optional<std::uint64_t> maybe(std::string_view field) {
+    const auto e = next();
+    return e ? std::optional(whole(*e, field)) : std::nullopt;
+  }
+  Micros time(std::string_view field) { return Micros{static_cast<std::int64_t>(number(field))}; }
+  std::string_view text(std::string_view field) {
+    std::string_view out;
+    if (need(field).get(out)) wrong(field, "a text");
+    return out;
+  }
+  double real(std::string_view field) {
+    double out;
+    if (need(field).get(out)) wrong(field, "a number");
+    return out;
+  }
+  bool yes(std::string_view field) {
+    bool out;
+    if (need(field).get(out)) wrong(field, "true or false");
+    return out;
+  }
+  array row(std::string_view field) {
+    array out;
+    if (need(field).get(out)) wrong(field, "a list");
+    return out;
+  }
+  [[noreturn]] void wrong(std::string_view field, std::string_view wanted) {
+    bad(std::string(what_) + ": " + std::string(field) + " is not " + std::string(wanted));
+  }
+
+ private:
+  std::uint64_t whole(element e, std::string_view field) {
+    if (std::uint64_t u; !e.get(u)) return u;
+    if (std::int64_t i; !e.get(i)) return static_cast<std::uint64_t>(i);
+    if (double d; !e.get(d) && std::isfinite(d) && std::fabs(d) < 9e18) {
+      return static_cast<std::uint64_t>(static_cast<std::int64_t>(d));
+    }
+    wrong(field, "a whole number");
+  }
+
+  std::string_view what_;
+  array::iterator it_, end_;
+};
+
+// Settings by name, with a stand-in where a key is absent.
+class Values {
+ public:
+  Values(element e, std::string_view what) {
+    if (e.get(object_)) bad(std::string(what) + " is not an object");
+  }
+  Values(const Values& outer, std::string_view key) : object_() {
+    if (outer.object_[key].get(object_)) bad("CONFIGURE: env." + std::string(key) + " is not an object");
+  }
+  double real(std::string_view key, double other) const {
+    double out;
+    return object_[key].get(out) ? other : out;
+  }
+  Micros time(std::string_view key, Micros other = Micros{0}) const {
+    return Micros{std::llround(real(key, static_cast<double>(other.count())))};
+  }
+  std::string_view text(std::string_view key, std::string_view other) const {
+    std::string_view out;
+    return object_[key].get(out) ? other : out;
+  }
+  bool yes(std::string_view key) const {
+    bool out;
+    return !object_[key].get(out) && out;
+  }
+  array row(std::string_view key) const {
+    array out;
+    if (object_[key].get(out)) bad("CONFIGURE: env." + std::string(key) + " is not a list");
+    return out;
+  }
+
+ private:
+  simdjson::dom::object object_;
+};
+
+Effect effect_named(std::string_view name) {
+  if (name == "repeatable") return Effect::repeatable;
+  if (name == "by_key") return Effect::referenced;
+  if (name == "once") return Effect::once_only;
+  bad("CONFIGURE: unknown effect '" + std::string(name) + "'");
+}
+
+Reach reach_named(std::string_view name) {
+  if (name == "all") return Reach::all;
+  if (name == "zone") return Reach::zone;
+  if (name == "cell") return Reach::cell;
+  bad("CONFIGURE: unknown group '" + std::string(name) + "'");
+}
+
+Ending ending_coded(std::uint64_t code) {
+  constexpr std::array endings{Ending::finished,    Ending::erred,  Ending::turned_away, Ending::timed_out,
+                               Ending::unconnected, Ending::broken, Ending::cancelled,   Ending::unsent};
+  if (code >= endings.size()) bad("unknown verdict " + std::to_string(code));
+  return endings[code];
+}
+
+Standing standing_named(std::string_view name) {
+  if (name == "IN") return Standing::in;
+  if (name == "LAME") return Standing::draining;
+  if (name == "OUT") return Standing::gone;
+  bad("DIRECTORY: unknown condition '" + std::string(name) + "'");
+}
+
+struct Entry {
+  std::string address;
+  std::uint64_t zone, cell;
+  Standing standing;
+  double share;
+  Micros started;
+};
+
+// The replies' text: messages of one batch, from all nodes.
+class Reply {
+ public:
+  void clear() { text_ = "{\"output\":["; first_ = true; }
+  std::string_view finish() { return text_ += "]}"; }
+  Reply& message(std::string_view name, std::uint64_t who) {
+    text_ += first_ ? "[\"" : ",[\"";
+    first_ = false;
+    text_ += name;
+    text_ += '"';
+    return number(static_cast<std::int64_t>(who));
+  }
+  Reply& number(std::int64_t n) {
+    std::array<char, 24> digits;
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), n).ptr;
+    text_ += ',';
+    text_.append(digits.data(), end);
+    return *this;
+  }
+  Reply& text(std::string_view t) {
+    text_ += ",\"";
+    for (const char c : t) {
+      if (c == '"' || c == '\\') text_ += '\\';
+      text_ += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+    }
+    text_ += '"';
+    return *this;
+  }
+  Reply& word(std::string_view w) {
+    text_ += ',';
+    text_ += w;
+    return *this;
+  }
+  void end() { text_ += ']'; }
+
+ private:
+  std::string text_;
+  bool first_ = true;
+};
+
+// One instance: its balancer, the handles of its sessions, and the addresses its lists have named.
+class Node final : public Outlet {
+ public:
+  Node(Reply& reply, std::uint64_t who, std::uint64_t seed, element env) : reply_(reply), who_(who) {
+    const Values all(env, "CONFIGURE: env");
+    const Values ceilings(all, "ceilings"), rules(all, "rules"), prices(all, "prices");
+    const Values reporting(all, "reporting");
+    std::vector<Listener> listeners;
+    for (const element e : all.row("listeners")) {
+      const Values l(e, "CONFIGURE: a listener");
+      listeners.push_back({l.time("handshakeTarget"), l.time("dialTimeout"),
+                           effect_named(l.text("effect", "once")), reach_named(l.text("group", "cell")),
+                           l.time("dedupWindow"), l.real("utility", 1)});
+    }
+    listener_count_ = listeners.size();
+    for (const element e : reporting.row("fields")) {
+      std::string_view name;
+      if (e.get(name)) bad("CONFIGURE: a report field is not a text");
+      fields_.emplace_back(name);
+    }
+    const bool stays_away = ceilings.yes("retryAfter");
+    balancer_ = std::make_unique<Balancer>(
+        *this, seed, static_cast<unsigned>(all.real("balancers", 1)),
+        ZoneId{static_cast<std::uint32_t>(all.real("myZone", 0))}, std::move(listeners),
+        DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)),
+                   stays_away ? ceilings.time("maxRetryAfter") : Micros{0}},
+        ColdRule{rules.time("cold"), rules.real("coldShare", 1), rules.real("overloadFactor", 1),
+                 rules.time("tipAfter")},
+        ListRule{all.text("discovery", "") == "on_request", rules.time("askEvery")},
+        Prices{prices.real("crossZone", 0), prices.real("probe", 0)});
+  }
+
+  void at(Micros now) { balancer_->at(now); }
+
+  void job_in(Reader& r) {
+    const SessId id{r.number("rid")};
+    Taken taken = listener(r);
+    taken.tenant.value = static_cast<std::uint32_t>(r.number_or(0, "billing"));
+    if (const auto key = r.maybe("nameKey")) taken.client = ClientKey{*key};
+    taken.valid_until = r.time("validUntil");
+    const auto hint = r.maybe("sizeHint");
+    if (const auto group = r.maybe("channel")) taken.group = GroupId{*group};
+    flags(taken, r.number_or(0, "bitmap"), hint);
+    keep(id, balancer_->take(id, taken));
+  }
+
+  void inherited(Reader& r) {
+    const SessId id{r.number("rid")};
+    std::optional<ClientKey> client;
+    if (const auto key = r.maybe("nameKey")) client = ClientKey{*key};
+    const auto hint = r.maybe("sizeHint");
+    const Micros valid_until{static_cast<std::int64_t>(r.number_or(0, "validUntil"))};
+    const std::uint64_t bits = r.number_or(0, "bitmap");
+    const auto group = r.maybe("channel");
+    const std::uint64_t tenant = r.number_or(0, "billing");
+    Taken taken = listener(r);
+    taken.client = client;
+    taken.valid_until = valid_until;
+    if (group) taken.group = GroupId{*group};
+    taken.tenant.value = static_cast<std::uint32_t>(tenant);
+    flags(taken, bits, hint);
+    keep(id, balancer_->inherit(id, taken, name(r.text("host"))));
+  }
+
+  void flowing(Reader& r) {
+    const SessId id{r.number("rid")};
+    r.text("host");
+    const DialNo dial{static_cast<std::uint32_t>(r.number("shot"))};
+    on(id, [&](Sess& s) { s.accepted(dial); });
+  }
+
+  void progress(Reader& r) {
+    const SessId id{r.number("rid")};
+    r.number("shot");
+    r.text("host");
+    const std::uint64_t what = r.number("what");
+    const double amount = r.real("amount");
+    if (what == 1) on(id, [&](Sess& s) { s.load_is(amount); });
+    if (what == 2) on(id, [&](Sess& s) { s.messages_take(Micros{std::llround(amount * 1000)}); });
+  }
+
+  void settled(Reader& r) {
+    const SessId id{r.number("rid")};
+    const DialNo dial{static_cast<std::uint32_t>(r.number("shot"))};
+    const bool over = r.yes("doneFlag");
+    r.number("latency");
+    const Ending ending = ending_coded(r.number("verdict"));
+    on(id, [&](Sess& s) { s.ended(dial, ending, over); });
+  }
+
+  void gone(Reader& r) {
+    on(SessId{r.number("rid")}, [](Sess& s) { s.left(); });
+  }
+
+  void probe_done(Reader& r) {
+    r.number("latency");
+    const std::string_view host = r.text("host");
+    const bool answered = ending_coded(r.number("verdict")) == Ending::finished;
+    LoadReport report;
+    if (const auto values = r.next()) {
+      array row;
+      if (values->get(row)) r.wrong("report", "a list");
+      Reader v(row, "a load report", 0);
+      for (const std::string& field : fields_) {
+        const auto e = v.next();
+        if (!e) continue;
+        double value;
+        if (e->get(value)) v.wrong(field, "a number");
+        if (field == "x0") report.load = value;
+        if (field == "x1") report.piled_up = value;
+        if (field == "util") report.busy = value;
+        if (field == "queue") report.queued = value;
+        if (field == "eps") report.errors_per_s = value;
+      }
+    }
+    balancer_->probed(name(host), answered, report);
+  }
+
+  void tick_due(Reader& r) {
+    const std::string_view token = r.text("name");
+    std::uint64_t wake = 0;
+    const auto end = std::from_chars(token.data(), token.data() + token.size(), wake);
+    if (end.ec != std::errc{} || end.ptr != token.data() + token.size()) return;
+    balancer_->woken(WakeId{wake});
+  }
+
+  void update(const std::vector<Entry>* list, std::string_view mode) {
+    if (mode == "broken") return balancer_->list_failed();
+    if (!list) bad("UPDATE: names a table that no DIRECTORY has filled");
+    balancer_->list_begins(mode != "patch");
+    for (const Entry& e : *list) {
+      balancer_->listed(name(e.address), ZoneId{static_cast<std::uint32_t>(e.zone)},
+                        CellId{static_cast<std::uint32_t>(e.cell)}, e.standing, e.share, e.started);
+    }
+    balancer_->list_ends();
+  }
+
+  void dial(SessId s, HostId host, Micros limit) override {
+    reply_.message("ROUTE", who_).number(rid(s)).text(names_.at(host.value)).number(limit.count()).end();
+  }
+  void refuse(SessId s, Micros away) override {
+    reply_.message("NOT_NOW", who_).number(rid(s)).number(away.count()).end();
+  }
+  void tear_down(SessId s) override { reply_.message("ABORT", who_).number(rid(s)).end(); }
+  void move(SessId s) override { reply_.message("SHIFT", who_).number(rid(s)).end(); }
+  void probe(HostId host) override { reply_.message("ASK_LOAD", who_).text(names_.at(host.value)).end(); }
+  void wake(Micros in, WakeId wake) override {
+    reply_.message("TIMER", who_).number(in.count()).text(std::to_string(wake.value)).end();
+  }
+  void watch() override { reply_.message("OBSERVE", who_).word("true").end(); }
+  void log(std::string_view line) override { reply_.message("LOG", who_).text(line).end(); }
+
+ private:
+  static std::int64_t rid(SessId s) { return static_cast<std::int64_t>(s.value); }
+
+  HostId name(std::string_view address) {
+    const HostId id = host_id(address);
+    names_.try_emplace(id.value, address);
+    return id;
+  }
+
+  Taken listener(Reader& r) {
+    Taken taken{};
+    const std::uint64_t service = r.number("service");
+    if (service >= listener_count_) r.wrong("service", "one of the listeners");
+    taken.listener.value = static_cast<std::uint32_t>(service);
+    return taken;
+  }
+
+  static void flags(Taken& taken, std::uint64_t bits, std::optional<std::uint64_t> hint) {
+    if (bits & 1 && hint) taken.usual_load = static_cast<double>(*hint);
+    taken.repeat = bits & 2;
+    taken.returned = bits & 16;
+  }
+
+  void keep(SessId id, Sess s) {
+    if (s.live()) sessions_.insert_or_assign(id.value, s);
+  }
+
+  // Calls on a session that is still known; a batch fixed earlier may name one that is over.
+  template <class Call>
+  void on(SessId id, Call call) {
+    const auto it = sessions_.find(id.value);
+    if (it == sessions_.end()) return;
+    call(it->second);
+    if (!it->second.live()) sessions_.erase(it);
+  }
+
+  Reply& reply_;
+  std::uint64_t who_;
+  std::size_t listener_count_ = 0;
+  std::vector<std::string> fields_;
+  std::unordered_map<std::uint64_t, std::string> names_;
+  std::unordered_map<std::uint64_t, Sess> sessions_;
+  std::unique_ptr<Balancer> balancer_;
+};
+
+}  // namespace
+
+struct Wire::Inner {
+  simdjson::dom::parser parser;
+  Reply reply;
+  std::array<std::optional<std::vector<Entry>>, 16> tables;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Node>> nodes;
+  Micros now{0};
+
+  void event(element message) {
+    array values;
+    if (message.get(values)) bad("an item of a batch is not a list");
+    std::string_view what;
+    if (values.size() == 0 || values.at(0).get(what)) bad("an item of a batch does not start with its name");
+    Reader r(values, what, 1);
+    if (what == "DIRECTORY") return directory(r);
+    const std::uint64_t who = r.number("who");
+    if (what == "CONFIGURE") {
+      const std::uint64_t seed = r.number("prng");
+      nodes[who] = std::make_unique<Node>(reply, who, seed, r.need("env"));
+      return;
+    }
+    if (what == "DESTROY") {
+      nodes.erase(who);
+      return;
+    }
+    const auto it = nodes.find(who);
+    if (it == nodes.end()) bad(std::string(what) + ": instance " + std::to_string(who) + " was never configured");
+    Node& node = *it->second;
+    node.at(now);
+    if (what == "JOB_IN") node.job_in(r);
+    else if (what == "SETTLED") node.settled(r);
+    else if (what == "FLOWING") node.flowing(r);
+    else if (what == "PROGRESS") node.progress(r);
+    else if (what == "PROBE_DONE") node.probe_done(r);
+    else if (what == "TICK_DUE") node.tick_due(r);
+    else if (what == "UPDATE") update(node, r);
+    else if (what == "GONE") node.gone(r);
+    else if (what == "INHERITED") node.inherited(r);
+    else if (what != "DATAGRAM") bad("unknown event '" + std::string(what) + "'");
+  }
+
+  std::optional<std::vector<Entry>>& table(Reader& r) {
+    const std::uint64_t number = r.number("table");
+    if (number >= tables.size()) r.wrong("table", "a number from 0 to 15");
+    return tables[number];
+  }
+
+  void directory(Reader& r) {
+    auto& list = table(r).emplace();
+    for (const element e : r.row("nodesList")) {
+      array values;
+      if (e.get(values)) r.wrong("an entry", "a list");
+      Reader v(values, "DIRECTORY", 0);
+      Entry entry;
+      entry.address = v.text("host");
+      entry.zone = v.number_or(0, "campus");
+      v.number_or(0, "hw");
+      entry.cell = v.number_or(0, "group");
+      entry.standing = standing_named(v.text("condition"));
+      const auto share = v.next();
+      if (!share || share->get(entry.share)) entry.share = 1;
+      entry.started = Micros{static_cast<std::int64_t>(v.number_or(0, "launched"))};
+      list.push_back(std::move(entry));
+    }
+  }
+
+  void update(Node& node, Reader& r) {
+    r.number_or(0, "epoch");
+    const std::uint64_t number = r.number_or(0, "table");
+    const std::string_view mode = r.text("mode");
+    if (mode != "patch" && mode != "whole" && mode != "stale_copy" && mode != "broken") {
+      bad("UPDATE: unknown mode '" + std::string(mode) + "'");
+    }
+    const bool filled = mode != "broken" && number < tables.size() && tables[number];
+    node.update(filled ? &*tables[number] : nullptr, mode);
+  }
+};
+
+Wire::Wire() : inner_(std::make_unique<Inner>()) {}
+Wire::~Wire() = default;
+
+std::string_view Wire::answer(std::string_view batch) {
+  element line;
+  if (const auto error = inner_->parser.parse(batch.data(), batch.size()).get(line)) {
+    bad(std::string("a batch is not JSON: ") + simdjson::error_message(error));
+  }
+  std::int64_t clock;
+  if (line["t"].get(clock)) bad("a batch has no whole number 't' for its clock");
+  inner_->now = Micros{clock};
+  array items;
+  if (line["items"].get(items)) bad("a batch has no list 'items'");
+  inner_->reply.clear();
+  for (const element e : items) inner_->event(e);
+  return inner_->reply.finish();
+}
+
+}  // namespace flintweir::benchlink
--- /dev/null
+++ b/src/balance.cpp
@@ -0,0 +1,710 @@
+// Every decision of flintweir: which host gets a session, when to dial again, refuse, probe or move.
+// How it is called: the caller says the time (Balancer::at), then what happened (list, probe answers,
+// sessions taken, wake-ups); what befalls a session comes in through its Sess handle. Each call may act on
+// the Outlet before it returns. The interface is in balance.h; docs/design.md tells the reasons.
+#include "balance.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <random>
+#include <string>
+#include <utility>
+
+namespace flintweir {
+namespace {
+
+using namespace std::chrono_literals;
+
+// The page of the design: the interval of probes, the rest between quiet rounds of moves, the weights of the
+// load (that of memory is joined to the first), and the two thresholds.
+constexpr Micros kProbeEvery = 1s;
+constexpr Micros kQuietRest = 10s;
+constexpr double kWeightLoad = 0.81 + 0.08;
+constexpr double kWeightPiled = 0.11;
+constexpr double kSuspendAt = 0.8;
+constexpr double kLightAt = 0.1;
+constexpr int kBeatsPerProbe = 8;
+constexpr Micros kNever = Micros::min();
+
+double seconds(Micros t) { return static_cast<double>(t.count()) / 1e6; }
+double ratio(Micros part, Micros whole) { return seconds(part) / std::max(seconds(whole), 1e-6); }
+
+// A mean over a time: old news fades by half every `half`.
+class FadingMean {
+ public:
+  void add(double x, double keep) {
+    mean_ = known_ ? keep * mean_ + (1 - keep) * x : x;
+    known_ = true;
+  }
+  double or_else(double x) const { return known_ ? mean_ : x; }
+  bool known() const { return known_; }
+
+ private:
+  double mean_ = 0;
+  bool known_ = false;
+};
+
+// The load of one host from its two last reports, now and forecast a horizon on.
+class LoadForecast {
+ public:
+  void report(Micros now, double load, double piled) {
+    const double fade = at_ == kNever ? 0 : std::exp2(-ratio(now - at_, 10 * kProbeEvery));
+    growth_ = at_ == kNever || now <= at_ ? 0 : (piled - piled_) / seconds(now - at_);
+    peak_ = std::max(piled, peak_ * fade);
+    load_ = load;
+    piled_ = piled;
+    at_ = now;
+  }
+  bool known() const { return at_ != kNever; }
+  Micros at() const { return at_; }
+  double raw() const { return load_; }
+  // The paper's L at the report, or with its trend over a horizon; work piled up counts against its peak.
+  double weigh(double load, Micros horizon) const {
+    const double piled = std::max(0.0, piled_ + growth_ * seconds(horizon));
+    const double share = peak_ > 0 ? std::min(1.0, piled / peak_) : 0;
+    return kWeightLoad * load + kWeightPiled * share;
+  }
+
+ private:
+  Micros at_ = kNever;
+  double load_ = 0, piled_ = 0, growth_ = 0, peak_ = 0;
+};
+
+// How unusual a host's present silence is, given the gaps between its signs of life so far.
+class SilenceJudge {
+ public:
+  void sign(Micros now) {
+    if (last_ != kNever && now > last_) {
+      const double gap = seconds(now - last_);
+      const double off = gap - mean_.or_else(gap);
+      mean_.add(gap, kKeep);
+      spread_.add(off * off, kKeep);
+    }
+    last_ = now;
+  }
+  bool heard() const { return last_ != kNever; }
+  // Minus the common logarithm of the chance that a gap grows this long.
+  double unusual(Micros now) const {
+    if (last_ == kNever || !mean_.known()) return 0;
+    const double mean = std::max(mean_.or_else(0), seconds(kProbeEvery));
+    const double spread = std::max(std::sqrt(spread_.or_else(0)), mean / 4);
+    const double y = (seconds(now - last_) - mean) / spread;
+    const double tail = 0.5 * std::erfc(y / std::sqrt(2.0));
+    return -std::log10(std::max(tail, 1e-30));
+  }
+
+ private:
+  static constexpr double kKeep = 0.9;
+  Micros last_ = kNever;
+  FadingMean mean_, spread_;
+};
+
+// What a cold host has been sent lately, against this node's part of what would tip it over.
+class ColdGuard {
+ public:
+  explicit ColdGuard(ColdRule rule) : rule_(rule) {}
+  double warmth(Micros age) const {
+    return std::clamp(rule_.share + (1 - rule_.share) * ratio(age, rule_.warm_within), rule_.share, 1.0);
+  }
+  bool cold(Micros now, Micros started) const {
+    return started > Micros{0} && now - started < rule_.warm_within;
+  }
+  // `rate`: what this node's part of the warm host takes a second when full, in usual sessions.
+  bool room(Micros now, Micros started, double rate, double cost,
+            const std::vector<std::pair<Micros, double>>& sent) const {
+    double spent = 0;
+    for (const auto& [at, what] : sent) spent += now - at <= rule_.window ? what : 0;
+    return spent + cost <= rule_.multiple * warmth(now - started) * rate * seconds(rule_.window);
+  }
+  void spend(Micros now, double cost, std::vector<std::pair<Micros, double>>& sent) const {
+    std::erase_if(sent, [&](const auto& s) { return now - s.first > rule_.window; });
+    sent.emplace_back(now, cost);
+  }
+
+ private:
+  ColdRule rule_;
+};
+
+struct Host {
+  HostId id;
+  ZoneId zone;
+  CellId cell;
+  Standing standing = Standing::in;
+  double share = 1;
+  Micros started{0};
+  bool listed = false;
+  bool suspended = false;
+  LoadForecast forecast;
+  SilenceJudge silence;
+  Micros next_probe = kNever;
+  Micros aside_until = kNever, last_pause{0};
+  Micros moved_at = kNever;
+  unsigned own = 0;     // own open connections
+  unsigned dialing = 0;
+  double own_load = 0;  // their load, in microseconds of work a second
+  std::vector<std::pair<GroupId, unsigned>> groups;
+  std::vector<std::pair<Micros, double>> cold_sent;
+
+  bool usable() const { return standing == Standing::in; }
+  bool holds(GroupId g) const {
+    return std::any_of(groups.begin(), groups.end(), [&](const auto& x) { return x.first == g; });
+  }
+  void join(GroupId g, int by) {
+    auto it = std::find_if(groups.begin(), groups.end(), [&](const auto& x) { return x.first == g; });
+    if (it == groups.end()) it = groups.insert(it, {g, 0});
+    it->second += by;
+    if (it->second == 0) {
+      *it = groups.back();
+      groups.pop_back();
+    }
+  }
+  // Each failure doubles the pause for which the host is passed over; each success halves it.
+  void failed(Micros now) {
+    last_pause = std::clamp(2 * last_pause, kProbeEvery, 8 * kProbeEvery);
+    aside_until = now + last_pause;
+  }
+  void succeeded(Micros now) {
+    silence.sign(now);
+    last_pause /= 2;
+    aside_until = kNever;
+  }
+};
+
+enum class State { held, dialing, open, over };
+
+struct Session {
+  SessId id;
+  Taken taken;
+  State state = State::held;
+  Micros give_up_at{0};
+  unsigned dials = 0;
+  bool dial_out = false;
+  HostId host;
+  Micros dialed_at{0};
+  std::array<HostId, 6> tried{};
+  // Rule 2: the first dial that may have run, and where.
+  bool may_have_run = false;
+  Micros ran_at{0};
+  ZoneId ran_zone;
+  CellId ran_cell;
+  double load = 0;
+  bool moved = false;
+  bool waiting = false;  // a wake-up of its own is under way
+};
+
+// Rule 2: what a session whose dial may have run still permits.
+class Dials {
+ public:
+  Dials(const Listener& listener, unsigned most) : listener_(listener), most_(most) {}
+  bool again(const Session& s, Micros now) const {
+    if (s.dials >= most_ || now >= s.taken.valid_until) return false;
+    if (!s.may_have_run || listener_.effect == Effect::repeatable) return true;
+    return listener_.effect == Effect::referenced && now < s.ran_at + listener_.memory;
+  }
+  bool at(const Session& s, const Host& h) const {
+    if (!s.may_have_run || listener_.effect != Effect::referenced) return true;
+    return listener_.reach == Reach::all || (listener_.reach == Reach::zone && h.zone == s.ran_zone) ||
+           (listener_.reach == Reach::cell && h.cell == s.ran_cell);
+  }
+  bool may_refuse(const Session& s) const {
+    if (!s.may_have_run || listener_.effect == Effect::repeatable) return true;
+    return listener_.effect == Effect::referenced && listener_.reach == Reach::all;
+  }
+  // Leaves room for another dial before the handshake target; the last one has all the time there is.
+  Micros limit(const Session& s, Micros now) const {
+    const Micros left = s.taken.valid_until - now;
+    return s.dials + 1 >= most_ ? left : std::min(left, listener_.handshake_target / 2);
+  }
+
+ private:
+  const Listener& listener_;
+  unsigned most_;
+};
+
+// Reasons to pass over the host offered, in the order in which further walks drop them.
+enum Passing : unsigned { off_group = 1, remote = 2, fresh = 4, overloaded = 8, tried = 16, ill = 32 };
+
+// The hosts in the order of their ids, and the pointer into them.
+class Rotation {
+ public:
+  explicit Rotation(std::uint64_t start) : next_(start) {}
+  // `judge` gives the reasons against a host, or nothing where it must not be used at all.
+  template <class Judge>
+  Host* choose(std::vector<Host>& hosts, Judge judge) {
+    marks_.clear();
+    for (Host& h : hosts) marks_.push_back(judge(h));
+    for (unsigned kept = ~0u; !hosts.empty();) {
+      for (std::size_t i = 0; i < hosts.size(); ++i) {
+        const std::size_t at = (next_ + i) % hosts.size();
+        if (!marks_[at] || (*marks_[at] & kept)) continue;
+        next_ = at + 1;
+        return &hosts[at];
+      }
+      if (kept == 0) break;
+      kept = kept == ~0u ? ~unsigned{off_group} : kept << 1;
+      if (!(kept & (2 * ill - 1))) kept = 0;
+    }
+    return nullptr;
+  }
+
+ private:
+  std::size_t next_;
+  std::vector<std::optional<unsigned>> marks_;
+};
+
+// Heavy to light: which share of its own load on the heavier of two hosts a node moves off.
+class Mover {
+ public:
+  // Every node that sees the pair moves the same share of its own, which together is what the mean asks.
+  static double share(double heavy, double light) {
+    return heavy > light ? (heavy - (heavy + light) / 2) / heavy : 0;
+  }
+};
+
+}  // namespace
+
+class Decisions {
+ public:
+  Decisions(Outlet& out, std::uint64_t seed, unsigned nodes, ZoneId zone, std::vector<Listener> listeners,
+            DialLimits dials, ColdRule cold, ListRule list, Prices prices)
+      : out_(out),
+        chance_(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32))),
+        nodes_(std::max(1u, nodes)),
+        zone_(zone),
+        listeners_(std::move(listeners)),
+        dial_limits_(dials),
+        guard_(cold),
+        cold_window_(cold.window),
+        rate_span_(4 * cold.warm_within),
+        list_(list),
+        prices_(prices),
+        rotation_(chance_()),
+        usual_(listeners_.size()) {}
+
+  void at(Micros now) {
+    now_ = now;
+    if (began_ != kNever) return;
+    began_ = now;
+    quiet_since_ = now;
+    if (list_.asked) out_.watch();
+    out_.wake(spread(kBeat), WakeId{0});
+  }
+
+  SlabKey take(SessId id, const Taken& taken) {
+    const Listener& l = listeners_[taken.listener.value];
+    Session fresh;
+    fresh.id = id;
+    fresh.taken = taken;
+    fresh.give_up_at = std::min(now_ + l.handshake_target, taken.valid_until);
+    fresh.load = usual_load(taken);
+    const SlabKey key = sessions_.add(fresh);
+    if (!taken.returned && !taken.repeat) note_arrival(fresh.load);
+    place(key, *sessions_.find(key));
+    return key;
+  }
+
+  SlabKey inherit(SessId id, const Taken& taken, HostId host) {
+    Session s;
+    s.id = id;
+    s.taken = taken;
+    s.dials = 1;
+    s.dial_out = true;
+    s.host = host;
+    s.load = usual_load(taken);
+    const SlabKey key = sessions_.add(s);
+    open(*sessions_.find(key));
+    return key;
+  }
+
+  bool live(SlabKey key) { return sessions_.find(key) != nullptr; }
+
+  void accepted(SlabKey key, DialNo dial) {
+    Session* s = sessions_.find(key);
+    if (!s || !current(*s, dial)) return;
+    if (Host* h = find(s->host)) {
+      --h->dialing;
+      h->succeeded(now_);
+    }
+    open(*s);
+  }
+
+  void ended(SlabKey key, DialNo dial, Ending how, bool over) {
+    Session* s = sessions_.find(key);
+    if (!s || !current(*s, dial)) return;
+    s->dial_out = false;
+    Host* h = find(s->host);
+    if (s->state == State::open) {
+      close(*s, h);
+      // A connection that broke off is a failure of its host, unless the host was on its way out.
+      if (h && h->usable() && how == Ending::broken) h->failed(now_);
+      sessions_.drop(key);
+      return;
+    }
+    if (h) {
+      --h->dialing;
+      if (how == Ending::finished) h->succeeded(now_);
+      else if (how != Ending::cancelled && how != Ending::unsent) h->failed(now_);
+    }
+    const bool proven = how == Ending::turned_away || how == Ending::unconnected || how == Ending::unsent;
+    if (!proven && !s->may_have_run) {
+      s->may_have_run = true;
+      s->ran_at = s->dialed_at;
+      s->ran_zone = h ? h->zone : ZoneId{};
+      s->ran_cell = h ? h->cell : CellId{};
+    }
+    if (over || s->state == State::over) sessions_.drop(key);
+    else place(key, *s);
+  }
+
+  void left(SlabKey key) {
+    Session* s = sessions_.find(key);
+    if (!s || s->state == State::open) return;
+    s->state = State::over;
+    if (!s->dial_out) sessions_.drop(key);
+  }
+
+  void load_is(SlabKey key, double load) {
+    Session* s = sessions_.find(key);
+    if (!s || s->state != State::open) return;
+    if (Host* h = find(s->host)) h->own_load += load - s->load;
+    s->load = load;
+    usual_[s->taken.listener.value].add(load, 0.98);
+  }
+
+  void messages_take(SlabKey, Micros) {}
+
+  void woken(WakeId wake) {
+    if (wake.value == 0) return beat();
+    const SlabKey key{static_cast<std::uint32_t>(wake.value), static_cast<std::uint32_t>(wake.value >> 32)};
+    Session* s = sessions_.find(key);
+    if (!s) return;
+    s->waiting = false;
+    if (s->state == State::held) place(key, *s);
+  }
+
+  void probed(HostId id, bool answered, const LoadReport& r) {
+    Host* h = find(id);
+    if (!h || !answered) return;  // a failed probe keeps the mark
+    h->silence.sign(now_);
+    const std::optional<double> load = r.load ? r.load : r.busy;
+    if (!load) return;
+    // Where no piled-up work is reported, the load's own trend stands for it.
+    const double piled = r.piled_up ? *r.piled_up : r.queued ? *r.queued : *load;
+    h->forecast.report(now_, *load, piled);
+    mark(*h);
+  }
+
+  void list_begins(bool whole) {
+    if (!whole) return;
+    for (Host& h : hosts_) h.listed = false;
+    listing_whole_ = true;
+  }
+
+  void listed(HostId id, ZoneId zone, CellId cell, Standing standing, double share, Micros started) {
+    Host* h = find(id);
+    if (!h) {
+      const auto by_id = [](const Host& a, HostId b) { return a.id < b; };
+      h = &*hosts_.insert(std::lower_bound(hosts_.begin(), hosts_.end(), id, by_id), Host{});
+      h->id = id;
+      h->next_probe = now_ + spread(kProbeEvery);
+    } else if (started > h->started && h->standing != Standing::draining) {
+      // A host that restarted has lost what was known of it.
+      h->forecast = {};
+      h->silence = {};
+      h->suspended = false;
+      h->aside_until = kNever;
+    }
+    h->zone = zone;
+    h->cell = cell;
+    h->standing = standing;
+    h->share = share > 0 ? share : 1;
+    h->started = started;
+    h->listed = true;
+  }
+
+  void list_ends() {
+    list_wait_ = kProbeEvery;
+    if (!std::exchange(listing_whole_, false)) return;
+    for (Host& h : hosts_) {
+      if (!h.listed) h.standing = Standing::gone;
+    }
+    std::erase_if(hosts_, [](const Host& h) { return h.standing == Standing::gone && !h.own && !h.dialing; });
+  }
+
+  // Many nodes may fail at once: each waits longer after each failure, by chance, yet well within ask_every.
+  void list_failed() {
+    ask_list_at_ = now_ + list_wait_ / 2 + spread(list_wait_);
+    list_wait_ = std::min(2 * list_wait_, std::max(kProbeEvery, list_.ask_every / 4));
+  }
+
+ private:
+  static constexpr Micros kBeat = kProbeEvery / kBeatsPerProbe;
+
+  Micros spread(Micros over) {
+    return Micros{std::uniform_int_distribution<std::int64_t>(0, over.count())(chance_)};
+  }
+
+  Host* find(HostId id) {
+    const auto it = std::lower_bound(hosts_.begin(), hosts_.end(), id,
+                                     [](const Host& a, HostId b) { return a.id < b; });
+    return it != hosts_.end() && it->id == id ? &*it : nullptr;
+  }
+
+  static bool current(const Session& s, DialNo dial) { return s.dial_out && dial.value + 1 == s.dials; }
+
+  double usual_load(const Taken& t) const {
+    double all = 0, known = 0;
+    for (const FadingMean& m : usual_) {
+      all += m.or_else(0);
+      known += m.known() ? 1 : 0;
+    }
+    return usual_[t.listener.value].or_else(known > 0 ? all / known : t.usual_load.value_or(1));
+  }
+
+  // New sessions a second, by load; repeats and returns would make a storm look like capacity.
+  void note_arrival(double load) {
+    arrived_ *= std::exp2(-ratio(now_ - arrival_at_, rate_span_));
+    arrived_ += load;
+    arrival_at_ = now_;
+  }
+
+  // This node's part of what a warm host of this size takes a second when full, by load.
+  double full_rate(const Host& h) {
+    const Micros known = now_ - began_;
+    // Arrivals fade by half every span; the integral of that fading since the start turns them into a rate.
+    const double span = seconds(rate_span_) / std::log(2.0);
+    const double weight = span * (1 - std::exp2(-ratio(known, rate_span_)));
+    const double rate = arrived_ * std::exp2(-ratio(now_ - arrival_at_, rate_span_)) / std::max(weight, seconds(cold_window_));
+    double carried = 0;
+    for (const Host& w : hosts_) {
+      if (w.usable() && w.forecast.known() && !guard_.cold(now_, w.started)) carried += w.forecast.raw() * w.share;
+    }
+    if (carried > 0) per_share_ = rate / carried;
+    return per_share_ * h.share;
+  }
+
+  void open(Session& s) {
+    s.state = State::open;
+    s.may_have_run = true;
+    if (Host* h = find(s.host)) {
+      ++h->own;
+      h->own_load += s.load;
+      if (s.taken.group) h->join(*s.taken.group, 1);
+    }
+  }
+
+  void close(Session& s, Host* h) {
+    if (!h) return;
+    --h->own;
+    h->own_load = h->own ? h->own_load - s.load : 0;
+    if (s.taken.group) h->join(*s.taken.group, -1);
+  }
+
+  double load_of(const Host& h, Micros horizon) const {
+    if (h.forecast.known()) return h.forecast.weigh(h.forecast.raw(), horizon);
+    return mean_known_ ? mean_load_ : mean_own_ > 0 ? h.own / mean_own_ / 2 : 0;
+  }
+
+  // The mean load of the hosts in use, for new ones and for comparison.
+  void take_means() {
+    double load = 0, known = 0, own = 0, all = 0;
+    for (const Host& h : hosts_) {
+      if (!h.usable()) continue;
+      all += 1;
+      own += h.own;
+      if (!h.forecast.known()) continue;
+      known += 1;
+      load += h.forecast.weigh(h.forecast.raw(), Micros{0});
+    }
+    mean_known_ = known > 0;
+    mean_load_ = known > 0 ? load / known : 0;
+    mean_own_ = all > 0 ? own / all : 0;
+  }
+
+  void mark(Host& h) { h.suspended = load_of(h, kProbeEvery) >= kSuspendAt; }
+
+  Host* choose(const Session& s, const Dials& dials) {
+    take_means();
+    unsigned silent = 0, usable = 0;
+    for (const Host& h : hosts_) {
+      if (!h.usable()) continue;
+      ++usable;
+      silent += h.silence.unusual(now_) > kUnusual ? 1 : 0;
+    }
+    const bool trust_silence = 2 * silent <= usable;  // when most look ill, the judgement is suspect
+    return rotation_.choose(hosts_, [&](const Host& h) -> std::optional<unsigned> {
+      if (!h.usable() || !dials.at(s, h)) return std::nullopt;
+      unsigned against = 0;
+      if (guard_.cold(now_, h.started)) {
+        // A node that has just started doesn't know what it sent before.
+        if (now_ - began_ < cold_window_) return std::nullopt;
+        if (!guard_.room(now_, h.started, full_rate(h), cost(s), h.cold_sent)) return std::nullopt;
+        const double warm = guard_.warmth(now_ - h.started);
+        if (std::generate_canonical<double, 32>(chance_) > warm) against |= fresh;
+      }
+      const double load = load_of(h, Micros{0});
+      if (s.taken.group && !(h.holds(*s.taken.group) && load <= (mean_load_ + kSuspendAt) / 2)) {
+        against |= off_group;
+      }
+      if (h.zone != zone_ && prices_.crossing > 0) against |= remote;
+      if (h.suspended) against |= overloaded;
+      const auto end = s.tried.begin() + std::min<std::size_t>(s.dials, s.tried.size());
+      if (std::find(s.tried.begin(), end, h.id) != end) against |= tried;
+      if (now_ < h.aside_until || (trust_silence && h.silence.unusual(now_) > kUnusual)) against |= ill;
+      return against;
+    });
+  }
+
+  double cost(const Session& s) const { return std::max(s.load, 1e-9); }
+
+  void place(SlabKey key, Session& s) {
+    const Dials dials(listeners_[s.taken.listener.value], dial_limits_.most);
+    s.state = State::held;
+    if (!dials.again(s, now_)) return give_up(key, s, dials);
+    Host* h = choose(s, dials);
+    if (!h) {
+      if (now_ >= s.give_up_at) return give_up(key, s, dials);
+      const WakeId own{std::uint64_t{key.turn} << 32 | key.place};
+      if (!std::exchange(s.waiting, true)) out_.wake(std::min(kBeat, s.give_up_at - now_), own);
+      return;
+    }
+    if (guard_.cold(now_, h->started)) guard_.spend(now_, cost(s), h->cold_sent);
+    const Micros limit = dials.limit(s, now_);
+    if (s.dials < s.tried.size()) s.tried[s.dials] = h->id;
+    ++s.dials;
+    ++h->dialing;
+    s.state = State::dialing;
+    s.dial_out = true;
+    s.host = h->id;
+    s.dialed_at = now_;
+    out_.dial(s.id, h->id, limit);
+  }
+
+  void give_up(SlabKey key, Session& s, const Dials& dials) {
+    if (dials.may_refuse(s)) out_.refuse(s.id, std::min(dial_limits_.longest_stay_away, spread(kProbeEvery)));
+    else out_.tear_down(s.id);
+    sessions_.drop(key);
+  }
+
+  void beat() {
+    out_.wake(kBeat, WakeId{0});
+    if (ask_list_at_ != kNever && now_ >= ask_list_at_) {
+      ask_list_at_ = kNever;
+      out_.watch();
+    }
+    for (Host& h : hosts_) {
+      if (!h.usable() || now_ < h.next_probe) continue;
+      h.next_probe = now_ + kProbeEvery;
+      out_.probe(h.id);
+    }
+    leave_draining();
+    if (++beats_ % kBeatsPerProbe == 0) even_out();
+  }
+
+  // A host on its way out is the heaviest there can be: own connections leave it, a part at each beat.
+  void leave_draining() {
+    for (Host& h : hosts_) {
+      if (h.standing == Standing::draining && h.own) move_off(h, h.own_load / kBeatsPerProbe, nullptr);
+    }
+  }
+
+  // The paper's two schedules: pairs of heaviest and lightest on overload, else now and then toward a light one.
+  void even_out() {
+    take_means();
+    order_.clear();
+    for (Host& h : hosts_) {
+      if (h.usable() && h.forecast.known()) order_.push_back(&h);
+    }
+    std::stable_sort(order_.begin(), order_.end(), [&](const Host* a, const Host* b) {
+      return load_of(*a, Micros{0}) < load_of(*b, Micros{0});
+    });
+    bool overload = false;
+    for (std::size_t i = 0, j = order_.size(); i + 1 < j && order_[j - 1]->suspended; ++i) {
+      Host& heavy = *order_[--j];
+      overload = true;
+      pair_up(heavy, *order_[i]);
+    }
+    if (overload || order_.size() < 2) {
+      quiet_since_ = now_;
+    } else if (now_ - quiet_since_ >= kQuietRest) {
+      quiet_since_ = now_;
+      Host& light = *order_.front();
+      Host& heavy = *order_.back();
+      const double gap = load_of(heavy, Micros{0}) - load_of(light, Micros{0});
+      if (load_of(light, Micros{0}) <= kLightAt && gap > kLightAt) pair_up(heavy, light);
+    }
+  }
+
+  // Moves show in the reports only after a while; until then the host is left alone.
+  void pair_up(Host& heavy, Host& light) {
+    if (light.suspended || guard_.cold(now_, light.started)) return;
+    if (heavy.moved_at != kNever && heavy.forecast.at() - heavy.moved_at < 2 * kProbeEvery) return;
+    const double share = Mover::share(load_of(heavy, Micros{0}), load_of(light, Micros{0}));
+    if (move_off(heavy, heavy.own_load * share, &light)) heavy.moved_at = now_;
+  }
+
+  bool move_off(Host& heavy, double load, const Host*) {
+    bool any = false;
+    sessions_.each([&](SlabKey, Session& s) {
+      if (load <= 0 || s.state != State::open || s.moved || s.host != heavy.id) return;
+      s.moved = any = true;
+      load -= std::max(s.load, 1e-9);
+      out_.move(s.id);
+    });
+    return any;
+  }
+
+  static constexpr double kUnusual = 8;
+
+  Outlet& out_;
+  std::knuth_b chance_;
+  unsigned nodes_;
+  ZoneId zone_;
+  std::vector<Listener> listeners_;
+  DialLimits dial_limits_;
+  ColdGuard guard_;
+  Micros cold_window_, rate_span_;
+  ListRule list_;
+  Prices prices_;
+  Rotation rotation_;
+  std::vector<FadingMean> usual_;
+  std::vector<Host> hosts_;
+  std::vector<Host*> order_;
+  Slab<Session> sessions_;
+  Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, list_wait_ = kProbeEvery;
+  bool listing_whole_ = false, mean_known_ = false;
+  double mean_load_ = 0, mean_own_ = 0, arrived_ = 0, per_share_ = 0;
+  Micros arrival_at_{0};
+  unsigned beats_ = 0;
+};
+
+bool Sess::live() const { return decisions_ && decisions_->live(key_); }
+void Sess::accepted(DialNo dial) { decisions_->accepted(key_, dial); }
+void Sess::ended(DialNo dial, Ending ending, bool over) { decisions_->ended(key_, dial, ending, over); }
+void Sess::left() { decisions_->left(key_); }
+void Sess::load_is(double load) { decisions_->load_is(key_, load); }
+void Sess::messages_take(Micros delay) { decisions_->messages_take(key_, delay); }
+
+Balancer::Balancer(Outlet& outlet, std::uint64_t seed, unsigned nodes, ZoneId zone,
+                   std::vector<Listener> listeners, DialLimits dials, ColdRule cold, ListRule list, Prices prices)
+    : decisions_(std::make_unique<Decisions>(outlet, seed, nodes, zone, std::move(listeners), dials, cold, list,
+                                             prices)) {}
+Balancer::~Balancer() = default;
+Balancer::Balancer(Balancer&&) noexcept = default;
+Balancer& Balancer::operator=(Balancer&&) noexcept = default;
+void Balancer::at(Micros now) { decisions_->at(now); }
+Sess Balancer::take(SessId sess, const Taken& taken) { return {decisions_.get(), decisions_->take(sess, taken)}; }
+Sess Balancer::inherit(SessId sess, const Taken& taken, HostId host) {
+  return {decisions_.get(), decisions_->inherit(sess, taken, host)};
+}
+void Balancer::woken(WakeId wake) { decisions_->woken(wake); }
+void Balancer::probed(HostId host, bool answered, const LoadReport& r) { decisions_->probed(host, answered, r); }
+void Balancer::list_begins(bool whole) { decisions_->list_begins(whole); }
+void Balancer::listed(HostId host, ZoneId zone, CellId cell, Standing standing, double share, Micros started) {
+  decisions_->listed(host, zone, cell, standing, share, started);
+}
+void Balancer::list_ends() { decisions_->list_ends(); }
+void Balancer::list_failed() { decisions_->list_failed(); }
+
+}  // namespace flintweir
