Refuse at once where every host is past what it can do

Changes: load sent since the last report counts; hosts above 1.25 times the mean are passed over; nothing goes to a host at or past its capacity; further dials go only to hosts in good order.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -143,6 +143,8 @@
   unsigned own = 0;     // own open connections
   unsigned dialing = 0;
   double own_load = 0;  // their load, in microseconds of work a second
+  double sent_load = 0; // what was sent lately, which the reports may not show yet; fades
+  Micros sent_at{0};
   std::vector<std::pair<GroupId, unsigned>> groups;
   std::vector<std::pair<Micros, double>> cold_sent;
 
@@ -159,6 +161,11 @@
       groups.pop_back();
     }
   }
+  double unseen(Micros now) const { return sent_load * std::exp2(-ratio(now - sent_at, kProbeEvery)); }
+  void sent(Micros now, double load) {
+    sent_load = std::max(0.0, unseen(now) + load);
+    sent_at = now;
+  }
   // Each failure doubles the pause for which the host is passed over; each success halves it.
   void failed(Micros now) {
     last_pause = std::clamp(2 * last_pause, kProbeEvery, 8 * kProbeEvery);
@@ -223,7 +230,8 @@
 };
 
 // Reasons to pass over the host offered, in the order in which further walks drop them.
-enum Passing : unsigned { off_group = 1, remote = 2, fresh = 4, overloaded = 8, tried = 16, ill = 32 };
+enum Passing : unsigned {
+  off_group = 1, remote = 2, crowded = 4, fresh = 8, overloaded = 16, tried = 32, ill = 64 };
 
 // The hosts in the order of their ids, and the pointer into them.
 class Rotation {
@@ -343,6 +351,7 @@
     }
     if (h) {
       --h->dialing;
+      h->sent(now_, -s->load);
       if (how == Ending::finished) h->succeeded(now_);
       else if (how != Ending::cancelled && how != Ending::unsent) h->failed(now_);
     }
@@ -502,21 +511,26 @@
   }
 
   double load_of(const Host& h, Micros horizon) const {
-    if (h.forecast.known()) return h.forecast.weigh(h.forecast.raw(), horizon);
+    // What this node has sent since is added, as reports are late.
+    const double unseen = per_load_ / h.share * h.unseen(now_);
+    if (h.forecast.known()) return h.forecast.weigh(h.forecast.raw() + unseen, horizon);
     return mean_known_ ? mean_load_ : mean_own_ > 0 ? h.own / mean_own_ / 2 : 0;
   }
 
   // The mean load of the hosts in use, for new ones and for comparison.
   void take_means() {
-    double load = 0, known = 0, own = 0, all = 0;
+    double load = 0, known = 0, own = 0, all = 0, own_load = 0, carried = 0;
     for (const Host& h : hosts_) {
       if (!h.usable()) continue;
       all += 1;
       own += h.own;
+      own_load += h.own_load;
       if (!h.forecast.known()) continue;
       known += 1;
-      load += h.forecast.weigh(h.forecast.raw(), Micros{0});
+      load += load_of(h, Micros{0});
+      carried += h.forecast.raw() * h.share;
     }
+    if (own_load > 0) per_load_ = carried / (nodes_ * own_load);
     mean_known_ = known > 0;
     mean_load_ = known > 0 ? load / known : 0;
     mean_own_ = all > 0 ? own / all : 0;
@@ -548,10 +562,14 @@
         against |= off_group;
       }
       if (h.zone != zone_ && prices_.crossing > 0) against |= remote;
-      if (h.suspended) against |= overloaded;
+      // Past what it can do a host serves nobody: then a session is better refused.
+      if (load >= 1) return std::nullopt;
+      if (load > kCrowded * mean_load_) against |= crowded;
+      if (h.suspended || load >= kSuspendAt) against |= overloaded;
       const auto end = s.tried.begin() + std::min<std::size_t>(s.dials, s.tried.size());
       if (std::find(s.tried.begin(), end, h.id) != end) against |= tried;
       if (now_ < h.aside_until || (trust_silence && h.silence.unusual(now_) > kUnusual)) against |= ill;
+      if (s.dials > 0 && against >= overloaded) return std::nullopt;
       return against;
     });
   }
@@ -564,7 +582,10 @@
     if (!dials.again(s, now_)) return give_up(key, s, dials);
     Host* h = choose(s, dials);
     if (!h) {
-      if (now_ >= s.give_up_at) return give_up(key, s, dials);
+      const bool all_full = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
+        return x.usable() && load_of(x, Micros{0}) >= 1;
+      });
+      if (now_ >= s.give_up_at || all_full || s.dials > 0) return give_up(key, s, dials);
       const WakeId own{std::uint64_t{key.turn} << 32 | key.place};
       if (!std::exchange(s.waiting, true)) out_.wake(std::min(kBeat, s.give_up_at - now_), own);
       return;
@@ -577,6 +598,7 @@
     s.state = State::dialing;
     s.dial_out = true;
     s.host = h->id;
+    h->sent(now_, s.load);
     s.dialed_at = now_;
     out_.dial(s.id, h->id, limit);
   }
@@ -655,7 +677,7 @@
     return any;
   }
 
-  static constexpr double kUnusual = 8;
+  static constexpr double kUnusual = 8, kCrowded = 1.25;
 
   Outlet& out_;
   std::knuth_b chance_;
@@ -674,7 +696,7 @@
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, list_wait_ = kProbeEvery;
   bool listing_whole_ = false, mean_known_ = false;
-  double mean_load_ = 0, mean_own_ = 0, arrived_ = 0, per_share_ = 0;
+  double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, arrived_ = 0, per_share_ = 0;
   Micros arrival_at_{0};
   unsigned beats_ = 0;
 };
