Keep the sessions of a group together

Now a session passes over hosts that hold none of its group while a holder is as fit, and a new group starts at a host that all nodes work out alike from ids.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -231,34 +231,35 @@
 
 // Reasons to pass over the host offered, in the order in which further walks drop them.
 enum Passing : unsigned {
-  off_group = 1, remote = 2, crowded = 4, fresh = 8, overloaded = 16, tried = 32, ill = 64 };
+  crowded = 1,
+  remote = 2,
+  off_group = 4,
+  fresh = 8,
+  overloaded = 16,
+  tried = 32,
+  ill = 64,
+  barred = 128  // and all above: never dropped
+};
 
 // The hosts in the order of their ids, and the pointer into them.
 class Rotation {
  public:
   explicit Rotation(std::uint64_t start) : next_(start) {}
-  // `judge` gives the reasons against a host, or nothing where it must not be used at all.
-  template <class Judge>
-  Host* choose(std::vector<Host>& hosts, Judge judge) {
-    marks_.clear();
-    for (Host& h : hosts) marks_.push_back(judge(h));
-    for (unsigned kept = ~0u; !hosts.empty();) {
+  // The next host in turn that no condition passes over; each further walk drops one condition more.
+  Host* choose(std::vector<Host>& hosts, const std::vector<unsigned>& against) {
+    for (unsigned dropped = 0; dropped < barred; dropped = 2 * dropped + 1) {
       for (std::size_t i = 0; i < hosts.size(); ++i) {
         const std::size_t at = (next_ + i) % hosts.size();
-        if (!marks_[at] || (*marks_[at] & kept)) continue;
+        if (against[at] & ~dropped) continue;
         next_ = at + 1;
         return &hosts[at];
       }
-      if (kept == 0) break;
-      kept = kept == ~0u ? ~unsigned{off_group} : kept << 1;
-      if (!(kept & (2 * ill - 1))) kept = 0;
     }
     return nullptr;
   }
 
  private:
   std::size_t next_;
-  std::vector<std::optional<unsigned>> marks_;
 };
 
 // Heavy to light: which share of its own load on the heavier of two hosts a node moves off.
@@ -547,31 +548,62 @@
       silent += h.silence.unusual(now_) > kUnusual ? 1 : 0;
     }
     const bool trust_silence = 2 * silent <= usable;  // when most look ill, the judgement is suspect
-    return rotation_.choose(hosts_, [&](const Host& h) -> std::optional<unsigned> {
-      if (!h.usable() || !dials.at(s, h)) return std::nullopt;
-      unsigned against = 0;
-      if (guard_.cold(now_, h.started)) {
-        // A node that has just started doesn't know what it sent before.
-        if (now_ - began_ < cold_window_) return std::nullopt;
-        if (!guard_.room(now_, h.started, full_rate(h), cost(s), h.cold_sent)) return std::nullopt;
-        const double warm = guard_.warmth(now_ - h.started);
-        if (std::generate_canonical<double, 32>(chance_) > warm) against |= fresh;
-      }
-      const double load = load_of(h, Micros{0});
-      if (s.taken.group && !(h.holds(*s.taken.group) && load <= (mean_load_ + kSuspendAt) / 2)) {
-        against |= off_group;
-      }
-      if (h.zone != zone_ && prices_.crossing > 0) against |= remote;
-      // Past what it can do a host serves nobody: then a session is better refused.
-      if (load >= 1) return std::nullopt;
-      if (load > kCrowded * mean_load_) against |= crowded;
-      if (h.suspended || load >= kSuspendAt) against |= overloaded;
-      const auto end = s.tried.begin() + std::min<std::size_t>(s.dials, s.tried.size());
-      if (std::find(s.tried.begin(), end, h.id) != end) against |= tried;
-      if (now_ < h.aside_until || (trust_silence && h.silence.unusual(now_) > kUnusual)) against |= ill;
-      if (s.dials > 0 && against >= overloaded) return std::nullopt;
-      return against;
-    });
+    against_.clear();
+    for (const Host& h : hosts_) against_.push_back(reasons(h, s, dials, trust_silence));
+    if (s.taken.group) keep_together(*s.taken.group);
+    return rotation_.choose(hosts_, against_);
+  }
+
+  unsigned reasons(const Host& h, const Session& s, const Dials& dials, bool trust_silence) {
+    if (!h.usable() || !dials.at(s, h)) return barred;
+    unsigned against = 0;
+    if (guard_.cold(now_, h.started)) {
+      // A node that has just started doesn't know what it sent before.
+      if (now_ - began_ < cold_window_) return barred;
+      if (!guard_.room(now_, h.started, full_rate(h), cost(s), h.cold_sent)) return barred;
+      const double warm = guard_.warmth(now_ - h.started);
+      if (std::generate_canonical<double, 32>(chance_) > warm) against |= fresh;
+    }
+    const double load = load_of(h, Micros{0});
+    // Past what it can do a host serves nobody: then a session is better refused.
+    if (load >= 1) return barred;
+    if (load > kCrowded * mean_load_) against |= crowded;
+    if (h.zone != zone_ && prices_.crossing > 0) against |= remote;
+    if (h.suspended || load >= kSuspendAt) against |= overloaded;
+    const auto end = s.tried.begin() + std::min<std::size_t>(s.dials, s.tried.size());
+    if (std::find(s.tried.begin(), end, h.id) != end) against |= tried;
+    if (now_ < h.aside_until || (trust_silence && h.silence.unusual(now_) > kUnusual)) against |= ill;
+    return s.dials > 0 && against >= overloaded ? unsigned{barred} : against;
+  }
+
+  // Each host that holds any of a group pays for it once more: the group's sessions pass over the others
+  // while one that holds it is as fit as any. A group that none such holds starts at a host that every node
+  // works out alike, from ids, so that it does not spread over as many hosts as there are nodes.
+  void keep_together(GroupId group) {
+    constexpr unsigned kLight = crowded | remote;
+    unsigned best = barred, best_all = barred;
+    for (const unsigned a : against_) {
+      best = std::min(best, a & ~kLight);
+      best_all = std::min(best_all, a);
+    }
+    if (best >= barred) return;
+    std::size_t home = hosts_.size();
+    std::uint64_t most = 0;
+    bool held = false;
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      if ((against_[i] & ~kLight) == best && hosts_[i].holds(group)) held = true;
+      const std::uint64_t mixed = mix(group.value ^ mix(hosts_[i].id.value));
+      if (against_[i] == best_all && (home == hosts_.size() || mixed > most)) home = i, most = mixed;
+    }
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      if (held ? !hosts_[i].holds(group) : i != home) against_[i] |= off_group;
+    }
+  }
+
+  static std::uint64_t mix(std::uint64_t x) {  // the finalizer of splitmix64
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ull;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebull;
+    return x ^ (x >> 31);
   }
 
   double cost(const Session& s) const { return std::max(s.load, 1e-9); }
@@ -693,6 +725,7 @@
   std::vector<FadingMean> usual_;
   std::vector<Host> hosts_;
   std::vector<Host*> order_;
+  std::vector<unsigned> against_;
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, list_wait_ = kProbeEvery;
   bool listing_whole_ = false, mean_known_ = false;
