Move sessions whose group has another home first

Moves left copies of groups everywhere. Leaving sessions are now ordered: those whose group another host in good order holds, then those of the groups least held on the heavy host.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -149,8 +149,11 @@
   std::vector<std::pair<Micros, double>> cold_sent;
 
   bool usable() const { return standing == Standing::in; }
-  bool holds(GroupId g) const {
-    return std::any_of(groups.begin(), groups.end(), [&](const auto& x) { return x.first == g; });
+  unsigned held(GroupId g) const {
+    for (const auto& [group, count] : groups) {
+      if (group == g) return count;
+    }
+    return 0;
   }
   void join(GroupId g, int by) {
     auto it = std::find_if(groups.begin(), groups.end(), [&](const auto& x) { return x.first == g; });
@@ -591,12 +594,12 @@
     std::uint64_t most = 0;
     bool held = false;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      if ((against_[i] & ~kLight) == best && hosts_[i].holds(group)) held = true;
+      if ((against_[i] & ~kLight) == best && hosts_[i].held(group)) held = true;
       const std::uint64_t mixed = mix(group.value ^ mix(hosts_[i].id.value));
       if (against_[i] == best_all && (home == hosts_.size() || mixed > most)) home = i, most = mixed;
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      if (held ? !hosts_[i].holds(group) : i != home) against_[i] |= off_group;
+      if (held ? !hosts_[i].held(group) : i != home) against_[i] |= off_group;
     }
   }
 
@@ -659,7 +662,7 @@
   // A host on its way out is the heaviest there can be: own connections leave it, a part at each beat.
   void leave_draining() {
     for (Host& h : hosts_) {
-      if (h.standing == Standing::draining && h.own) move_off(h, h.own_load / kBeatsPerProbe, nullptr);
+      if (h.standing == Standing::draining && h.own) move_off(h, h.own_load / kBeatsPerProbe);
     }
   }
 
@@ -695,20 +698,36 @@
     if (light.suspended || guard_.cold(now_, light.started)) return;
     if (heavy.moved_at != kNever && heavy.forecast.at() - heavy.moved_at < 2 * kProbeEvery) return;
     const double share = Mover::share(load_of(heavy, Micros{0}), load_of(light, Micros{0}));
-    if (move_off(heavy, heavy.own_load * share, &light)) heavy.moved_at = now_;
+    if (move_off(heavy, heavy.own_load * share)) heavy.moved_at = now_;
   }
 
-  bool move_off(Host& heavy, double load, const Host*) {
-    bool any = false;
+  // First go sessions whose group has another, lighter home, then those of the groups least held here.
+  bool move_off(Host& heavy, double load) {
+    leaving_.clear();
     sessions_.each([&](SlabKey, Session& s) {
-      if (load <= 0 || s.state != State::open || s.moved || s.host != heavy.id) return;
-      s.moved = any = true;
-      load -= std::max(s.load, 1e-9);
-      out_.move(s.id);
+      if (s.state != State::open || s.moved || s.host != heavy.id) return;
+      unsigned here = 0;
+      bool home = !s.taken.group;
+      if (s.taken.group) {
+        here = heavy.held(*s.taken.group);
+        for (const Host& h : hosts_) {
+          home = home || (h.id != heavy.id && h.usable() && !h.suspended && h.held(*s.taken.group) > 0);
+        }
+      }
+      leaving_.push_back({home ? here : here + kAlone, &s});
     });
+    std::stable_sort(leaving_.begin(), leaving_.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    bool any = false;
+    for (const auto& [order, s] : leaving_) {
+      if (load <= 0) break;
+      s->moved = any = true;
+      load -= std::max(s->load, 1e-9);
+      out_.move(s->id);
+    }
     return any;
   }
 
+  static constexpr unsigned kAlone = 1u << 30;
   static constexpr double kUnusual = 8, kCrowded = 1.25;
 
   Outlet& out_;
@@ -725,6 +744,7 @@
   std::vector<FadingMean> usual_;
   std::vector<Host> hosts_;
   std::vector<Host*> order_;
+  std::vector<std::pair<unsigned, Session*>> leaving_;
   std::vector<unsigned> against_;
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, list_wait_ = kProbeEvery;
