--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -221,10 +221,11 @@
     if (!s.may_have_run || listener_.effect == Effect::repeatable) return true;
     return listener_.effect == Effect::referenced && listener_.reach == Reach::all;
   }
-  // Leaves room for another dial before the handshake target; the last one has all the time there is.
-  Micros limit(const Session& s, Micros now) const {
+  // Leaves room for another dial before the handshake target; the last one has all the time there is. Where
+  // dials time out at one host after the other the cause is shared, and dialling again would feed it.
+  Micros limit(const Session& s, Micros now, unsigned patience) const {
     const Micros left = s.taken.valid_until - now;
-    return s.dials + 1 >= most_ ? left : std::min(left, listener_.handshake_target / 2);
+    return s.dials + 1 >= most_ ? left : std::min(left, listener_.handshake_target / 2 * patience);
   }
 
  private:
@@ -270,7 +271,8 @@
  public:
   // Every node that sees the pair moves the same share of its own, which together is what the mean asks.
   static double share(double heavy, double light) {
-    return heavy > light ? (heavy - (heavy + light) / 2) / heavy : 0;
+    const double aim = std::max((heavy + light) / 2, kSuspendAt - kLightAt);
+    return heavy > aim ? (heavy - aim) / heavy : 0;
   }
 };
 
@@ -338,6 +340,7 @@
       --h->dialing;
       h->succeeded(now_);
     }
+    patience_ = std::max(1u, patience_ / 2);
     open(*s);
   }
 
@@ -359,6 +362,7 @@
       if (how == Ending::finished) h->succeeded(now_);
       else if (how != Ending::cancelled && how != Ending::unsent) h->failed(now_);
     }
+    if (how == Ending::timed_out) patience_ = std::min(2 * patience_, kMostPatience);
     const bool proven = how == Ending::turned_away || how == Ending::unconnected || how == Ending::unsent;
     if (!proven && !s->may_have_run) {
       s->may_have_run = true;
@@ -626,7 +630,7 @@
       return;
     }
     if (guard_.cold(now_, h->started)) guard_.spend(now_, cost(s), h->cold_sent);
-    const Micros limit = dials.limit(s, now_);
+    const Micros limit = dials.limit(s, now_, patience_);
     if (s.dials < s.tried.size()) s.tried[s.dials] = h->id;
     ++s.dials;
     ++h->dialing;
@@ -727,7 +731,7 @@
     return any;
   }
 
-  static constexpr unsigned kAlone = 1u << 30;
+  static constexpr unsigned kAlone = 1u << 30, kMostPatience = 64;
   static constexpr double kUnusual = 8, kCrowded = 1.25;
 
   Outlet& out_;
@@ -751,7 +755,7 @@
   bool listing_whole_ = false, mean_known_ = false;
   double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, arrived_ = 0, per_share_ = 0;
   Micros arrival_at_{0};
-  unsigned beats_ = 0;
+  unsigned beats_ = 0, patience_ = 1;
 };
 
 bool Sess::live() const { return decisions_ && decisions_->live(key_); }
