Refuse at nine tenths of capacity and relieve hosts past it

New sessions are now refused from 0.9, half way from the suspension to capacity, and where no lighter host is left a host past capacity lets go of its sessions of least utility for their load.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -24,6 +24,7 @@
 constexpr double kWeightPiled = 0.11;
 constexpr double kSuspendAt = 0.8;
 constexpr double kLightAt = 0.1;
+constexpr double kFullAt = (kSuspendAt + 1) / 2;  // a host so loaded gets nothing new
 constexpr int kBeatsPerProbe = 8;
 constexpr Micros kNever = Micros::min();
 
@@ -572,8 +573,8 @@
       if (std::generate_canonical<double, 32>(chance_) > warm) against |= fresh;
     }
     const double load = load_of(h, Micros{0});
-    // Past what it can do a host serves nobody: then a session is better refused.
-    if (load >= 1) return barred;
+    // Near and past what it can do a host serves nobody: then a session is better refused.
+    if (load >= kFullAt) return barred;
     if (load > kCrowded * mean_load_) against |= crowded;
     if (h.zone != zone_ && prices_.crossing > 0) against |= remote;
     if (h.suspended || load >= kSuspendAt) against |= overloaded;
@@ -622,7 +623,7 @@
     Host* h = choose(s, dials);
     if (!h) {
       const bool all_full = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
-        return x.usable() && load_of(x, Micros{0}) >= 1;
+        return x.usable() && load_of(x, Micros{0}) >= kFullAt;
       });
       if (now_ >= s.give_up_at || all_full || s.dials > 0) return give_up(key, s, dials);
       const WakeId own{std::uint64_t{key.turn} << 32 | key.place};
@@ -666,7 +667,7 @@
   // A host on its way out is the heaviest there can be: own connections leave it, a part at each beat.
   void leave_draining() {
     for (Host& h : hosts_) {
-      if (h.standing == Standing::draining && h.own) move_off(h, h.own_load / kBeatsPerProbe);
+      if (h.standing == Standing::draining && h.own) move_off(h, h.own_load / kBeatsPerProbe, false);
     }
   }
 
@@ -699,17 +700,22 @@
 
   // Moves show in the reports only after a while; until then the host is left alone.
   void pair_up(Host& heavy, Host& light) {
-    if (light.suspended || guard_.cold(now_, light.started)) return;
     if (heavy.moved_at != kNever && heavy.forecast.at() - heavy.moved_at < 2 * kProbeEvery) return;
-    const double share = Mover::share(load_of(heavy, Micros{0}), load_of(light, Micros{0}));
-    if (move_off(heavy, heavy.own_load * share)) heavy.moved_at = now_;
+    const double load = load_of(heavy, Micros{0});
+    const bool relief = light.suspended || guard_.cold(now_, light.started);
+    // Where no host is lighter, one past what it can do serves nobody: the least useful load leaves for good.
+    if (relief && load < 1) return;
+    const double share = relief ? (load - kFullAt) / load : Mover::share(load, load_of(light, Micros{0}));
+    if (move_off(heavy, heavy.own_load * share, relief)) heavy.moved_at = now_;
   }
 
-  // First go sessions whose group has another, lighter home, then those of the groups least held here.
-  bool move_off(Host& heavy, double load) {
+  // First go sessions whose group has another, lighter home, then those of the groups least held here; for
+  // relief those of least utility for their load.
+  bool move_off(Host& heavy, double load, bool relief) {
     leaving_.clear();
     sessions_.each([&](SlabKey, Session& s) {
       if (s.state != State::open || s.moved || s.host != heavy.id) return;
+      if (relief) return leaving_.push_back({listeners_[s.taken.listener.value].utility / std::max(s.load, 1e-9), &s});
       unsigned here = 0;
       bool home = !s.taken.group;
       if (s.taken.group) {
@@ -718,7 +724,7 @@
           home = home || (h.id != heavy.id && h.usable() && !h.suspended && h.held(*s.taken.group) > 0);
         }
       }
-      leaving_.push_back({home ? here : here + kAlone, &s});
+      leaving_.push_back({here + (home ? 0 : kAlone), &s});
     });
     std::stable_sort(leaving_.begin(), leaving_.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
     bool any = false;
@@ -731,8 +737,8 @@
     return any;
   }
 
-  static constexpr unsigned kAlone = 1u << 30, kMostPatience = 64;
-  static constexpr double kUnusual = 8, kCrowded = 1.25;
+  static constexpr unsigned kMostPatience = 64;
+  static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25;
 
   Outlet& out_;
   std::knuth_b chance_;
@@ -748,7 +754,7 @@
   std::vector<FadingMean> usual_;
   std::vector<Host> hosts_;
   std::vector<Host*> order_;
-  std::vector<std::pair<unsigned, Session*>> leaving_;
+  std::vector<std::pair<double, Session*>> leaving_;
   std::vector<unsigned> against_;
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, list_wait_ = kProbeEvery;
