Leave alone a host that breaks connections off until it reports less

A break now bars the host until a report below the suspension; the pause after failures no longer ends with a success that was sent before it, nor doubles many times for one break.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -136,6 +136,7 @@
   Micros started{0};
   bool listed = false;
   bool suspended = false;
+  bool shedding = false;  // broke connections off since its last report
   LoadForecast forecast;
   SilenceJudge silence;
   Micros next_probe = kNever;
@@ -170,15 +171,16 @@
     sent_load = std::max(0.0, unseen(now) + load);
     sent_at = now;
   }
-  // Each failure doubles the pause for which the host is passed over; each success halves it.
+  // The first failure since the last pause doubles the pause for which the host is passed over; a success after
+  // it halves it. Many failures at once, or successes sent before, tell no more than one.
   void failed(Micros now) {
+    if (now < aside_until) return;
     last_pause = std::clamp(2 * last_pause, kProbeEvery, 8 * kProbeEvery);
     aside_until = now + last_pause;
   }
   void succeeded(Micros now) {
     silence.sign(now);
-    last_pause /= 2;
-    aside_until = kNever;
+    if (now >= aside_until) last_pause /= 2;
   }
 };
 
@@ -353,7 +355,12 @@
     if (s->state == State::open) {
       close(*s, h);
       // A connection that broke off is a failure of its host, unless the host was on its way out.
-      if (h && h->usable() && how == Ending::broken) h->failed(now_);
+      // So it is where a host sheds load: its reports may look light just after, and clients that are sent
+      // there break off again and again. It gets nothing new until a later report shows it below suspension.
+      if (h && h->usable() && how == Ending::broken) {
+        h->failed(now_);
+        h->shedding = true;
+      }
       sessions_.drop(key);
       return;
     }
@@ -545,7 +552,10 @@
     mean_own_ = all > 0 ? own / all : 0;
   }
 
-  void mark(Host& h) { h.suspended = load_of(h, kProbeEvery) >= kSuspendAt; }
+  void mark(Host& h) {
+    h.suspended = load_of(h, kProbeEvery) >= kSuspendAt;
+    h.shedding = h.shedding && h.suspended;
+  }
 
   Host* choose(const Session& s, const Dials& dials) {
     take_means();
@@ -574,7 +584,7 @@
     }
     const double load = load_of(h, Micros{0});
     // Near and past what it can do a host serves nobody: then a session is better refused.
-    if (load >= kFullAt) return barred;
+    if (h.shedding || load >= kFullAt) return barred;
     if (load > kCrowded * mean_load_) against |= crowded;
     if (h.zone != zone_ && prices_.crossing > 0) against |= remote;
     if (h.suspended || load >= kSuspendAt) against |= overloaded;
@@ -623,7 +633,7 @@
     Host* h = choose(s, dials);
     if (!h) {
       const bool all_full = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
-        return x.usable() && load_of(x, Micros{0}) >= kFullAt;
+        return x.usable() && (x.shedding || load_of(x, Micros{0}) >= kFullAt);
       });
       if (now_ >= s.give_up_at || all_full || s.dials > 0) return give_up(key, s, dials);
       const WakeId own{std::uint64_t{key.turn} << 32 | key.place};
