--- a/benchlink/wire.cpp
+++ b/benchlink/wire.cpp
@@ -169,7 +169,10 @@
 // The replies' text: messages of one batch, from all nodes.
 class Reply {
  public:
-  void clear() { text_ = "{\"output\":["; first_ = true; }
+  void clear() {
+    text_ = "{\"output\":[";
+    first_ = true;
+  }
   std::string_view finish() { return text_ += "]}"; }
   Reply& message(std::string_view name, std::uint64_t who) {
     text_ += first_ ? "[\"" : ",[\"";
@@ -227,15 +230,14 @@
       fields_.emplace_back(name);
     }
     const bool stays_away = ceilings.yes("retryAfter");
-    balancer_ = std::make_unique<Balancer>(
-        *this, seed, static_cast<unsigned>(all.real("balancers", 1)),
-        ZoneId{static_cast<std::uint32_t>(all.real("myZone", 0))}, std::move(listeners),
-        DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)),
-                   stays_away ? ceilings.time("maxRetryAfter") : Micros{0}},
-        ColdRule{rules.time("cold"), rules.real("coldShare", 1), rules.real("overloadFactor", 1),
-                 rules.time("tipAfter")},
-        ListRule{all.text("discovery", "") == "on_request", rules.time("askEvery")},
-        Prices{prices.real("crossZone", 0), prices.real("probe", 0)});
+    balancer_ = make_balancer(*this, seed, static_cast<unsigned>(all.real("balancers", 1)),
+                              ZoneId{static_cast<std::uint32_t>(all.real("myZone", 0))}, std::move(listeners),
+                              DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)),
+                                         stays_away ? ceilings.time("maxRetryAfter") : Micros{0}},
+                              ColdRule{rules.time("cold"), rules.real("coldShare", 1),
+                                       rules.real("overloadFactor", 1), rules.time("tipAfter")},
+                              ListRule{all.text("discovery", "") == "on_request", rules.time("askEvery")},
+                              Prices{prices.real("crossZone", 0), prices.real("probe", 0)});
   }
 
   void at(Micros now) { balancer_->at(now); }
@@ -430,19 +432,30 @@
       return;
     }
     const auto it = nodes.find(who);
-    if (it == nodes.end()) bad(std::string(what) + ": instance " + std::to_string(who) + " was never configured");
+    if (it == nodes.end())
+      bad(std::string(what) + ": instance " + std::to_string(who) + " was never configured");
     Node& node = *it->second;
     node.at(now);
-    if (what == "JOB_IN") node.job_in(r);
-    else if (what == "SETTLED") node.settled(r);
-    else if (what == "FLOWING") node.flowing(r);
-    else if (what == "PROGRESS") node.progress(r);
-    else if (what == "PROBE_DONE") node.probe_done(r);
-    else if (what == "TICK_DUE") node.tick_due(r);
-    else if (what == "UPDATE") update(node, r);
-    else if (what == "GONE") node.gone(r);
-    else if (what == "INHERITED") node.inherited(r);
-    else if (what != "DATAGRAM") bad("unknown event '" + std::string(what) + "'");
+    if (what == "JOB_IN")
+      node.job_in(r);
+    else if (what == "SETTLED")
+      node.settled(r);
+    else if (what == "FLOWING")
+      node.flowing(r);
+    else if (what == "PROGRESS")
+      node.progress(r);
+    else if (what == "PROBE_DONE")
+      node.probe_done(r);
+    else if (what == "TICK_DUE")
+      node.tick_due(r);
+    else if (what == "UPDATE")
+      update(node, r);
+    else if (what == "GONE")
+      node.gone(r);
+    else if (what == "INHERITED")
+      node.inherited(r);
+    else if (what != "DATAGRAM")
+      bad("unknown event '" + std::string(what) + "'");
   }
 
   std::optional<std::vector<Entry>>& table(Reader& r) {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -5,12 +5,13 @@
 #include "balance.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <random>
-#include <string>
 #include <utility>
 
+#include "numbers.h"
+#include "session.h"
+
 namespace flintweir {
 namespace {
 
@@ -26,33 +27,14 @@
 constexpr double kLightAt = 0.1;
 constexpr double kFullAt = (kSuspendAt + 1) / 2;  // a host so loaded gets nothing new
 constexpr int kBeatsPerProbe = 8;
-constexpr Micros kNever = Micros::min();
-
-double seconds(Micros t) { return static_cast<double>(t.count()) / 1e6; }
-double ratio(Micros part, Micros whole) { return seconds(part) / std::max(seconds(whole), 1e-6); }
-
-// A mean over a time: old news fades by half every `half`.
-class FadingMean {
- public:
-  void add(double x, double keep) {
-    mean_ = known_ ? keep * mean_ + (1 - keep) * x : x;
-    known_ = true;
-  }
-  double or_else(double x) const { return known_ ? mean_ : x; }
-  bool known() const { return known_; }
-
- private:
-  double mean_ = 0;
-  bool known_ = false;
-};
 
 // The load of one host from its two last reports, now and forecast a horizon on.
 class LoadForecast {
  public:
   void report(Micros now, double load, double piled) {
-    const double fade = at_ == kNever ? 0 : std::exp2(-ratio(now - at_, 10 * kProbeEvery));
+    const double kept = at_ == kNever ? 0 : fade(now - at_, kQuietRest);
     growth_ = at_ == kNever || now <= at_ ? 0 : (piled - piled_) / seconds(now - at_);
-    peak_ = std::max(piled, peak_ * fade);
+    peak_ = std::max(piled, peak_ * kept);
     load_ = load;
     piled_ = piled;
     at_ = now;
@@ -116,7 +98,7 @@
             const std::vector<std::pair<Micros, double>>& sent) const {
     double spent = 0;
     for (const auto& [at, what] : sent) spent += now - at <= rule_.window ? what : 0;
-    return spent + cost <= rule_.multiple * warmth(now - started) * rate * seconds(rule_.window);
+    return spent + cost <= kCaution * rule_.multiple * warmth(now - started) * rate * seconds(rule_.window);
   }
   void spend(Micros now, double cost, std::vector<std::pair<Micros, double>>& sent) const {
     std::erase_if(sent, [&](const auto& s) { return now - s.first > rule_.window; });
@@ -124,6 +106,7 @@
   }
 
  private:
+  static constexpr double kCaution = 0.75;  // the rate is an estimate from a count of arrivals
   ColdRule rule_;
 };
 
@@ -142,37 +125,22 @@
   Micros next_probe = kNever;
   Micros aside_until = kNever, last_pause{0};
   Micros moved_at = kNever;
-  unsigned own = 0;     // own open connections
+  unsigned own = 0;  // own open connections
   unsigned dialing = 0;
-  double own_load = 0;  // their load, in microseconds of work a second
-  double sent_load = 0; // what was sent lately, which the reports may not show yet; fades
+  double own_load = 0;   // their load, in microseconds of work a second
+  double sent_load = 0;  // what was sent lately, which the reports may not show yet; fades
   Micros sent_at{0};
-  std::vector<std::pair<GroupId, unsigned>> groups;
+  GroupCount groups;
   std::vector<std::pair<Micros, double>> cold_sent;
 
   bool usable() const { return standing == Standing::in; }
-  unsigned held(GroupId g) const {
-    for (const auto& [group, count] : groups) {
-      if (group == g) return count;
-    }
-    return 0;
-  }
-  void join(GroupId g, int by) {
-    auto it = std::find_if(groups.begin(), groups.end(), [&](const auto& x) { return x.first == g; });
-    if (it == groups.end()) it = groups.insert(it, {g, 0});
-    it->second += by;
-    if (it->second == 0) {
-      *it = groups.back();
-      groups.pop_back();
-    }
-  }
-  double unseen(Micros now) const { return sent_load * std::exp2(-ratio(now - sent_at, kProbeEvery)); }
+  double unseen(Micros now) const { return sent_load * fade(now - sent_at, kProbeEvery); }
   void sent(Micros now, double load) {
     sent_load = std::max(0.0, unseen(now) + load);
     sent_at = now;
   }
-  // The first failure since the last pause doubles the pause for which the host is passed over; a success after
-  // it halves it. Many failures at once, or successes sent before, tell no more than one.
+  // The first failure since the last pause doubles the pause for which the host is passed over; a success
+  // after it halves it. Many failures at once, or successes sent before, tell no more than one.
   void failed(Micros now) {
     if (now < aside_until) return;
     last_pause = std::clamp(2 * last_pause, kProbeEvery, 8 * kProbeEvery);
@@ -184,28 +152,6 @@
   }
 };
 
-enum class State { held, dialing, open, over };
-
-struct Session {
-  SessId id;
-  Taken taken;
-  State state = State::held;
-  Micros give_up_at{0};
-  unsigned dials = 0;
-  bool dial_out = false;
-  HostId host;
-  Micros dialed_at{0};
-  std::array<HostId, 6> tried{};
-  // Rule 2: the first dial that may have run, and where.
-  bool may_have_run = false;
-  Micros ran_at{0};
-  ZoneId ran_zone;
-  CellId ran_cell;
-  double load = 0;
-  bool moved = false;
-  bool waiting = false;  // a wake-up of its own is under way
-};
-
 // Rule 2: what a session whose dial may have run still permits.
 class Dials {
  public:
@@ -279,9 +225,7 @@
   }
 };
 
-}  // namespace
-
-class Decisions {
+class Decisions final : public Balancer {
  public:
   Decisions(Outlet& out, std::uint64_t seed, unsigned nodes, ZoneId zone, std::vector<Listener> listeners,
             DialLimits dials, ColdRule cold, ListRule list, Prices prices)
@@ -299,7 +243,7 @@
         rotation_(chance_()),
         usual_(listeners_.size()) {}
 
-  void at(Micros now) {
+  void at(Micros now) override {
     now_ = now;
     if (began_ != kNever) return;
     began_ = now;
@@ -308,7 +252,7 @@
     out_.wake(spread(kBeat), WakeId{0});
   }
 
-  SlabKey take(SessId id, const Taken& taken) {
+  Sess take(SessId id, const Taken& taken) override {
     const Listener& l = listeners_[taken.listener.value];
     Session fresh;
     fresh.id = id;
@@ -318,10 +262,10 @@
     const SlabKey key = sessions_.add(fresh);
     if (!taken.returned && !taken.repeat) note_arrival(fresh.load);
     place(key, *sessions_.find(key));
-    return key;
+    return {this, key};
   }
 
-  SlabKey inherit(SessId id, const Taken& taken, HostId host) {
+  Sess inherit(SessId id, const Taken& taken, HostId host) override {
     Session s;
     s.id = id;
     s.taken = taken;
@@ -331,12 +275,12 @@
     s.load = usual_load(taken);
     const SlabKey key = sessions_.add(s);
     open(*sessions_.find(key));
-    return key;
+    return {this, key};
   }
 
-  bool live(SlabKey key) { return sessions_.find(key) != nullptr; }
+  bool live(SlabKey key) const override { return sessions_.has(key); }
 
-  void accepted(SlabKey key, DialNo dial) {
+  void accepted(SlabKey key, DialNo dial) override {
     Session* s = sessions_.find(key);
     if (!s || !current(*s, dial)) return;
     if (Host* h = find(s->host)) {
@@ -344,10 +288,10 @@
       h->succeeded(now_);
     }
     patience_ = std::max(1u, patience_ / 2);
-    open(*s);
+    if (s->state == State::dialing) open(*s);
   }
 
-  void ended(SlabKey key, DialNo dial, Ending how, bool over) {
+  void ended(SlabKey key, DialNo dial, Ending how, bool over) override {
     Session* s = sessions_.find(key);
     if (!s || !current(*s, dial)) return;
     s->dial_out = false;
@@ -367,8 +311,10 @@
     if (h) {
       --h->dialing;
       h->sent(now_, -s->load);
-      if (how == Ending::finished) h->succeeded(now_);
-      else if (how != Ending::cancelled && how != Ending::unsent) h->failed(now_);
+      if (how == Ending::finished)
+        h->succeeded(now_);
+      else if (how != Ending::cancelled && how != Ending::unsent)
+        h->failed(now_);
     }
     if (how == Ending::timed_out) patience_ = std::min(2 * patience_, kMostPatience);
     const bool proven = how == Ending::turned_away || how == Ending::unconnected || how == Ending::unsent;
@@ -378,18 +324,20 @@
       s->ran_zone = h ? h->zone : ZoneId{};
       s->ran_cell = h ? h->cell : CellId{};
     }
-    if (over || s->state == State::over) sessions_.drop(key);
-    else place(key, *s);
+    if (over || s->state == State::over)
+      sessions_.drop(key);
+    else
+      place(key, *s);
   }
 
-  void left(SlabKey key) {
+  void left(SlabKey key) override {
     Session* s = sessions_.find(key);
     if (!s || s->state == State::open) return;
     s->state = State::over;
     if (!s->dial_out) sessions_.drop(key);
   }
 
-  void load_is(SlabKey key, double load) {
+  void load_is(SlabKey key, double load) override {
     Session* s = sessions_.find(key);
     if (!s || s->state != State::open) return;
     if (Host* h = find(s->host)) h->own_load += load - s->load;
@@ -397,9 +345,9 @@
     usual_[s->taken.listener.value].add(load, 0.98);
   }
 
-  void messages_take(SlabKey, Micros) {}
+  void messages_take(SlabKey, Micros) override {}
 
-  void woken(WakeId wake) {
+  void woken(WakeId wake) override {
     if (wake.value == 0) return beat();
     const SlabKey key{static_cast<std::uint32_t>(wake.value), static_cast<std::uint32_t>(wake.value >> 32)};
     Session* s = sessions_.find(key);
@@ -408,7 +356,7 @@
     if (s->state == State::held) place(key, *s);
   }
 
-  void probed(HostId id, bool answered, const LoadReport& r) {
+  void probed(HostId id, bool answered, const LoadReport& r) override {
     Host* h = find(id);
     if (!h || !answered) return;  // a failed probe keeps the mark
     h->silence.sign(now_);
@@ -420,13 +368,13 @@
     mark(*h);
   }
 
-  void list_begins(bool whole) {
+  void list_begins(bool whole) override {
     if (!whole) return;
     for (Host& h : hosts_) h.listed = false;
     listing_whole_ = true;
   }
 
-  void listed(HostId id, ZoneId zone, CellId cell, Standing standing, double share, Micros started) {
+  void listed(HostId id, ZoneId zone, CellId cell, Standing standing, double share, Micros started) override {
     Host* h = find(id);
     if (!h) {
       const auto by_id = [](const Host& a, HostId b) { return a.id < b; };
@@ -448,7 +396,7 @@
     h->listed = true;
   }
 
-  void list_ends() {
+  void list_ends() override {
     list_wait_ = kProbeEvery;
     if (!std::exchange(listing_whole_, false)) return;
     for (Host& h : hosts_) {
@@ -458,7 +406,7 @@
   }
 
   // Many nodes may fail at once: each waits longer after each failure, by chance, yet well within ask_every.
-  void list_failed() {
+  void list_failed() override {
     ask_list_at_ = now_ + list_wait_ / 2 + spread(list_wait_);
     list_wait_ = std::min(2 * list_wait_, std::max(kProbeEvery, list_.ask_every / 4));
   }
@@ -471,8 +419,8 @@
   }
 
   Host* find(HostId id) {
-    const auto it = std::lower_bound(hosts_.begin(), hosts_.end(), id,
-                                     [](const Host& a, HostId b) { return a.id < b; });
+    const auto it =
+        std::lower_bound(hosts_.begin(), hosts_.end(), id, [](const Host& a, HostId b) { return a.id < b; });
     return it != hosts_.end() && it->id == id ? &*it : nullptr;
   }
 
@@ -489,7 +437,7 @@
 
   // New sessions a second, by load; repeats and returns would make a storm look like capacity.
   void note_arrival(double load) {
-    arrived_ *= std::exp2(-ratio(now_ - arrival_at_, rate_span_));
+    arrived_ *= fade(now_ - arrival_at_, rate_span_);
     arrived_ += load;
     arrival_at_ = now_;
   }
@@ -499,11 +447,13 @@
     const Micros known = now_ - began_;
     // Arrivals fade by half every span; the integral of that fading since the start turns them into a rate.
     const double span = seconds(rate_span_) / std::log(2.0);
-    const double weight = span * (1 - std::exp2(-ratio(known, rate_span_)));
-    const double rate = arrived_ * std::exp2(-ratio(now_ - arrival_at_, rate_span_)) / std::max(weight, seconds(cold_window_));
+    const double weight = span * (1 - fade(known, rate_span_));
+    const double rate =
+        arrived_ * fade(now_ - arrival_at_, rate_span_) / std::max(weight, seconds(cold_window_));
     double carried = 0;
     for (const Host& w : hosts_) {
-      if (w.usable() && w.forecast.known() && !guard_.cold(now_, w.started)) carried += w.forecast.raw() * w.share;
+      if (w.usable() && w.forecast.known() && !guard_.cold(now_, w.started))
+        carried += w.forecast.raw() * w.share;
     }
     if (carried > 0) per_share_ = rate / carried;
     return per_share_ * h.share;
@@ -515,7 +465,7 @@
     if (Host* h = find(s.host)) {
       ++h->own;
       h->own_load += s.load;
-      if (s.taken.group) h->join(*s.taken.group, 1);
+      if (s.taken.group) h->groups.join(*s.taken.group);
     }
   }
 
@@ -523,7 +473,7 @@
     if (!h) return;
     --h->own;
     h->own_load = h->own ? h->own_load - s.load : 0;
-    if (s.taken.group) h->join(*s.taken.group, -1);
+    if (s.taken.group) h->groups.leave(*s.taken.group);
   }
 
   double load_of(const Host& h, Micros horizon) const {
@@ -588,8 +538,7 @@
     if (load > kCrowded * mean_load_) against |= crowded;
     if (h.zone != zone_ && prices_.crossing > 0) against |= remote;
     if (h.suspended || load >= kSuspendAt) against |= overloaded;
-    const auto end = s.tried.begin() + std::min<std::size_t>(s.dials, s.tried.size());
-    if (std::find(s.tried.begin(), end, h.id) != end) against |= tried;
+    if (s.has_tried(h.id)) against |= tried;
     if (now_ < h.aside_until || (trust_silence && h.silence.unusual(now_) > kUnusual)) against |= ill;
     return s.dials > 0 && against >= overloaded ? unsigned{barred} : against;
   }
@@ -609,12 +558,12 @@
     std::uint64_t most = 0;
     bool held = false;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      if ((against_[i] & ~kLight) == best && hosts_[i].held(group)) held = true;
+      if ((against_[i] & ~kLight) == best && hosts_[i].groups.of(group)) held = true;
       const std::uint64_t mixed = mix(group.value ^ mix(hosts_[i].id.value));
       if (against_[i] == best_all && (home == hosts_.size() || mixed > most)) home = i, most = mixed;
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      if (held ? !hosts_[i].held(group) : i != home) against_[i] |= off_group;
+      if (held ? !hosts_[i].groups.of(group) : i != home) against_[i] |= off_group;
     }
   }
 
@@ -654,8 +603,10 @@
   }
 
   void give_up(SlabKey key, Session& s, const Dials& dials) {
-    if (dials.may_refuse(s)) out_.refuse(s.id, std::min(dial_limits_.longest_stay_away, spread(kProbeEvery)));
-    else out_.tear_down(s.id);
+    if (dials.may_refuse(s))
+      out_.refuse(s.id, std::min(dial_limits_.longest_stay_away, spread(kProbeEvery)));
+    else
+      out_.tear_down(s.id);
     sessions_.drop(key);
   }
 
@@ -681,7 +632,8 @@
     }
   }
 
-  // The paper's two schedules: pairs of heaviest and lightest on overload, else now and then toward a light one.
+  // The paper's two schedules: pairs of heaviest and lightest on overload, else now and then toward a light
+  // one.
   void even_out() {
     take_means();
     order_.clear();
@@ -725,18 +677,20 @@
     leaving_.clear();
     sessions_.each([&](SlabKey, Session& s) {
       if (s.state != State::open || s.moved || s.host != heavy.id) return;
-      if (relief) return leaving_.push_back({listeners_[s.taken.listener.value].utility / std::max(s.load, 1e-9), &s});
+      if (relief)
+        return leaving_.push_back({listeners_[s.taken.listener.value].utility / std::max(s.load, 1e-9), &s});
       unsigned here = 0;
       bool home = !s.taken.group;
       if (s.taken.group) {
-        here = heavy.held(*s.taken.group);
+        here = heavy.groups.of(*s.taken.group);
         for (const Host& h : hosts_) {
-          home = home || (h.id != heavy.id && h.usable() && !h.suspended && h.held(*s.taken.group) > 0);
+          home = home || (h.id != heavy.id && h.usable() && !h.suspended && h.groups.of(*s.taken.group) > 0);
         }
       }
       leaving_.push_back({here + (home ? 0 : kAlone), &s});
     });
-    std::stable_sort(leaving_.begin(), leaving_.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::stable_sort(leaving_.begin(), leaving_.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
     bool any = false;
     for (const auto& [order, s] : leaving_) {
       if (load <= 0) break;
@@ -774,32 +728,13 @@
   unsigned beats_ = 0, patience_ = 1;
 };
 
-bool Sess::live() const { return decisions_ && decisions_->live(key_); }
-void Sess::accepted(DialNo dial) { decisions_->accepted(key_, dial); }
-void Sess::ended(DialNo dial, Ending ending, bool over) { decisions_->ended(key_, dial, ending, over); }
-void Sess::left() { decisions_->left(key_); }
-void Sess::load_is(double load) { decisions_->load_is(key_, load); }
-void Sess::messages_take(Micros delay) { decisions_->messages_take(key_, delay); }
-
-Balancer::Balancer(Outlet& outlet, std::uint64_t seed, unsigned nodes, ZoneId zone,
-                   std::vector<Listener> listeners, DialLimits dials, ColdRule cold, ListRule list, Prices prices)
-    : decisions_(std::make_unique<Decisions>(outlet, seed, nodes, zone, std::move(listeners), dials, cold, list,
-                                             prices)) {}
-Balancer::~Balancer() = default;
-Balancer::Balancer(Balancer&&) noexcept = default;
-Balancer& Balancer::operator=(Balancer&&) noexcept = default;
-void Balancer::at(Micros now) { decisions_->at(now); }
-Sess Balancer::take(SessId sess, const Taken& taken) { return {decisions_.get(), decisions_->take(sess, taken)}; }
-Sess Balancer::inherit(SessId sess, const Taken& taken, HostId host) {
-  return {decisions_.get(), decisions_->inherit(sess, taken, host)};
-}
-void Balancer::woken(WakeId wake) { decisions_->woken(wake); }
-void Balancer::probed(HostId host, bool answered, const LoadReport& r) { decisions_->probed(host, answered, r); }
-void Balancer::list_begins(bool whole) { decisions_->list_begins(whole); }
-void Balancer::listed(HostId host, ZoneId zone, CellId cell, Standing standing, double share, Micros started) {
-  decisions_->listed(host, zone, cell, standing, share, started);
+}  // namespace
+
+std::unique_ptr<Balancer> make_balancer(Outlet& outlet, std::uint64_t seed, unsigned nodes, ZoneId zone,
+                                        std::vector<Listener> listeners, DialLimits dials, ColdRule cold,
+                                        ListRule list, Prices prices) {
+  return std::make_unique<Decisions>(outlet, seed, nodes, zone, std::move(listeners), dials, cold, list,
+                                     prices);
 }
-void Balancer::list_ends() { decisions_->list_ends(); }
-void Balancer::list_failed() { decisions_->list_failed(); }
 
 }  // namespace flintweir
--- a/src/balance.h
+++ b/src/balance.h
@@ -66,10 +66,10 @@
 
 // What a host says of itself when probed; a field that it does not report is absent.
 struct LoadReport {
-  std::optional<double> load;         // load asked over what it can do
-  std::optional<double> busy;         // share of its cores in use
-  std::optional<double> piled_up;     // seconds of work waiting
-  std::optional<double> queued;       // sessions waiting
+  std::optional<double> load;      // load asked over what it can do
+  std::optional<double> busy;      // share of its cores in use
+  std::optional<double> piled_up;  // seconds of work waiting
+  std::optional<double> queued;    // sessions waiting
   std::optional<double> errors_per_s;
 };
 
@@ -86,11 +86,12 @@
   virtual void log(std::string_view line) = 0;
 };
 
-class Decisions;
+class Balancer;
 
 class Sess {
  public:
   Sess() = default;
+  Sess(Balancer* balancer, SlabKey key) : balancer_(balancer), key_(key) {}
   bool live() const;  // false once it is over and none of its dials is out
   void accepted(DialNo dial);
   void ended(DialNo dial, Ending ending, bool over);
@@ -99,34 +100,46 @@
   void messages_take(Micros delay);
 
  private:
-  friend class Balancer;
-  Sess(Decisions* decisions, SlabKey key) : decisions_(decisions), key_(key) {}
-  Decisions* decisions_ = nullptr;
+  Balancer* balancer_ = nullptr;
   SlabKey key_;
 };
 
 class Balancer {
  public:
-  Balancer(Outlet& outlet, std::uint64_t seed, unsigned nodes, ZoneId zone, std::vector<Listener> listeners,
-           DialLimits dials, ColdRule cold, ListRule list, Prices prices);
-  ~Balancer();
-  Balancer(Balancer&&) noexcept;
-  Balancer& operator=(Balancer&&) noexcept;
+  virtual ~Balancer() = default;
 
-  void at(Micros now);
+  virtual void at(Micros now) = 0;
 
-  Sess take(SessId sess, const Taken& taken);
-  Sess inherit(SessId sess, const Taken& taken, HostId host);  // open already; its dial has number 0
-  void woken(WakeId wake);
-  void probed(HostId host, bool answered, const LoadReport& report);
+  virtual Sess take(SessId sess, const Taken& taken) = 0;
+  virtual Sess inherit(SessId sess, const Taken& taken, HostId host) = 0;  // open already, by dial 0
+  virtual void woken(WakeId wake) = 0;
+  virtual void probed(HostId host, bool answered, const LoadReport& report) = 0;
 
-  void list_begins(bool whole);
-  void listed(HostId host, ZoneId zone, CellId cell, Standing standing, double share, Micros started);
-  void list_ends();
-  void list_failed();
+  virtual void list_begins(bool whole) = 0;
+  virtual void listed(HostId host, ZoneId zone, CellId cell, Standing standing, double share,
+                      Micros started) = 0;
+  virtual void list_ends() = 0;
+  virtual void list_failed() = 0;
 
  private:
-  std::unique_ptr<Decisions> decisions_;
+  friend class Sess;
+  virtual bool live(SlabKey sess) const = 0;
+  virtual void accepted(SlabKey sess, DialNo dial) = 0;
+  virtual void ended(SlabKey sess, DialNo dial, Ending ending, bool over) = 0;
+  virtual void left(SlabKey sess) = 0;
+  virtual void load_is(SlabKey sess, double micros_per_s) = 0;
+  virtual void messages_take(SlabKey sess, Micros delay) = 0;
 };
 
+std::unique_ptr<Balancer> make_balancer(Outlet& outlet, std::uint64_t seed, unsigned nodes, ZoneId zone,
+                                        std::vector<Listener> listeners, DialLimits dials, ColdRule cold,
+                                        ListRule list, Prices prices);
+
+inline bool Sess::live() const { return balancer_ && balancer_->live(key_); }
+inline void Sess::accepted(DialNo dial) { balancer_->accepted(key_, dial); }
+inline void Sess::ended(DialNo dial, Ending ending, bool over) { balancer_->ended(key_, dial, ending, over); }
+inline void Sess::left() { balancer_->left(key_); }
+inline void Sess::load_is(double micros_per_s) { balancer_->load_is(key_, micros_per_s); }
+inline void Sess::messages_take(Micros delay) { balancer_->messages_take(key_, delay); }
+
 }  // namespace flintweir
--- a/src/slab.h
+++ b/src/slab.h
@@ -29,14 +29,14 @@
     return {place, ++cell.turn};
   }
 
-  T* find(SlabKey key) {
-    if (key.place >= cells_.size()) return nullptr;
-    Cell& cell = cells_[key.place];
-    return cell.used && cell.turn == key.turn ? &cell.value : nullptr;
+  T* find(SlabKey key) { return has(key) ? &cells_[key.place].value : nullptr; }
+
+  bool has(SlabKey key) const {
+    return key.place < cells_.size() && cells_[key.place].used && cells_[key.place].turn == key.turn;
   }
 
   void drop(SlabKey key) {
-    if (!find(key)) return;
+    if (!has(key)) return;
     cells_[key.place].used = false;
     free_.push_back(key.place);
   }
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -0,0 +1,210 @@
+#include "world.h"
+
+namespace flintweir::test {
+namespace {
+
+constexpr HostId a{1}, b{2}, c{3};
+
+// Three hosts in the node's zone, with a report each.
+struct Three : World {
+  explicit Three(std::uint64_t seed = 7) : World(seed) {
+    for (const HostId h : {a, b, c}) hosts[h] = {ZoneId{0}, CellId{0}};
+    restart();
+    loads(0.3, 0.3, 0.3);
+  }
+  void loads(double la, double lb, double lc) {
+    report(a, la);
+    report(b, lb);
+    report(c, lc);
+  }
+  HostId placed(SessId id) { return clients.at(id).dials.back().host; }
+  HostId settle(std::optional<GroupId> group = {}) {
+    const SessId id = arrive(0, group);
+    accept(id);
+    return placed(id);
+  }
+};
+
+TEST(Rotation, TakesEachHostInTurn) {
+  Three w;
+  std::map<HostId, int> turns;
+  for (int i = 0; i < 9; ++i) ++turns[w.settle()];
+  EXPECT_EQ(turns, (std::map<HostId, int>{{a, 3}, {b, 3}, {c, 3}}));
+}
+
+TEST(Rotation, PassesOverSuspendedHosts) {
+  Three w;
+  w.loads(0.3, 0.95, 0.3);
+  for (int i = 0; i < 6; ++i) EXPECT_NE(w.settle(), b);
+}
+
+TEST(Groups, StayWhereTheyAre) {
+  Three w;
+  const HostId home = w.settle(GroupId{5});
+  w.settle();
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(w.settle(GroupId{5}), home);
+}
+
+TEST(Overload, RefusesAtOnceWhereEveryHostIsFull) {
+  Three w;
+  w.loads(1.2, 1.1, 1.3);
+  const SessId id = w.arrive(0);
+  EXPECT_TRUE(w.clients.at(id).answered);
+  EXPECT_EQ(w.refused, 1u);
+}
+
+TEST(Overload, LeavesAloneAHostThatBreaksConnectionsOff) {
+  Three w;
+  SessId last{};
+  do w.accept(last = w.arrive(0));
+  while (w.placed(last) != b);
+  w.finish(last, Ending::broken);
+  for (int i = 0; i < 6; ++i) EXPECT_NE(w.settle(), b);
+}
+
+TEST(Mover, MovesFromHeavyOnly) {
+  Three w;
+  for (int i = 0; i < 30; ++i) w.settle();
+  w.pass(3s);  // until what was sent shows in the reports
+  w.loads(1.0, 0.2, 0.3);
+  w.pass(1s);
+  unsigned moved = 0;
+  for (const auto& [id, client] : w.clients) {
+    if (!client.moved) continue;
+    ++moved;
+    EXPECT_EQ(client.dials.back().host, a);
+  }
+  EXPECT_GE(moved, 2u);
+  EXPECT_LE(moved, 5u);
+}
+
+TEST(Mover, LeavesADrainingHost) {
+  Three w;
+  for (int i = 0; i < 6; ++i) w.settle();
+  w.change(a, Standing::draining);
+  w.pass(2s);
+  for (const auto& [id, client] : w.clients) EXPECT_EQ(client.moved, client.dials.back().host == a);
+}
+
+TEST(Dials, WaitLongerWhereAllTimeOut) {
+  Three w;
+  const SessId first = w.arrive(0);
+  w.pass(2100ms);
+  EXPECT_TRUE(w.clients.at(first).answered);
+  EXPECT_LE(w.clients.at(first).dials.size(), 3u);  // 250 ms, then longer; not the whole six at 250 ms
+}
+
+TEST(Dials, HeldWithoutAnyHostAreRefusedAtTheTarget) {
+  World w(3);
+  const SessId id = w.arrive(0);
+  EXPECT_FALSE(w.clients.at(id).answered);
+  w.pass(510ms);
+  EXPECT_TRUE(w.clients.at(id).answered);
+}
+
+TEST(List, IsAskedAgainAfterAFailure) {
+  Three w;
+  const unsigned before = w.watched;
+  w.balancer->list_failed();
+  w.pass(4s);
+  EXPECT_GT(w.watched, before);
+}
+
+TEST(Silence, PassesOverAHostThatStopsAnswering) {
+  Three w;
+  for (int i = 0; i < 80; ++i) {
+    w.pass(125ms);
+    for (const HostId h : std::exchange(w.probes, {})) {
+      if (h != c || i < 40) w.report(h, 0.3);
+    }
+  }
+  for (int i = 0; i < 6; ++i) EXPECT_NE(w.settle(), c);
+}
+
+// The rules, checked by the world at every act, on random days: all listener kinds, hosts that drain, go,
+// start cold and restart, dials that end in every way, lists that fail, and nodes that restart.
+class RandomDay : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(RandomDay, KeepsTheRules) {
+  World w(GetParam());
+  std::mt19937_64 chance(GetParam() * 977);
+  const auto pick = [&](unsigned n) { return std::uniform_int_distribution<unsigned>(0, n - 1)(chance); };
+  for (unsigned i = 1; i <= 6; ++i) w.hosts[HostId{i}] = {ZoneId{i % 2}, CellId{i % 3}};
+  w.restart();
+  for (int step = 0; step < 3000 && !testing::Test::HasFailure(); ++step) {
+    w.pass(Micros{pick(60'000)});
+    for (const HostId h : std::exchange(w.probes, {})) {
+      if (pick(10)) w.report(h, pick(100) / 70.0);
+    }
+    for (unsigned n = pick(3); n > 0; --n) {
+      w.arrive(pick(5), pick(2) ? std::optional(GroupId{pick(4)}) : std::nullopt);
+    }
+    std::vector<SessId> out;
+    for (const auto& [id, client] : w.clients) {
+      if (!client.dials.empty() && client.dials.back().out) out.push_back(id);
+    }
+    for (const SessId id : out) {
+      const bool open = w.clients.at(id).open;
+      if (pick(open ? 60 : 4)) continue;
+      if (!open && pick(2))
+        w.accept(id);
+      else if (open)
+        w.finish(id, std::array{Ending::finished, Ending::broken, Ending::cancelled}[pick(3)]);
+      else
+        w.finish(
+            id, std::array{Ending::erred, Ending::turned_away, Ending::unconnected, Ending::broken}[pick(4)]);
+    }
+    const unsigned n = 1 + pick(8);
+    const HostId h{n};
+    if (pick(40) == 0 && w.hosts.contains(h)) w.change(h, Standing{static_cast<int>(pick(3))});
+    if (pick(60) == 0) {
+      w.hosts.try_emplace(h, Place{ZoneId{n % 2}, CellId{n % 3}});
+      w.change(h, Standing::in, w.now);
+    }
+    if (pick(50) == 0) w.balancer->list_failed();
+    if (pick(400) == 0) w.restart();
+    std::erase_if(w.clients, [](const auto& x) {
+      return x.second.answered && !x.second.dials.empty() && !x.second.dials.back().out;
+    });
+  }
+  w.pass(3s);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RandomDay, testing::Range<std::uint64_t>(1, 21));
+
+// Rule 4 with a known capacity: even turns of equal sessions, reports that tell the truth, one cold host.
+TEST(Cold, StaysWithinItsBudget) {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8}) {
+    Three w(seed);
+    w.capacity = 3.1;  // the warm hosts are all but suspended, so that the cold one is wanted
+    std::mt19937_64 chance(seed);
+    std::exponential_distribution<double> gap(4.0);
+    unsigned to_cold = 0;
+    for (int i = 0; i < 400; ++i) {
+      w.pass(Micros{static_cast<std::int64_t>(gap(chance) * 1e6)});
+      for (const HostId h : std::exchange(w.probes, {}))
+        w.report(h, h == HostId{4} ? 0.2 : World::kNodes * 4.0 / 3 / w.capacity);
+      if (i == 80) {
+        w.hosts[HostId{4}] = {ZoneId{0}, CellId{0}};
+        w.change(HostId{4}, Standing::in, w.now);
+      }
+      const SessId id = w.arrive(0);
+      if (w.clients.at(id).dials.empty()) continue;
+      to_cold += w.placed(id) == HostId{4};
+      w.accept(id);
+      w.finish(id, Ending::finished);
+    }
+    EXPECT_GT(to_cold, 0u);
+  }
+}
+
+TEST(Cold, GetsNothingFromANodeThatHasJustStarted) {
+  World w(5);
+  w.hosts[a] = {ZoneId{0}, CellId{0}, Standing::in, 0us, w.now - 1s};
+  w.restart();
+  const SessId id = w.arrive(0);
+  EXPECT_TRUE(w.clients.at(id).dials.empty());
+}
+
+}  // namespace
+}  // namespace flintweir::test
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -0,0 +1,62 @@
+#include "wire.h"
+
+#include <gtest/gtest.h>
+
+namespace flintweir::benchlink {
+namespace {
+
+constexpr const char* kConfigure =
+    R"(["CONFIGURE",3,12,{"balancers":2,"ceilings":{"maxDials":6,"maxRetryAfter":1000000,"retryAfter":true},)"
+    R"("discovery":"on_request","listeners":[{"dialTimeout":2000000,"effect":"repeatable","group":"all",)"
+    R"("handshakeTarget":500000,"utility":2.0}],"myZone":0,"new":1,"prices":{},)"
+    R"("reporting":{"fields":["eps","x0"],"how":"on_probe"},"rules":{"cold":7000000,"coldShare":0.3,)"
+    R"("overloadFactor":3.0,"tipAfter":1500000}}])";
+constexpr const char* kHosts =
+    R"(["DIRECTORY",0,[["10.0.0.1:80",0,0,0,"IN",1,null]]],["UPDATE",3,1,0,"stale_copy"])";
+
+std::string batch(int t, const std::string& items) {
+  return "{\"t\":" + std::to_string(t) + ",\"items\":[" + items + "]}";
+}
+
+TEST(Wire, DialsTheOneHostAndAnswersASecondFailure) {
+  Wire wire;
+  wire.answer(batch(1000, std::string(kConfigure) + "," + kHosts));
+  std::string reply(wire.answer(batch(2000, R"(["JOB_IN",3,9,0,0,null,2002000,null,null,0])")));
+  EXPECT_NE(reply.find(R"(["ROUTE",3,9,"10.0.0.1:80",)"), std::string::npos) << reply;
+  reply = wire.answer(batch(3000, R"(["SETTLED",3,9,0,false,1000,1,"10.0.0.1:80",null],["GONE",3,77])"));
+  EXPECT_EQ(reply.rfind(R"({"output":[["NOT_NOW",3,9,)", 0), 0u) << reply;
+}
+
+TEST(Wire, ForgetsAnInstanceThatIsDestroyed) {
+  Wire wire;
+  wire.answer(batch(1000, std::string(kConfigure) + "," + kHosts));
+  EXPECT_EQ(wire.answer(batch(2000, R"(["DESTROY",3])")), R"({"output":[]})");
+  EXPECT_THROW(wire.answer(batch(3000, R"(["TICK_DUE",3,"0"])")), BadInput);
+}
+
+class BadLine : public testing::TestWithParam<const char*> {};
+
+TEST_P(BadLine, IsNamedPlainly) {
+  Wire wire;
+  wire.answer(batch(1000, std::string(kConfigure) + "," + kHosts));
+  try {
+    wire.answer(GetParam());
+    FAIL() << "taken without complaint";
+  } catch (const BadInput& e) {
+    EXPECT_GT(std::string(e.what()).size(), 10u);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Lines, BadLine,
+                         testing::Values("{", "[]", R"({"t":1})", R"({"t":"x","items":[]})",
+                                         R"({"t":1,"items":[7]})", R"({"t":1,"items":[["WHAT",3]]})",
+                                         R"({"t":1,"items":[["JOB_IN",3]]})",
+                                         R"({"t":1,"items":[["JOB_IN",3,1,5,0,null,9,null,null,0]]})",
+                                         R"({"t":1,"items":[["SETTLED",3,9,0,false,1,42,"h:1",null]]})",
+                                         R"({"t":1,"items":[["UPDATE",3,1,4,"whole"]]})",
+                                         R"({"t":1,"items":[["UPDATE",3,1,0,"odd"]]})",
+                                         R"({"t":1,"items":[["DIRECTORY",16,[]]]})",
+                                         R"({"t":1,"items":[["CONFIGURE",4,1,{}]]})"));
+
+}  // namespace
+}  // namespace flintweir::benchlink
--- /dev/null
+++ b/tests/world.h
@@ -0,0 +1,216 @@
+// A small made-up world around a balancer: it records what the balancer does and holds every act against the
+// four rules, by the rules' own text and from what it has itself sent, never by asking the balancer.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "balance.h"
+
+namespace flintweir::test {
+
+using namespace std::chrono_literals;
+
+struct Dialed {
+  HostId host;
+  Micros at, until;
+  bool out = true, may_have_run = true;
+};
+
+struct Client {
+  Sess handle;
+  ListenerId listener;
+  Micros valid_until;
+  std::vector<Dialed> dials;
+  bool answered = false, open = false, moved = false, said = false;
+};
+
+struct Place {
+  ZoneId zone;
+  CellId cell;
+  Standing standing = Standing::in;
+  Micros told{0}, started{0};
+  std::deque<Micros> sent{};
+};
+
+inline std::vector<Listener> all_kinds() {
+  const auto kind = [](Effect e, Reach r) { return Listener{500ms, 2s, e, r, 1s, 1}; };
+  return {kind(Effect::repeatable, Reach::all), kind(Effect::referenced, Reach::all),
+          kind(Effect::referenced, Reach::zone), kind(Effect::referenced, Reach::cell),
+          kind(Effect::once_only, Reach::all)};
+}
+
+class World : public Outlet {
+ public:
+  static constexpr unsigned kNodes = 2, kMostDials = 4;
+  static constexpr ColdRule kCold{10s, 0.3, 3, 2s};
+  static constexpr Micros kGrace = 300ms;
+
+  explicit World(std::uint64_t seed, std::vector<Listener> kinds = all_kinds())
+      : listeners(std::move(kinds)), chance(seed) {
+    restart();
+  }
+
+  // A fresh balancer that knows only the list as it stands.
+  void restart() {
+    clients.clear();
+    wakes.clear();
+    probes.clear();
+    balancer = make_balancer(*this, chance(), kNodes, ZoneId{0}, listeners, DialLimits{kMostDials, 1s}, kCold,
+                             ListRule{true, 10s}, Prices{0.1, 0.001});
+    balancer->at(now);
+    tell_all();
+  }
+  void tell(HostId id) {
+    const Place& p = hosts[id];
+    balancer->listed(id, p.zone, p.cell, p.standing, 1, p.started);
+  }
+  void tell_all() {
+    balancer->list_begins(true);
+    for (const auto& [id, place] : hosts) tell(id);
+    balancer->list_ends();
+  }
+  void change(HostId id, Standing standing, Micros started = 0us) {
+    Place& p = hosts[id];
+    if (standing != p.standing) p.told = now;
+    p.standing = standing;
+    if (started > 0us) p.started = started;
+    balancer->list_begins(false);
+    tell(id);
+    balancer->list_ends();
+  }
+  SessId arrive(unsigned listener, std::optional<GroupId> group = {}) {
+    const SessId id{next_id++};
+    Client& c = clients[id];
+    c.listener = {listener};
+    c.valid_until = now + listeners[listener].dial_timeout;
+    Taken taken{};
+    taken.listener = c.listener;
+    taken.valid_until = c.valid_until;
+    taken.group = group;
+    c.handle = balancer->take(id, taken);
+    return id;
+  }
+  void finish(SessId id, Ending how) {
+    Client& c = clients.at(id);
+    Dialed& d = c.dials.back();
+    d.out = false;
+    d.may_have_run = how != Ending::turned_away && how != Ending::unconnected && how != Ending::unsent;
+    const bool over = c.open || how == Ending::finished;
+    if (over) c.answered = true;
+    c.handle.ended(DialNo{static_cast<std::uint32_t>(c.dials.size() - 1)}, how, over);
+  }
+  void accept(SessId id) {
+    Client& c = clients.at(id);
+    c.open = c.answered = true;
+    c.handle.accepted(DialNo{static_cast<std::uint32_t>(c.dials.size() - 1)});
+  }
+  void report(HostId id, double load) {
+    LoadReport r;
+    r.load = load;
+    balancer->probed(id, true, r);
+  }
+  // Time goes on; dials run into their limits and wake-ups come due.
+  void pass(Micros by) {
+    for (const Micros end = now + by; now < end;) {
+      now += std::min(10ms + 0us, end - now);
+      balancer->at(now);
+      for (std::vector<SessId> late = overdue(); const SessId id : late) finish(id, Ending::timed_out);
+      while (!wakes.empty() && wakes.begin()->first <= now) {
+        const WakeId wake = wakes.begin()->second;
+        wakes.erase(wakes.begin());
+        balancer->woken(wake);
+      }
+      for (const auto& [id, c] : clients) {
+        EXPECT_TRUE(c.answered || now <= c.valid_until + 20ms) << "rule 1: no answer in time";
+      }
+    }
+  }
+  unsigned sent_to(HostId id) const { return static_cast<unsigned>(hosts.at(id).sent.size()); }
+
+  void dial(SessId sess, HostId host, Micros limit) override {
+    Client& c = clients.at(sess);
+    Place& p = hosts.at(host);
+    const Listener& l = listeners[c.listener.value];
+    EXPECT_FALSE(c.answered) << "rule 1: sent after the answer";
+    EXPECT_LT(c.dials.size(), kMostDials);
+    EXPECT_TRUE(p.standing == Standing::in || now <= p.told + kGrace) << "rule 3";
+    const Dialed* first = nullptr;
+    for (const Dialed& d : c.dials) {
+      EXPECT_FALSE(d.out) << "rule 2: two dials at once";
+      if (!first && d.may_have_run) first = &d;
+    }
+    if (first) {
+      const Place& ran = hosts.at(first->host);
+      EXPECT_NE(l.effect, Effect::once_only) << "rule 2: run twice";
+      if (l.effect == Effect::referenced) {
+        EXPECT_LE(now, first->at + l.memory) << "rule 2: forgotten by then";
+        EXPECT_TRUE(l.reach != Reach::zone || ran.zone == p.zone) << "rule 2: other zone";
+        EXPECT_TRUE(l.reach != Reach::cell || ran.cell == p.cell) << "rule 2: other cell";
+      }
+    }
+    c.dials.push_back({host, now, limit > 0us ? std::min(now + limit, c.valid_until) : c.valid_until});
+    p.sent.push_back(now);
+    cold_budget(p);
+  }
+  void refuse(SessId sess, Micros) override {
+    const Client& c = clients.at(sess);
+    const Listener& l = listeners[c.listener.value];
+    for (const Dialed& d : c.dials) {
+      const bool harmless =
+          l.effect == Effect::repeatable || (l.effect == Effect::referenced && l.reach == Reach::all);
+      EXPECT_TRUE(harmless || !d.may_have_run) << "rule 2: refused what may have run";
+    }
+    ++refused;
+    answer(sess);
+  }
+  void tear_down(SessId sess) override { answer(sess); }
+  void move(SessId sess) override { clients.at(sess).moved = true; }
+  void probe(HostId host) override { probes.push_back(host); }
+  void wake(Micros in, WakeId wake) override { wakes.emplace(now + in, wake); }
+  void watch() override { ++watched; }
+  void log(std::string_view) override {}
+
+  std::vector<Listener> listeners;
+  std::mt19937_64 chance;
+  Micros now = 1h;
+  std::map<HostId, Place> hosts;
+  std::map<SessId, Client> clients;
+  std::multimap<Micros, WakeId> wakes;
+  std::vector<HostId> probes;
+  std::unique_ptr<Balancer> balancer;
+  double capacity = 0;  // sessions a second that fill a warm host; 0: not looked at
+  unsigned refused = 0, watched = 0;
+
+ private:
+  void answer(SessId sess) {
+    Client& c = clients.at(sess);
+    EXPECT_FALSE(c.answered) << "rule 1: two answers";
+    c.answered = true;
+  }
+  std::vector<SessId> overdue() const {
+    std::vector<SessId> late;
+    for (const auto& [id, c] : clients) {
+      if (!c.open && !c.dials.empty() && c.dials.back().out && now >= c.dials.back().until)
+        late.push_back(id);
+    }
+    return late;
+  }
+  void cold_budget(Place& p) {
+    while (!p.sent.empty() && now - p.sent.front() > kCold.window) p.sent.pop_front();
+    if (capacity <= 0 || p.started == 0us || now - p.started >= kCold.warm_within) return;
+    const double age =
+        static_cast<double>((now - p.started).count()) / static_cast<double>(kCold.warm_within.count());
+    const double present = capacity * (kCold.share + (1 - kCold.share) * age);
+    const double window = static_cast<double>(kCold.window.count()) / 1e6;
+    EXPECT_LE(static_cast<double>(p.sent.size()), kCold.multiple * present * window / kNodes + 1) << "rule 4";
+  }
+  std::uint64_t next_id = 1;
+};
+
+}  // namespace flintweir::test
