Open a new copy of a group only where a host is lighter by a margin

A holder of the group between suspension and full is now taken unless another host is lighter by a quarter of the suspension; sessions that must leave for a host without their group go group by group, in an order all nodes work out alike.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -544,29 +544,36 @@
   }
 
   // Each host that holds any of a group pays for it once more: the group's sessions pass over the others
-  // while one that holds it is as fit as any. A group that none such holds starts at a host that every node
-  // works out alike, from ids, so that it does not spread over as many hosts as there are nodes.
+  // while one that holds it is as fit as any, or is only overloaded while no other is lighter by a margin. A
+  // group that none such holds starts at a host that every node works out alike, from ids, so that it does
+  // not spread over as many hosts as there are nodes.
   void keep_together(GroupId group) {
-    constexpr unsigned kLight = crowded | remote;
     unsigned best = barred, best_all = barred;
-    for (const unsigned a : against_) {
-      best = std::min(best, a & ~kLight);
-      best_all = std::min(best_all, a);
+    double lightest = kFullAt;
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      best = std::min(best, against_[i] & ~kMinor);
+      best_all = std::min(best_all, against_[i]);
+      if (against_[i] < overloaded) lightest = std::min(lightest, load_of(hosts_[i], Micros{0}));
     }
     if (best >= barred) return;
     std::size_t home = hosts_.size();
-    std::uint64_t most = 0;
     bool held = false;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      if ((against_[i] & ~kLight) == best && hosts_[i].groups.of(group)) held = true;
-      const std::uint64_t mixed = mix(group.value ^ mix(hosts_[i].id.value));
-      if (against_[i] == best_all && (home == hosts_.size() || mixed > most)) home = i, most = mixed;
+      Host& h = hosts_[i];
+      unsigned& a = against_[i];
+      if ((a & overloaded) && h.groups.of(group) && load_of(h, Micros{0}) <= lightest + kNewCopy)
+        a &= ~overloaded;
+      held = held || ((a & ~kMinor) <= best && h.groups.of(group));
+      if (a == best_all && (home == hosts_.size() || rank(group, h.id) > rank(group, hosts_[home].id)))
+        home = i;
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       if (held ? !hosts_[i].groups.of(group) : i != home) against_[i] |= off_group;
     }
   }
 
+  // How well a host suits a group, the same at every node.
+  static std::uint64_t rank(GroupId group, HostId host) { return mix(group.value ^ mix(host.value)); }
   static std::uint64_t mix(std::uint64_t x) {  // the finalizer of splitmix64
     x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ull;
     x = (x ^ (x >> 27)) * 0x94d049bb133111ebull;
@@ -671,23 +678,23 @@
     if (move_off(heavy, heavy.own_load * share, relief)) heavy.moved_at = now_;
   }
 
-  // First go sessions whose group has another, lighter home, then those of the groups least held here; for
-  // relief those of least utility for their load.
+  // First go sessions whose group has another home, the groups least held here before others; then group by
+  // group, those that every node thinks least suited to the host. For relief, the least utility for its load.
   bool move_off(Host& heavy, double load, bool relief) {
     leaving_.clear();
     sessions_.each([&](SlabKey, Session& s) {
       if (s.state != State::open || s.moved || s.host != heavy.id) return;
       if (relief)
         return leaving_.push_back({listeners_[s.taken.listener.value].utility / std::max(s.load, 1e-9), &s});
-      unsigned here = 0;
-      bool home = !s.taken.group;
+      double order = 0;
       if (s.taken.group) {
-        here = heavy.groups.of(*s.taken.group);
-        for (const Host& h : hosts_) {
-          home = home || (h.id != heavy.id && h.usable() && !h.suspended && h.groups.of(*s.taken.group) > 0);
-        }
+        const bool home = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& h) {
+          return h.id != heavy.id && h.usable() && !h.suspended && h.groups.of(*s.taken.group);
+        });
+        order = home ? heavy.groups.of(*s.taken.group)
+                     : kAlone + static_cast<double>(rank(*s.taken.group, heavy.id));
       }
-      leaving_.push_back({here + (home ? 0 : kAlone), &s});
+      leaving_.push_back({order, &s});
     });
     std::stable_sort(leaving_.begin(), leaving_.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -701,8 +708,8 @@
     return any;
   }
 
-  static constexpr unsigned kMostPatience = 64;
-  static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25;
+  static constexpr unsigned kMinor = crowded | remote, kMostPatience = 64;
+  static constexpr double kAlone = 1e9, kUnusual = 8, kNewCopy = kSuspendAt / 4, kCrowded = 1.25;
 
   Outlet& out_;
   std::knuth_b chance_;
