Count noted message delay as work to be done within two probes

Told by setting the delay notes against the reports: at one reported load delays range from 12 to 900 ms. The noted delay is now part of the load for two probe intervals, in marks, moves and refusals alike.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -130,6 +130,7 @@
   double own_load = 0;   // their load, in microseconds of work a second
   double sent_load = 0;  // what was sent lately, which the reports may not show yet; fades
   Micros sent_at{0};
+  Micros delay{0}, delay_at{0};  // of messages, as last noted
   GroupCount groups;
   std::vector<std::pair<Micros, double>> cold_sent;
 
@@ -345,7 +346,15 @@
     usual_[s->taken.listener.value].add(load, 0.98);
   }
 
-  void messages_take(SlabKey, Micros) override {}
+  // Work piled up at a host makes its messages late long after its reported load has fallen.
+  void messages_take(SlabKey key, Micros delay) override {
+    Session* s = sessions_.find(key);
+    Host* h = s && s->state == State::open ? find(s->host) : nullptr;
+    if (!h) return;
+    h->delay = delay;
+    h->delay_at = now_;
+    mark(*h);
+  }
 
   void woken(WakeId wake) override {
     if (wake.value == 0) return beat();
@@ -479,7 +488,9 @@
   double load_of(const Host& h, Micros horizon) const {
     // What this node has sent since is added, as reports are late.
     const double unseen = per_load_ / h.share * h.unseen(now_);
-    if (h.forecast.known()) return h.forecast.weigh(h.forecast.raw() + unseen, horizon);
+    // What its messages wait for has to be done beside what is asked; no note for a while means little waits.
+    const double waiting = now_ - h.delay_at < 2 * kProbeEvery ? ratio(h.delay, 2 * kProbeEvery) : 0;
+    if (h.forecast.known()) return h.forecast.weigh(h.forecast.raw() + unseen + waiting, horizon);
     return mean_known_ ? mean_load_ : mean_own_ > 0 ? h.own / mean_own_ / 2 : 0;
   }
 
