Charge a new copy of a group, and move a lone group whole or not at all

A host without the session's group now counts as heavier by two usual sessions, such a dial is charged for as much, and even moves take a group that has no other home as a whole.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -226,6 +226,8 @@
   }
 };
 
+enum class Leaving { even, relief, drain };  // why own sessions are moved off a host
+
 class Decisions final : public Balancer {
  public:
   Decisions(Outlet& out, std::uint64_t seed, unsigned nodes, ZoneId zone, std::vector<Listener> listeners,
@@ -311,7 +313,7 @@
     }
     if (h) {
       --h->dialing;
-      h->sent(now_, -s->load);
+      h->sent(now_, -s->charged);
       if (how == Ending::finished)
         h->succeeded(now_);
       else if (how != Ending::cancelled && how != Ending::unsent)
@@ -507,7 +509,9 @@
       load += load_of(h, Micros{0});
       carried += h.forecast.raw() * h.share;
     }
-    if (own_load > 0) per_load_ = carried / (nodes_ * own_load);
+    if (own_load <= 0) return;
+    per_load_ = carried / (nodes_ * own_load);
+    mean_session_ = own_load / own;
     mean_known_ = known > 0;
     mean_load_ = known > 0 ? load / known : 0;
     mean_own_ = all > 0 ? own / all : 0;
@@ -543,7 +547,7 @@
       const double warm = guard_.warmth(now_ - h.started);
       if (std::generate_canonical<double, 32>(chance_) > warm) against |= fresh;
     }
-    const double load = load_of(h, Micros{0});
+    const double load = load_of(h, Micros{0}) + copy_load(h, s);
     // Near and past what it can do a host serves nobody: then a session is better refused.
     if (h.shedding || load >= kFullAt) return barred;
     if (load > kCrowded * mean_load_) against |= crowded;
@@ -554,6 +558,15 @@
     return s.dials > 0 && against >= overloaded ? unsigned{barred} : against;
   }
 
+  // What a host pays for a session's group that it does not hold yet; nothing tells it, so it is taken for
+  // that of a few usual sessions. A group that this node has nowhere must start somewhere.
+  double copy_load(const Host& h, const Session& s) const {
+    if (!s.taken.group || h.groups.of(*s.taken.group)) return 0;
+    const bool held = std::any_of(hosts_.begin(), hosts_.end(),
+                                  [&](const Host& o) { return o.usable() && o.groups.of(*s.taken.group); });
+    return held ? kCopy * mean_session_ * per_load_ / h.share : 0;
+  }
+
   // Each host that holds any of a group pays for it once more: the group's sessions pass over the others
   // while one that holds it is as fit as any, or is only overloaded while no other is lighter by a margin. A
   // group that none such holds starts at a host that every node works out alike, from ids, so that it does
@@ -615,7 +628,8 @@
     s.state = State::dialing;
     s.dial_out = true;
     s.host = h->id;
-    h->sent(now_, s.load);
+    s.charged = s.load + (s.taken.group && !h->groups.of(*s.taken.group) ? kCopy * mean_session_ : 0);
+    h->sent(now_, s.charged);
     s.dialed_at = now_;
     out_.dial(s.id, h->id, limit);
   }
@@ -646,7 +660,7 @@
   // A host on its way out is the heaviest there can be: own connections leave it, a part at each beat.
   void leave_draining() {
     for (Host& h : hosts_) {
-      if (h.standing == Standing::draining && h.own) move_off(h, h.own_load / kBeatsPerProbe, false);
+      if (h.standing == Standing::draining && h.own) move_off(h, h.own_load / kBeatsPerProbe, Leaving::drain);
     }
   }
 
@@ -686,16 +700,17 @@
     // Where no host is lighter, one past what it can do serves nobody: the least useful load leaves for good.
     if (relief && load < 1) return;
     const double share = relief ? (load - kFullAt) / load : Mover::share(load, load_of(light, Micros{0}));
-    if (move_off(heavy, heavy.own_load * share, relief)) heavy.moved_at = now_;
+    if (move_off(heavy, heavy.own_load * share, relief ? Leaving::relief : Leaving::even))
+      heavy.moved_at = now_;
   }
 
   // First go sessions whose group has another home, the groups least held here before others; then group by
   // group, those that every node thinks least suited to the host. For relief, the least utility for its load.
-  bool move_off(Host& heavy, double load, bool relief) {
+  bool move_off(Host& heavy, double load, Leaving why) {
     leaving_.clear();
     sessions_.each([&](SlabKey, Session& s) {
       if (s.state != State::open || s.moved || s.host != heavy.id) return;
-      if (relief)
+      if (why == Leaving::relief)
         return leaving_.push_back({listeners_[s.taken.listener.value].utility / std::max(s.load, 1e-9), &s});
       double order = 0;
       if (s.taken.group) {
@@ -710,8 +725,19 @@
     std::stable_sort(leaving_.begin(), leaving_.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
     bool any = false;
-    for (const auto& [order, s] : leaving_) {
-      if (load <= 0) break;
+    double last = 0;
+    for (std::size_t i = 0; i < leaving_.size() && load > 0; ++i) {
+      const auto& [order, s] = leaving_[i];
+      if (why == Leaving::even && order >= kAlone && order != std::exchange(last, order)) {
+        // A part of a group that goes where none of it is makes one more copy: it goes whole or stays.
+        double whole = 0;
+        for (std::size_t j = i; j < leaving_.size() && leaving_[j].first == order; ++j)
+          whole += leaving_[j].second->load;
+        if (whole > load) {
+          while (i + 1 < leaving_.size() && leaving_[i + 1].first == order) ++i;
+          continue;
+        }
+      }
       s->moved = any = true;
       load -= std::max(s->load, 1e-9);
       out_.move(s->id);
@@ -720,7 +746,7 @@
   }
 
   static constexpr unsigned kMinor = crowded | remote, kMostPatience = 64;
-  static constexpr double kAlone = 1e9, kUnusual = 8, kNewCopy = kSuspendAt / 4, kCrowded = 1.25;
+  static constexpr double kAlone = 1e9, kUnusual = 8, kNewCopy = kSuspendAt / 4, kCrowded = 1.25, kCopy = 2;
 
   Outlet& out_;
   std::knuth_b chance_;
@@ -741,7 +767,7 @@
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, list_wait_ = kProbeEvery;
   bool listing_whole_ = false, mean_known_ = false;
-  double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, arrived_ = 0, per_share_ = 0;
+  double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, mean_session_ = 0, arrived_ = 0, per_share_ = 0;
   Micros arrival_at_{0};
   unsigned beats_ = 0, patience_ = 1;
 };
--- a/src/session.h
+++ b/src/session.h
@@ -29,7 +29,8 @@
   Micros ran_at{0};
   ZoneId ran_zone;
   CellId ran_cell;
-  double load = 0;  // in microseconds of work a second
+  double load = 0;     // in microseconds of work a second
+  double charged = 0;  // what its dial was counted for at its host
 
   bool has_tried(HostId h) const {
     const auto end = tried.begin() + std::min<std::size_t>(dials, tried.size());
