Prefer a copy in the zone to a holder in another while the fleet has room

While the mean load is under four times the price of crossing, a host of the node's zone is preferred even where it makes a copy.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -572,10 +572,12 @@
   // group that none such holds starts at a host that every node works out alike, from ids, so that it does
   // not spread over as many hosts as there are nodes.
   void keep_together(GroupId group) {
+    // Where crossing is dear and the fleet has room, a copy in this zone costs less than crossing.
+    const unsigned minor = mean_load_ < kDear * prices_.crossing ? unsigned{crowded} : crowded | remote;
     unsigned best = barred, best_all = barred;
     double lightest = kFullAt;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      best = std::min(best, against_[i] & ~kMinor);
+      best = std::min(best, against_[i] & ~minor);
       best_all = std::min(best_all, against_[i]);
       if (against_[i] < overloaded) lightest = std::min(lightest, load_of(hosts_[i], Micros{0}));
     }
@@ -587,7 +589,7 @@
       unsigned& a = against_[i];
       if ((a & overloaded) && h.groups.of(group) && load_of(h, Micros{0}) <= lightest + kNewCopy)
         a &= ~overloaded;
-      held = held || ((a & ~kMinor) <= best && h.groups.of(group));
+      held = held || ((a & ~minor) <= best && h.groups.of(group));
       if (a == best_all && (home == hosts_.size() || rank(group, h.id) > rank(group, hosts_[home].id)))
         home = i;
     }
@@ -745,8 +747,8 @@
     return any;
   }
 
-  static constexpr unsigned kMinor = crowded | remote, kMostPatience = 64;
-  static constexpr double kAlone = 1e9, kUnusual = 8, kNewCopy = kSuspendAt / 4, kCrowded = 1.25, kCopy = 2;
+  static constexpr unsigned kMostPatience = 64;
+  static constexpr double kAlone = 1e9, kUnusual = 8, kNewCopy = kSuspendAt / 4, kCrowded = 1.25, kCopy = 2, kDear = 4;
 
   Outlet& out_;
   std::knuth_b chance_;
