--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -700,8 +700,8 @@
     const double load = load_of(heavy, Micros{0});
     const bool relief = light.suspended || guard_.cold(now_, light.started);
     // Where no host is lighter, one past what it can do serves nobody: the least useful load leaves for good.
-    if (relief && load < kFullAt) return;
-    const double share = relief ? (load - kSuspendAt) / load : Mover::share(load, load_of(light, Micros{0}));
+    if (relief && load < 1) return;
+    const double share = relief ? (load - kFullAt) / load : Mover::share(load, load_of(light, Micros{0}));
     if (move_off(heavy, heavy.own_load * share, relief ? Leaving::relief : Leaving::even))
       heavy.moved_at = now_;
   }
