Refuse sessions from 0.7 on, below the threshold of suspension

A host suspended, or at 0.7 or more with what was sent since, gets nothing new; where there is no other the session is refused at once. The margin for holders between suspension and full went, as it no longer acts. A usual session is taken to add at most twice the light threshold, for nodes with few sessions (a new node with one session took it for most of a host; seen in the plain test of suspended hosts).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -25,7 +25,7 @@
 constexpr double kWeightPiled = 0.11;
 constexpr double kSuspendAt = 0.8;
 constexpr double kLightAt = 0.1;
-constexpr double kFullAt = (kSuspendAt + 1) / 2;  // a host so loaded gets nothing new
+constexpr double kFullAt = kSuspendAt - kLightAt;  // a host so loaded gets nothing new
 constexpr int kBeatsPerProbe = 8;
 
 // The load of one host from its two last reports, now and forecast a horizon on.
@@ -189,10 +189,9 @@
   remote = 2,
   off_group = 4,
   fresh = 8,
-  overloaded = 16,
-  tried = 32,
-  ill = 64,
-  barred = 128  // and all above: never dropped
+  tried = 16,
+  ill = 32,
+  barred = 64  // never dropped
 };
 
 // The hosts in the order of their ids, and the pointer into them.
@@ -510,8 +509,9 @@
       carried += h.forecast.raw() * h.share;
     }
     if (own_load <= 0) return;
-    per_load_ = carried / (nodes_ * own_load);
     mean_session_ = own_load / own;
+    // A node with few sessions, as after a restart, must not take each for a good part of a host.
+    per_load_ = std::min(carried / (nodes_ * own_load), 2 * kLightAt / mean_session_);
     mean_known_ = known > 0;
     mean_load_ = known > 0 ? load / known : 0;
     mean_own_ = all > 0 ? own / all : 0;
@@ -548,14 +548,13 @@
       if (std::generate_canonical<double, 32>(chance_) > warm) against |= fresh;
     }
     const double load = load_of(h, Micros{0}) + copy_load(h, s);
-    // Near and past what it can do a host serves nobody: then a session is better refused.
-    if (h.shedding || load >= kFullAt) return barred;
+    // Loads swing, and near what it can do a host serves few, past it nobody: a session is better refused.
+    if (h.shedding || h.suspended || load >= kFullAt) return barred;
     if (load > kCrowded * mean_load_) against |= crowded;
     if (h.zone != zone_ && prices_.crossing > 0) against |= remote;
-    if (h.suspended || load >= kSuspendAt) against |= overloaded;
     if (s.has_tried(h.id)) against |= tried;
     if (now_ < h.aside_until || (trust_silence && h.silence.unusual(now_) > kUnusual)) against |= ill;
-    return s.dials > 0 && against >= overloaded ? unsigned{barred} : against;
+    return s.dials > 0 && against >= tried ? unsigned{barred} : against;
   }
 
   // What a host pays for a session's group that it does not hold yet; nothing tells it, so it is taken for
@@ -568,30 +567,23 @@
   }
 
   // Each host that holds any of a group pays for it once more: the group's sessions pass over the others
-  // while one that holds it is as fit as any, or is only overloaded while no other is lighter by a margin. A
-  // group that none such holds starts at a host that every node works out alike, from ids, so that it does
-  // not spread over as many hosts as there are nodes.
+  // while one that holds it is as fit as any. A group that none such holds starts at a host that every node
+  // works out alike, from ids, so that it does not spread over as many hosts as there are nodes.
   void keep_together(GroupId group) {
     // Where crossing is dear and the fleet has room, a copy in this zone costs less than crossing.
     const unsigned minor = mean_load_ < kDear * prices_.crossing ? unsigned{crowded} : crowded | remote;
     unsigned best = barred, best_all = barred;
-    double lightest = kFullAt;
-    for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      best = std::min(best, against_[i] & ~minor);
-      best_all = std::min(best_all, against_[i]);
-      if (against_[i] < overloaded) lightest = std::min(lightest, load_of(hosts_[i], Micros{0}));
+    for (const unsigned a : against_) {
+      best = std::min(best, a & ~minor);
+      best_all = std::min(best_all, a);
     }
     if (best >= barred) return;
     std::size_t home = hosts_.size();
     bool held = false;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      Host& h = hosts_[i];
-      unsigned& a = against_[i];
-      if ((a & overloaded) && h.groups.of(group) && load_of(h, Micros{0}) <= lightest + kNewCopy)
-        a &= ~overloaded;
-      held = held || ((a & ~minor) <= best && h.groups.of(group));
-      if (a == best_all && (home == hosts_.size() || rank(group, h.id) > rank(group, hosts_[home].id)))
-        home = i;
+      held = held || ((against_[i] & ~minor) == best && hosts_[i].groups.of(group));
+      if (against_[i] != best_all) continue;
+      if (home == hosts_.size() || rank(group, hosts_[i].id) > rank(group, hosts_[home].id)) home = i;
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       if (held ? !hosts_[i].groups.of(group) : i != home) against_[i] |= off_group;
@@ -615,7 +607,7 @@
     Host* h = choose(s, dials);
     if (!h) {
       const bool all_full = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
-        return x.usable() && (x.shedding || load_of(x, Micros{0}) >= kFullAt);
+        return x.usable() && (x.shedding || x.suspended || load_of(x, Micros{0}) >= kFullAt);
       });
       if (now_ >= s.give_up_at || all_full || s.dials > 0) return give_up(key, s, dials);
       const WakeId own{std::uint64_t{key.turn} << 32 | key.place};
@@ -748,7 +740,7 @@
   }
 
   static constexpr unsigned kMostPatience = 64;
-  static constexpr double kAlone = 1e9, kUnusual = 8, kNewCopy = kSuspendAt / 4, kCrowded = 1.25, kCopy = 2, kDear = 4;
+  static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2, kDear = 4;
 
   Outlet& out_;
   std::knuth_b chance_;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -10,6 +10,8 @@
   explicit Three(std::uint64_t seed = 7) : World(seed) {
     for (const HostId h : {a, b, c}) hosts[h] = {ZoneId{0}, CellId{0}};
     restart();
+    for (int i = 0; i < 30; ++i) settle();
+    pass(5s);  // until what was sent shows in the reports
     loads(0.3, 0.3, 0.3);
   }
   void loads(double la, double lb, double lc) {
@@ -64,8 +66,6 @@
 
 TEST(Mover, MovesFromHeavyOnly) {
   Three w;
-  for (int i = 0; i < 30; ++i) w.settle();
-  w.pass(3s);  // until what was sent shows in the reports
   w.loads(1.0, 0.2, 0.3);
   w.pass(1s);
   unsigned moved = 0;
@@ -80,7 +80,6 @@
 
 TEST(Mover, LeavesADrainingHost) {
   Three w;
-  for (int i = 0; i < 6; ++i) w.settle();
   w.change(a, Standing::draining);
   w.pass(2s);
   for (const auto& [id, client] : w.clients) EXPECT_EQ(client.moved, client.dials.back().host == a);
@@ -112,10 +111,10 @@
 
 TEST(Silence, PassesOverAHostThatStopsAnswering) {
   Three w;
-  for (int i = 0; i < 80; ++i) {
+  for (int i = 0; i < 400; ++i) {
     w.pass(125ms);
     for (const HostId h : std::exchange(w.probes, {})) {
-      if (h != c || i < 40) w.report(h, 0.3);
+      if (h != c || i < 320) w.report(h, 0.3);
     }
   }
   for (int i = 0; i < 6; ++i) EXPECT_NE(w.settle(), c);
