--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -9,7 +9,7 @@
 #include <random>
 #include <utility>
 
-#include "numbers.h"
+#include "host.h"
 #include "session.h"
 
 namespace flintweir {
@@ -110,36 +110,15 @@
   ColdRule rule_;
 };
 
-struct Host {
-  HostId id;
-  ZoneId zone;
-  CellId cell;
-  Standing standing = Standing::in;
-  double share = 1;
-  Micros started{0};
-  bool listed = false;
+struct Host : HostFacts {
+  explicit Host(HostId h) : HostFacts(h, kProbeEvery) {}
   bool suspended = false;
   bool shedding = false;  // broke connections off since its last report
   LoadForecast forecast;
   SilenceJudge silence;
-  Micros next_probe = kNever;
+  Micros next_probe = kNever, moved_at = kNever;
   Micros aside_until = kNever, last_pause{0};
-  Micros moved_at = kNever;
-  unsigned own = 0;  // own open connections
-  unsigned dialing = 0;
-  double own_load = 0;   // their load, in microseconds of work a second
-  double sent_load = 0;  // what was sent lately, which the reports may not show yet; fades
-  Micros sent_at{0};
-  Micros delay{0}, delay_at{0};  // of messages, as last noted
-  GroupCount groups;
-  std::vector<std::pair<Micros, double>> cold_sent;
-
-  bool usable() const { return standing == Standing::in; }
-  double unseen(Micros now) const { return sent_load * fade(now - sent_at, kProbeEvery); }
-  void sent(Micros now, double load) {
-    sent_load = std::max(0.0, unseen(now) + load);
-    sent_at = now;
-  }
+
   // The first failure since the last pause doubles the pause for which the host is passed over; a success
   // after it halves it. Many failures at once, or successes sent before, tell no more than one.
   void failed(Micros now) {
@@ -199,7 +178,7 @@
  public:
   explicit Rotation(std::uint64_t start) : next_(start) {}
   // The next host in turn that no condition passes over; each further walk drops one condition more.
-  Host* choose(std::vector<Host>& hosts, const std::vector<unsigned>& against) {
+  Host* choose(HostsById<Host>& hosts, const std::vector<unsigned>& against) {
     for (unsigned dropped = 0; dropped < barred; dropped = 2 * dropped + 1) {
       for (std::size_t i = 0; i < hosts.size(); ++i) {
         const std::size_t at = (next_ + i) % hosts.size();
@@ -239,7 +218,7 @@
         dial_limits_(dials),
         guard_(cold),
         cold_window_(cold.window),
-        rate_span_(4 * cold.warm_within),
+        arrived_(4 * cold.warm_within),
         list_(list),
         prices_(prices),
         rotation_(chance_()),
@@ -262,7 +241,8 @@
     fresh.give_up_at = std::min(now_ + l.handshake_target, taken.valid_until);
     fresh.load = usual_load(taken);
     const SlabKey key = sessions_.add(fresh);
-    if (!taken.returned && !taken.repeat) note_arrival(fresh.load);
+    // Repeats and returns would make a storm look like capacity.
+    if (!taken.returned && !taken.repeat) arrived_.add(now_, fresh.load);
     place(key, *sessions_.find(key));
     return {this, key};
   }
@@ -285,7 +265,7 @@
   void accepted(SlabKey key, DialNo dial) override {
     Session* s = sessions_.find(key);
     if (!s || !current(*s, dial)) return;
-    if (Host* h = find(s->host)) {
+    if (Host* h = hosts_.find(s->host)) {
       --h->dialing;
       h->succeeded(now_);
     }
@@ -297,9 +277,9 @@
     Session* s = sessions_.find(key);
     if (!s || !current(*s, dial)) return;
     s->dial_out = false;
-    Host* h = find(s->host);
+    Host* h = hosts_.find(s->host);
     if (s->state == State::open) {
-      close(*s, h);
+      if (h) h->closed(s->load, s->taken.group);
       // A connection that broke off is a failure of its host, unless the host was on its way out.
       // So it is where a host sheds load: its reports may look light just after, and clients that are sent
       // there break off again and again. It gets nothing new until a later report shows it below suspension.
@@ -312,7 +292,7 @@
     }
     if (h) {
       --h->dialing;
-      h->sent(now_, -s->charged);
+      h->sent.add(now_, -s->charged);
       if (how == Ending::finished)
         h->succeeded(now_);
       else if (how != Ending::cancelled && how != Ending::unsent)
@@ -342,7 +322,7 @@
   void load_is(SlabKey key, double load) override {
     Session* s = sessions_.find(key);
     if (!s || s->state != State::open) return;
-    if (Host* h = find(s->host)) h->own_load += load - s->load;
+    if (Host* h = hosts_.find(s->host)) h->own_load += load - s->load;
     s->load = load;
     usual_[s->taken.listener.value].add(load, 0.98);
   }
@@ -350,7 +330,7 @@
   // Work piled up at a host makes its messages late long after its reported load has fallen.
   void messages_take(SlabKey key, Micros delay) override {
     Session* s = sessions_.find(key);
-    Host* h = s && s->state == State::open ? find(s->host) : nullptr;
+    Host* h = s && s->state == State::open ? hosts_.find(s->host) : nullptr;
     if (!h) return;
     h->delay = delay;
     h->delay_at = now_;
@@ -359,7 +339,7 @@
 
   void woken(WakeId wake) override {
     if (wake.value == 0) return beat();
-    const SlabKey key{static_cast<std::uint32_t>(wake.value), static_cast<std::uint32_t>(wake.value >> 32)};
+    const SlabKey key = SlabKey::unpacked(wake.value);
     Session* s = sessions_.find(key);
     if (!s) return;
     s->waiting = false;
@@ -367,7 +347,7 @@
   }
 
   void probed(HostId id, bool answered, const LoadReport& r) override {
-    Host* h = find(id);
+    Host* h = hosts_.find(id);
     if (!h || !answered) return;  // a failed probe keeps the mark
     h->silence.sign(now_);
     const std::optional<double> load = r.load ? r.load : r.busy;
@@ -385,11 +365,9 @@
   }
 
   void listed(HostId id, ZoneId zone, CellId cell, Standing standing, double share, Micros started) override {
-    Host* h = find(id);
+    Host* h = hosts_.find(id);
     if (!h) {
-      const auto by_id = [](const Host& a, HostId b) { return a.id < b; };
-      h = &*hosts_.insert(std::lower_bound(hosts_.begin(), hosts_.end(), id, by_id), Host{});
-      h->id = id;
+      h = &hosts_.add(Host(id));
       h->next_probe = now_ + spread(kProbeEvery);
     } else if (started > h->started && h->standing != Standing::draining) {
       // A host that restarted has lost what was known of it.
@@ -412,7 +390,7 @@
     for (Host& h : hosts_) {
       if (!h.listed) h.standing = Standing::gone;
     }
-    std::erase_if(hosts_, [](const Host& h) { return h.standing == Standing::gone && !h.own && !h.dialing; });
+    hosts_.drop_if([](const Host& h) { return h.standing == Standing::gone && !h.own && !h.dialing; });
   }
 
   // Many nodes may fail at once: each waits longer after each failure, by chance, yet well within ask_every.
@@ -428,12 +406,6 @@
     return Micros{std::uniform_int_distribution<std::int64_t>(0, over.count())(chance_)};
   }
 
-  Host* find(HostId id) {
-    const auto it =
-        std::lower_bound(hosts_.begin(), hosts_.end(), id, [](const Host& a, HostId b) { return a.id < b; });
-    return it != hosts_.end() && it->id == id ? &*it : nullptr;
-  }
-
   static bool current(const Session& s, DialNo dial) { return s.dial_out && dial.value + 1 == s.dials; }
 
   double usual_load(const Taken& t) const {
@@ -445,21 +417,9 @@
     return usual_[t.listener.value].or_else(known > 0 ? all / known : t.usual_load.value_or(1));
   }
 
-  // New sessions a second, by load; repeats and returns would make a storm look like capacity.
-  void note_arrival(double load) {
-    arrived_ *= fade(now_ - arrival_at_, rate_span_);
-    arrived_ += load;
-    arrival_at_ = now_;
-  }
-
   // This node's part of what a warm host of this size takes a second when full, by load.
   double full_rate(const Host& h) {
-    const Micros known = now_ - began_;
-    // Arrivals fade by half every span; the integral of that fading since the start turns them into a rate.
-    const double span = seconds(rate_span_) / std::log(2.0);
-    const double weight = span * (1 - fade(known, rate_span_));
-    const double rate =
-        arrived_ * fade(now_ - arrival_at_, rate_span_) / std::max(weight, seconds(cold_window_));
+    const double rate = arrived_.per_second(now_, began_, cold_window_);
     double carried = 0;
     for (const Host& w : hosts_) {
       if (w.usable() && w.forecast.known() && !guard_.cold(now_, w.started))
@@ -472,25 +432,15 @@
   void open(Session& s) {
     s.state = State::open;
     s.may_have_run = true;
-    if (Host* h = find(s.host)) {
-      ++h->own;
-      h->own_load += s.load;
-      if (s.taken.group) h->groups.join(*s.taken.group);
-    }
-  }
-
-  void close(Session& s, Host* h) {
-    if (!h) return;
-    --h->own;
-    h->own_load = h->own ? h->own_load - s.load : 0;
-    if (s.taken.group) h->groups.leave(*s.taken.group);
+    if (Host* h = hosts_.find(s.host)) h->opened(s.load, s.taken.group);
   }
 
   double load_of(const Host& h, Micros horizon) const {
     // What this node has sent since is added, as reports are late.
-    const double unseen = per_load_ / h.share * h.unseen(now_);
+    const double unseen = per_load_ / h.share * h.sent.at(now_);
     // What its messages wait for has to be done beside what is asked; no note for a while means little waits.
-    const double waiting = now_ - h.delay_at < 2 * kProbeEvery ? ratio(h.delay, 2 * kProbeEvery) : 0;
+    const double waiting =
+        h.delay_at != kNever && now_ - h.delay_at < 2 * kProbeEvery ? ratio(h.delay, 2 * kProbeEvery) : 0;
     if (h.forecast.known()) return h.forecast.weigh(h.forecast.raw() + unseen + waiting, horizon);
     return mean_known_ ? mean_load_ : mean_own_ > 0 ? h.own / mean_own_ / 2 : 0;
   }
@@ -508,13 +458,13 @@
       load += load_of(h, Micros{0});
       carried += h.forecast.raw() * h.share;
     }
+    mean_known_ = known > 0;
+    mean_load_ = known > 0 ? load / known : 0;
+    mean_own_ = all > 0 ? own / all : 0;
     if (own_load <= 0) return;
     mean_session_ = own_load / own;
     // A node with few sessions, as after a restart, must not take each for a good part of a host.
     per_load_ = std::min(carried / (nodes_ * own_load), 2 * kLightAt / mean_session_);
-    mean_known_ = known > 0;
-    mean_load_ = known > 0 ? load / known : 0;
-    mean_own_ = all > 0 ? own / all : 0;
   }
 
   void mark(Host& h) {
@@ -543,7 +493,7 @@
     if (guard_.cold(now_, h.started)) {
       // A node that has just started doesn't know what it sent before.
       if (now_ - began_ < cold_window_) return barred;
-      if (!guard_.room(now_, h.started, full_rate(h), cost(s), h.cold_sent)) return barred;
+      if (!guard_.room(now_, h.started, full_rate(h), s.load, h.cold_sent)) return barred;
       const double warm = guard_.warmth(now_ - h.started);
       if (std::generate_canonical<double, 32>(chance_) > warm) against |= fresh;
     }
@@ -560,9 +510,9 @@
   // What a host pays for a session's group that it does not hold yet; nothing tells it, so it is taken for
   // that of a few usual sessions. A group that this node has nowhere must start somewhere.
   double copy_load(const Host& h, const Session& s) const {
-    if (!s.taken.group || h.groups.of(*s.taken.group)) return 0;
+    if (!s.taken.group || h.holds(s.taken.group)) return 0;
     const bool held = std::any_of(hosts_.begin(), hosts_.end(),
-                                  [&](const Host& o) { return o.usable() && o.groups.of(*s.taken.group); });
+                                  [&](const Host& o) { return o.usable() && o.holds(s.taken.group); });
     return held ? kCopy * mean_session_ * per_load_ / h.share : 0;
   }
 
@@ -581,24 +531,17 @@
     std::size_t home = hosts_.size();
     bool held = false;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      held = held || ((against_[i] & ~minor) == best && hosts_[i].groups.of(group));
+      held = held || ((against_[i] & ~minor) == best && hosts_[i].holds(group));
       if (against_[i] != best_all) continue;
       if (home == hosts_.size() || rank(group, hosts_[i].id) > rank(group, hosts_[home].id)) home = i;
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      if (held ? !hosts_[i].groups.of(group) : i != home) against_[i] |= off_group;
+      if (held ? !hosts_[i].holds(group) : i != home) against_[i] |= off_group;
     }
   }
 
   // How well a host suits a group, the same at every node.
   static std::uint64_t rank(GroupId group, HostId host) { return mix(group.value ^ mix(host.value)); }
-  static std::uint64_t mix(std::uint64_t x) {  // the finalizer of splitmix64
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ull;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111ebull;
-    return x ^ (x >> 31);
-  }
-
-  double cost(const Session& s) const { return std::max(s.load, 1e-9); }
 
   void place(SlabKey key, Session& s) {
     const Dials dials(listeners_[s.taken.listener.value], dial_limits_.most);
@@ -610,11 +553,11 @@
         return x.usable() && (x.shedding || x.suspended || load_of(x, Micros{0}) >= kFullAt);
       });
       if (now_ >= s.give_up_at || all_full || s.dials > 0) return give_up(key, s, dials);
-      const WakeId own{std::uint64_t{key.turn} << 32 | key.place};
-      if (!std::exchange(s.waiting, true)) out_.wake(std::min(kBeat, s.give_up_at - now_), own);
+      if (!std::exchange(s.waiting, true))
+        out_.wake(std::min(kBeat, s.give_up_at - now_), WakeId{key.packed()});
       return;
     }
-    if (guard_.cold(now_, h->started)) guard_.spend(now_, cost(s), h->cold_sent);
+    if (guard_.cold(now_, h->started)) guard_.spend(now_, s.load, h->cold_sent);
     const Micros limit = dials.limit(s, now_, patience_);
     if (s.dials < s.tried.size()) s.tried[s.dials] = h->id;
     ++s.dials;
@@ -622,8 +565,8 @@
     s.state = State::dialing;
     s.dial_out = true;
     s.host = h->id;
-    s.charged = s.load + (s.taken.group && !h->groups.of(*s.taken.group) ? kCopy * mean_session_ : 0);
-    h->sent(now_, s.charged);
+    s.charged = s.load + (s.taken.group && !h->holds(s.taken.group) ? kCopy * mean_session_ : 0);
+    h->sent.add(now_, s.charged);
     s.dialed_at = now_;
     out_.dial(s.id, h->id, limit);
   }
@@ -709,7 +652,7 @@
       double order = 0;
       if (s.taken.group) {
         const bool home = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& h) {
-          return h.id != heavy.id && h.usable() && !h.suspended && h.groups.of(*s.taken.group);
+          return h.id != heavy.id && h.usable() && !h.suspended && h.holds(s.taken.group);
         });
         order = home ? heavy.groups.of(*s.taken.group)
                      : kAlone + static_cast<double>(rank(*s.taken.group, heavy.id));
@@ -749,20 +692,20 @@
   std::vector<Listener> listeners_;
   DialLimits dial_limits_;
   ColdGuard guard_;
-  Micros cold_window_, rate_span_;
+  Micros cold_window_;
+  FadingSum arrived_;  // load of new sessions
   ListRule list_;
   Prices prices_;
   Rotation rotation_;
   std::vector<FadingMean> usual_;
-  std::vector<Host> hosts_;
+  HostsById<Host> hosts_;
   std::vector<Host*> order_;
   std::vector<std::pair<double, Session*>> leaving_;
   std::vector<unsigned> against_;
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, list_wait_ = kProbeEvery;
   bool listing_whole_ = false, mean_known_ = false;
-  double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, mean_session_ = 0, arrived_ = 0, per_share_ = 0;
-  Micros arrival_at_{0};
+  double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, mean_session_ = 0, per_share_ = 0;
   unsigned beats_ = 0, patience_ = 1;
 };
 
--- a/src/numbers.h
+++ b/src/numbers.h
@@ -1,8 +1,9 @@
-// Small arithmetic on times and means.
+// Small arithmetic on times, means and rates.
 #pragma once
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 
 #include "ids.h"
 
@@ -16,6 +17,13 @@
 // What is left of one after `age`, where it fades by half every `half`.
 inline double fade(Micros age, Micros half) { return std::exp2(-ratio(age, half)); }
 
+// The finalizer of splitmix64: spreads the bits of a number over all of its bits.
+inline std::uint64_t mix(std::uint64_t x) {
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ull;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebull;
+  return x ^ (x >> 31);
+}
+
 // A mean in which each new value counts 1 - keep.
 class FadingMean {
  public:
@@ -31,4 +39,25 @@
   bool known_ = false;
 };
 
+// A sum that fades by half every `half`.
+class FadingSum {
+ public:
+  explicit FadingSum(Micros half) : half_(half) {}
+  void add(Micros now, double x) {
+    sum_ = at(now) + x;
+    at_ = now;
+  }
+  double at(Micros now) const { return sum_ == 0 ? 0 : sum_ * fade(now - at_, half_); }
+  // What was added a second, where the adding began at `since`; no shorter than `least` is believed.
+  double per_second(Micros now, Micros since, Micros least) const {
+    const double weight = seconds(half_) / std::log(2.0) * (1 - fade(now - since, half_));
+    return at(now) / std::max(weight, seconds(least));
+  }
+
+ private:
+  Micros half_;
+  Micros at_{0};
+  double sum_ = 0;
+};
+
 }  // namespace flintweir
--- a/src/session.h
+++ b/src/session.h
@@ -1,10 +1,8 @@
-// What is kept of a session in hand, and the count of a host's sessions by group.
+// What is kept of a session in hand.
 #pragma once
 
 #include <algorithm>
 #include <array>
-#include <utility>
-#include <vector>
 
 #include "balance.h"
 
@@ -38,33 +36,4 @@
   }
 };
 
-class GroupCount {
- public:
-  unsigned of(GroupId g) const {
-    for (const auto& [group, count] : counts_) {
-      if (group == g) return count;
-    }
-    return 0;
-  }
-  void join(GroupId g) {
-    for (auto& [group, count] : counts_) {
-      if (group == g) return void(++count);
-    }
-    counts_.emplace_back(g, 1);
-  }
-  void leave(GroupId g) {
-    for (auto& entry : counts_) {
-      if (entry.first != g) continue;
-      if (--entry.second == 0) {
-        entry = counts_.back();
-        counts_.pop_back();
-      }
-      return;
-    }
-  }
-
- private:
-  std::vector<std::pair<GroupId, unsigned>> counts_;
-};
-
 }  // namespace flintweir
--- a/src/slab.h
+++ b/src/slab.h
@@ -10,6 +10,12 @@
 struct SlabKey {
   std::uint32_t place = 0;
   std::uint32_t turn = 0;  // 0 is never given out
+
+  // As one number, never 0 for a key that was given out.
+  std::uint64_t packed() const { return std::uint64_t{turn} << 32 | place; }
+  static SlabKey unpacked(std::uint64_t n) {
+    return {static_cast<std::uint32_t>(n), static_cast<std::uint32_t>(n >> 32)};
+  }
 };
 
 template <class T>
