Let go of sessions far over the usual while others are refused

While the node refuses for want of room it moves off, a little of the load at a time, sessions of over twice their listener's usual load from nearly full hosts, remembers their load by client for a while and refuses them first.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -204,7 +204,7 @@
   }
 };
 
-enum class Leaving { even, relief, drain };  // why own sessions are moved off a host
+enum class Leaving { even, relief, drain, heavy };  // why own sessions are moved off a host
 
 class Decisions final : public Balancer {
  public:
@@ -240,6 +240,7 @@
     fresh.taken = taken;
     fresh.give_up_at = std::min(now_ + l.handshake_target, taken.valid_until);
     fresh.load = usual_load(taken);
+    if (taken.client) fresh.load = sent_away_.of(*taken.client, now_ - kQuietRest).value_or(fresh.load);
     const SlabKey key = sessions_.add(fresh);
     // Repeats and returns would make a storm look like capacity.
     if (!taken.returned && !taken.repeat) arrived_.add(now_, fresh.load);
@@ -546,12 +547,13 @@
   void place(SlabKey key, Session& s) {
     const Dials dials(listeners_[s.taken.listener.value], dial_limits_.most);
     s.state = State::held;
-    if (!dials.again(s, now_)) return give_up(key, s, dials);
+    if (!dials.again(s, now_) || (full() && heavy(s))) return give_up(key, s, dials);
     Host* h = choose(s, dials);
     if (!h) {
       const bool all_full = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
         return x.usable() && (x.shedding || x.suspended || load_of(x, Micros{0}) >= kFullAt);
       });
+      if (all_full) full_at_ = now_;
       if (now_ >= s.give_up_at || all_full || s.dials > 0) return give_up(key, s, dials);
       if (!std::exchange(s.waiting, true))
         out_.wake(std::min(kBeat, s.give_up_at - now_), WakeId{key.packed()});
@@ -571,6 +573,20 @@
     out_.dial(s.id, h->id, limit);
   }
 
+  // Sessions have lately been refused for want of room.
+  bool full() const { return full_at_ != kNever && now_ - full_at_ < 2 * kProbeEvery; }
+  bool heavy(const Session& s) const { return s.load > kHeavy * usual_load(s.taken); }
+
+  // While sessions are refused, one that costs far more than is usual at its listener takes the place of
+  // several.
+  void let_go_heavy() {
+    if (!full()) return;
+    for (Host& h : hosts_) {
+      if (h.usable() && load_of(h, Micros{0}) >= kFullAt - kLightAt)
+        move_off(h, h.own_load * kLightAt, Leaving::heavy);
+    }
+  }
+
   void give_up(SlabKey key, Session& s, const Dials& dials) {
     if (dials.may_refuse(s))
       out_.refuse(s.id, std::min(dial_limits_.longest_stay_away, spread(kProbeEvery)));
@@ -591,7 +607,10 @@
       out_.probe(h.id);
     }
     leave_draining();
-    if (++beats_ % kBeatsPerProbe == 0) even_out();
+    if (++beats_ % kBeatsPerProbe == 0) {
+      even_out();
+      let_go_heavy();
+    }
   }
 
   // A host on its way out is the heaviest there can be: own connections leave it, a part at each beat.
@@ -643,19 +662,23 @@
 
   // First go sessions whose group has another home, the groups least held here before others; then group by
   // group, those that every node thinks least suited to the host. For relief, the least utility for its load.
-  bool move_off(Host& heavy, double load, Leaving why) {
+  bool move_off(Host& from, double load, Leaving why) {
     leaving_.clear();
     sessions_.each([&](SlabKey, Session& s) {
-      if (s.state != State::open || s.moved || s.host != heavy.id) return;
+      if (s.state != State::open || s.moved || s.host != from.id) return;
       if (why == Leaving::relief)
         return leaving_.push_back({listeners_[s.taken.listener.value].utility / std::max(s.load, 1e-9), &s});
+      if (why == Leaving::heavy) {
+        if (heavy(s)) leaving_.push_back({-s.load / usual_load(s.taken), &s});
+        return;
+      }
       double order = 0;
       if (s.taken.group) {
         const bool home = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& h) {
-          return h.id != heavy.id && h.usable() && !h.suspended && h.holds(s.taken.group);
+          return h.id != from.id && h.usable() && !h.suspended && h.holds(s.taken.group);
         });
-        order = home ? heavy.groups.of(*s.taken.group)
-                     : kAlone + static_cast<double>(rank(*s.taken.group, heavy.id));
+        order = home ? from.groups.of(*s.taken.group)
+                     : kAlone + static_cast<double>(rank(*s.taken.group, from.id));
       }
       leaving_.push_back({order, &s});
     });
@@ -677,13 +700,14 @@
       }
       s->moved = any = true;
       load -= std::max(s->load, 1e-9);
+      if (s->taken.client && why != Leaving::drain) sent_away_.note(*s->taken.client, s->load, now_);
       out_.move(s->id);
     }
     return any;
   }
 
   static constexpr unsigned kMostPatience = 64;
-  static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2, kDear = 4;
+  static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2, kDear = 4, kHeavy = 2;
 
   Outlet& out_;
   std::knuth_b chance_;
@@ -698,12 +722,14 @@
   Prices prices_;
   Rotation rotation_;
   std::vector<FadingMean> usual_;
+  ClientLoads sent_away_;
   HostsById<Host> hosts_;
   std::vector<Host*> order_;
   std::vector<std::pair<double, Session*>> leaving_;
   std::vector<unsigned> against_;
   Slab<Session> sessions_;
-  Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, list_wait_ = kProbeEvery;
+  Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, full_at_ = kNever,
+                  list_wait_ = kProbeEvery;
   bool listing_whole_ = false, mean_known_ = false;
   double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, mean_session_ = 0, per_share_ = 0;
   unsigned beats_ = 0, patience_ = 1;
--- a/src/session.h
+++ b/src/session.h
@@ -36,4 +36,28 @@
   }
 };
 
+// The loads of some clients that were sent away, the latest ones.
+class ClientLoads {
+ public:
+  void note(ClientKey client, double load, Micros now) {
+    entries_[next_] = {client, load, now};
+    next_ = (next_ + 1) % entries_.size();
+  }
+  std::optional<double> of(ClientKey client, Micros since) const {
+    for (const Entry& e : entries_) {
+      if (e.client == client && e.at >= since) return e.load;
+    }
+    return std::nullopt;
+  }
+
+ private:
+  struct Entry {
+    ClientKey client;
+    double load = 0;
+    Micros at = Micros::min();
+  };
+  std::array<Entry, 256> entries_{};
+  std::size_t next_ = 0;
+};
+
 }  // namespace flintweir
