--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -667,7 +667,7 @@
     sessions_.each([&](SlabKey, Session& s) {
       if (s.state != State::open || s.moved || s.host != from.id) return;
       if (why == Leaving::relief)
-        return leaving_.push_back({-s.load / usual_load(s.taken), &s});
+        return leaving_.push_back({listeners_[s.taken.listener.value].utility / std::max(s.load, 1e-9), &s});
       if (why == Leaving::heavy) {
         if (heavy(s)) leaving_.push_back({-s.load / usual_load(s.taken), &s});
         return;
