--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -475,20 +475,24 @@
 
   Host* choose(const Session& s, const Dials& dials) {
     take_means();
-    unsigned silent = 0, usable = 0;
+    unsigned ill_ones = 0, usable = 0;
     for (const Host& h : hosts_) {
       if (!h.usable()) continue;
       ++usable;
-      silent += h.silence.unusual(now_) > kUnusual ? 1 : 0;
+      ill_ones += is_ill(h) ? 1 : 0;
     }
-    const bool trust_silence = 2 * silent <= usable;  // when most look ill, the judgement is suspect
+    // When most look ill, the judgement is suspect; else a host that fails is no way out where the rest is
+    // full.
+    const bool suspect = 2 * ill_ones > usable;
     against_.clear();
-    for (const Host& h : hosts_) against_.push_back(reasons(h, s, dials, trust_silence));
+    for (const Host& h : hosts_) against_.push_back(reasons(h, s, dials, suspect));
     if (s.taken.group) keep_together(*s.taken.group);
     return rotation_.choose(hosts_, against_);
   }
 
-  unsigned reasons(const Host& h, const Session& s, const Dials& dials, bool trust_silence) {
+  bool is_ill(const Host& h) const { return now_ < h.aside_until || h.silence.unusual(now_) > kUnusual; }
+
+  unsigned reasons(const Host& h, const Session& s, const Dials& dials, bool suspect) {
     if (!h.usable() || !dials.at(s, h)) return barred;
     unsigned against = 0;
     if (guard_.cold(now_, h.started)) {
@@ -504,7 +508,8 @@
     if (load > kCrowded * mean_load_) against |= crowded;
     if (h.zone != zone_ && prices_.crossing > 0) against |= remote;
     if (s.has_tried(h.id)) against |= tried;
-    if (now_ < h.aside_until || (trust_silence && h.silence.unusual(now_) > kUnusual)) against |= ill;
+    if (is_ill(h) && !suspect) return barred;
+    if (is_ill(h)) against |= ill;
     return s.dials > 0 && against >= tried ? unsigned{barred} : against;
   }
 
