Let only a time without failures end the doubling of a pause

Cause: a host whose connections break soon after they are accepted had its pause halved by each acceptance.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -119,17 +119,15 @@
   Micros next_probe = kNever, moved_at = kNever;
   Micros aside_until = kNever, last_pause{0};
 
-  // The first failure since the last pause doubles the pause for which the host is passed over; a success
-  // after it halves it. Many failures at once, or successes sent before, tell no more than one.
+  // A failure after the last pause doubles the pause for which the host is passed over; many failures at once
+  // tell no more than one. Being accepted proves little where connections break soon after: only a time
+  // without failures ends the doubling.
   void failed(Micros now) {
     if (now < aside_until) return;
+    if (aside_until != kNever && now - aside_until > kQuietRest) last_pause = Micros{0};
     last_pause = std::clamp(2 * last_pause, kProbeEvery, 8 * kProbeEvery);
     aside_until = now + last_pause;
   }
-  void succeeded(Micros now) {
-    silence.sign(now);
-    if (now >= aside_until) last_pause /= 2;
-  }
 };
 
 // Rule 2: what a session whose dial may have run still permits.
@@ -268,7 +266,7 @@
     if (!s || !current(*s, dial)) return;
     if (Host* h = hosts_.find(s->host)) {
       --h->dialing;
-      h->succeeded(now_);
+      h->silence.sign(now_);
     }
     patience_ = std::max(1u, patience_ / 2);
     if (s->state == State::dialing) open(*s);
@@ -295,7 +293,7 @@
       --h->dialing;
       h->sent.add(now_, -s->charged);
       if (how == Ending::finished)
-        h->succeeded(now_);
+        h->silence.sign(now_);
       else if (how != Ending::cancelled && how != Ending::unsent)
         h->failed(now_);
     }
