--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -463,7 +463,8 @@
     if (own_load <= 0) return;
     mean_session_ = own_load / own;
     // A node with few sessions, as after a restart, must not take each for a good part of a host.
-    per_load_ = std::min(carried / (nodes_ * own_load), 2 * kLightAt / mean_session_);
+    // While sessions are refused every node has some waiting, and all fill a gap that shows at the same time.
+    per_load_ = std::min(carried / (full() ? own_load : nodes_ * own_load), 2 * kLightAt / mean_session_);
   }
 
   void mark(Host& h) {
