--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -436,8 +436,7 @@
 
   double load_of(const Host& h, Micros horizon) const {
     // What this node has sent since is added, as reports are late.
-    // While sessions are refused every node has some waiting, and all fill a gap that shows at the same time.
-    const double unseen = (full() ? nodes_ : 1) * per_load_ / h.share * h.sent.at(now_);
+    const double unseen = per_load_ / h.share * h.sent.at(now_);
     // What its messages wait for has to be done beside what is asked; no note for a while means little waits.
     const double waiting =
         h.delay_at != kNever && now_ - h.delay_at < 2 * kProbeEvery ? ratio(h.delay, 2 * kProbeEvery) : 0;
@@ -464,7 +463,8 @@
     if (own_load <= 0) return;
     mean_session_ = own_load / own;
     // A node with few sessions, as after a restart, must not take each for a good part of a host.
-    per_load_ = std::min(carried / (nodes_ * own_load), 2 * kLightAt / mean_session_);
+    // While sessions are refused every node has some waiting, and all fill a gap that shows at the same time.
+    per_load_ = std::min(carried / (full() ? own_load : nodes_ * own_load), 2 * kLightAt / mean_session_);
   }
 
   void mark(Host& h) {
