--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -462,11 +462,9 @@
     mean_own_ = all > 0 ? own / all : 0;
     if (own_load <= 0) return;
     mean_session_ = own_load / own;
-    // A node with few sessions must not take each for a good part of a host; least of all after a restart,
-    // when all its clients come back at once and it can't tell yet how many it has of all.
-    const double most = now_ - began_ < kQuietRest ? kLightAt / 2 : 2 * kLightAt;
+    // A node with few sessions, as after a restart, must not take each for a good part of a host.
     // While sessions are refused every node has some waiting, and all fill a gap that shows at the same time.
-    per_load_ = std::min(carried / (full() ? own_load : nodes_ * own_load), most / mean_session_);
+    per_load_ = std::min(carried / (full() ? own_load : nodes_ * own_load), 2 * kLightAt / mean_session_);
   }
 
   void mark(Host& h) {
