--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -434,14 +434,16 @@
     if (Host* h = hosts_.find(s.host)) h->opened(s.load, s.taken.group);
   }
 
-  double load_of(const Host& h, Micros horizon) const {
-    // What this node has sent since is added, as reports are late.
-    const double unseen = per_load_ / h.share * h.sent.at(now_);
+  // The load as reported; with what this node has sent since, as reports are late.
+  double load_of(const Host& h) const {
+    return reported(h, Micros{0}, per_load_ / h.share * h.sent.at(now_));
+  }
+  double reported(const Host& h, Micros horizon, double unseen = 0) const {
+    if (!h.forecast.known()) return mean_known_ ? mean_load_ : mean_own_ > 0 ? h.own / mean_own_ / 2 : 0;
     // What its messages wait for has to be done beside what is asked; no note for a while means little waits.
-    const double waiting =
-        h.delay_at != kNever && now_ - h.delay_at < 2 * kProbeEvery ? ratio(h.delay, 2 * kProbeEvery) : 0;
-    if (h.forecast.known()) return h.forecast.weigh(h.forecast.raw() + unseen + waiting, horizon);
-    return mean_known_ ? mean_load_ : mean_own_ > 0 ? h.own / mean_own_ / 2 : 0;
+    const bool noted = h.delay_at != kNever && now_ - h.delay_at < 2 * kProbeEvery;
+    const double waiting = noted ? ratio(h.delay, 2 * kProbeEvery) : 0;
+    return h.forecast.weigh(h.forecast.raw() + unseen + waiting, horizon);
   }
 
   // The mean load of the hosts in use, for new ones and for comparison.
@@ -454,7 +456,7 @@
       own_load += h.own_load;
       if (!h.forecast.known()) continue;
       known += 1;
-      load += load_of(h, Micros{0});
+      load += load_of(h);
       carried += h.forecast.raw() * h.share;
     }
     mean_known_ = known > 0;
@@ -468,7 +470,7 @@
   }
 
   void mark(Host& h) {
-    h.suspended = load_of(h, kProbeEvery) >= kSuspendAt;
+    h.suspended = reported(h, kProbeEvery) >= kSuspendAt;
     h.shedding = h.shedding && h.suspended;
   }
 
@@ -501,7 +503,7 @@
       const double warm = guard_.warmth(now_ - h.started);
       if (std::generate_canonical<double, 32>(chance_) > warm) against |= fresh;
     }
-    const double load = load_of(h, Micros{0}) + copy_load(h, s);
+    const double load = load_of(h) + copy_load(h, s);
     // Loads swing, and near what it can do a host serves few, past it nobody: a session is better refused.
     if (h.shedding || h.suspended || load >= kFullAt) return barred;
     if (load > kCrowded * mean_load_) against |= crowded;
@@ -555,7 +557,7 @@
     Host* h = choose(s, dials);
     if (!h) {
       const bool all_full = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
-        return x.usable() && (x.shedding || x.suspended || load_of(x, Micros{0}) >= kFullAt);
+        return x.usable() && (x.shedding || x.suspended || load_of(x) >= kFullAt);
       });
       if (all_full) full_at_ = now_;
       if (now_ >= s.give_up_at || all_full || s.dials > 0) return give_up(key, s, dials);
@@ -586,8 +588,7 @@
   void let_go_heavy() {
     if (!full()) return;
     for (Host& h : hosts_) {
-      if (h.usable() && load_of(h, Micros{0}) >= kFullAt - kLightAt)
-        move_off(h, h.own_load * kLightAt, Leaving::heavy);
+      if (h.usable() && load_of(h) >= kFullAt - kLightAt) move_off(h, h.own_load * kLightAt, Leaving::heavy);
     }
   }
 
@@ -632,9 +633,8 @@
     for (Host& h : hosts_) {
       if (h.usable() && h.forecast.known()) order_.push_back(&h);
     }
-    std::stable_sort(order_.begin(), order_.end(), [&](const Host* a, const Host* b) {
-      return load_of(*a, Micros{0}) < load_of(*b, Micros{0});
-    });
+    std::stable_sort(order_.begin(), order_.end(),
+                     [&](const Host* a, const Host* b) { return load_of(*a) < load_of(*b); });
     bool overload = false;
     for (std::size_t i = 0, j = order_.size(); i + 1 < j && order_[j - 1]->suspended; ++i) {
       Host& heavy = *order_[--j];
@@ -647,19 +647,19 @@
       quiet_since_ = now_;
       Host& light = *order_.front();
       Host& heavy = *order_.back();
-      const double gap = load_of(heavy, Micros{0}) - load_of(light, Micros{0});
-      if (load_of(light, Micros{0}) <= kLightAt && gap > kLightAt) pair_up(heavy, light);
+      const double gap = load_of(heavy) - load_of(light);
+      if (load_of(light) <= kLightAt && gap > kLightAt) pair_up(heavy, light);
     }
   }
 
   // Moves show in the reports only after a while; until then the host is left alone.
   void pair_up(Host& heavy, Host& light) {
     if (heavy.moved_at != kNever && heavy.forecast.at() - heavy.moved_at < 2 * kProbeEvery) return;
-    const double load = load_of(heavy, Micros{0});
+    const double load = load_of(heavy);
     const bool relief = light.suspended || guard_.cold(now_, light.started);
     // Where no host is lighter, one past what it can do serves nobody: the least useful load leaves for good.
     if (relief && load < 1) return;
-    const double share = relief ? (load - kFullAt) / load : Mover::share(load, load_of(light, Micros{0}));
+    const double share = relief ? (load - kFullAt) / load : Mover::share(load, load_of(light));
     if (move_off(heavy, heavy.own_load * share, relief ? Leaving::relief : Leaving::even))
       heavy.moved_at = now_;
   }
