--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -247,7 +247,6 @@
   }
 
   Sess inherit(SessId id, const Taken& taken, HostId host) override {
-    handed_over_ = true;
     Session s;
     s.id = id;
     s.taken = taken;
@@ -465,12 +464,9 @@
     mean_own_ = all > 0 ? own / all : 0;
     if (own_load <= 0) return;
     mean_session_ = own_load / own;
-    // A node with few sessions must not take each for a good part of a host; least of all after a restart,
-    // when its clients come back at once and it can't tell how many it has of all.
-    const bool restarted = !handed_over_ && now_ - began_ < kQuietRest;
-    const double most = restarted ? kLightAt / 2 : 2 * kLightAt;
+    // A node with few sessions, as after a restart, must not take each for a good part of a host.
     // While sessions are refused every node has some waiting, and all fill a gap that shows at the same time.
-    per_load_ = std::min(carried / (full() ? own_load : nodes_ * own_load), most / mean_session_);
+    per_load_ = std::min(carried / (full() ? own_load : nodes_ * own_load), 2 * kLightAt / mean_session_);
   }
 
   void mark(Host& h) {
@@ -738,7 +734,7 @@
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, full_at_ = kNever,
                   list_wait_ = kProbeEvery;
-  bool listing_whole_ = false, mean_known_ = false, handed_over_ = false;
+  bool listing_whole_ = false, mean_known_ = false;
   double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, mean_session_ = 0, per_share_ = 0;
   unsigned beats_ = 0, patience_ = 1;
 };
