--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -529,17 +529,18 @@
   void keep_together(GroupId group) {
     // Where crossing is dear and the fleet has room, a copy in this zone costs less than crossing.
     const unsigned minor = mean_load_ < kDear * prices_.crossing ? unsigned{crowded} : crowded | remote;
+    const unsigned far = minor & remote;
     unsigned best = barred, best_all = barred;
     for (const unsigned a : against_) {
       best = std::min(best, a & ~minor);
-      best_all = std::min(best_all, a);
+      best_all = std::min(best_all, a & ~far);
     }
     if (best >= barred) return;
     std::size_t home = hosts_.size();
     bool held = false;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       held = held || ((against_[i] & ~minor) == best && hosts_[i].holds(group));
-      if (against_[i] != best_all) continue;
+      if ((against_[i] & ~far) != best_all) continue;
       if (home == hosts_.size() || rank(group, hosts_[i].id) > rank(group, hosts_[home].id)) home = i;
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
