--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -491,7 +491,6 @@
     return rotation_.choose(hosts_, against_);
   }
 
-  static bool no_room(const Host& h, double load) { return h.shedding || h.suspended || load >= kFullAt; }
   bool is_ill(const Host& h) const { return now_ < h.aside_until || h.silence.unusual(now_) > kUnusual; }
 
   unsigned reasons(const Host& h, const Session& s, const Dials& dials, bool suspect) {
@@ -506,7 +505,7 @@
     }
     const double load = load_of(h) + copy_load(h, s);
     // Loads swing, and near what it can do a host serves few, past it nobody: a session is better refused.
-    if (no_room(h, load)) return barred;
+    if (h.shedding || h.suspended || load >= kFullAt) return barred;
     if (load > kCrowded * mean_load_) against |= crowded;
     if (h.zone != zone_ && prices_.crossing > 0) against |= remote;
     if (s.has_tried(h.id)) against |= tried;
@@ -558,15 +557,9 @@
     if (!dials.again(s, now_) || (full() && heavy(s))) return give_up(key, s, dials);
     Host* h = choose(s, dials);
     if (!h) {
-      // A cold host with room, short only of its budget, is worth a short wait; a full fleet is not.
-      bool all_full = false, cold_room = false;
-      for (const Host& x : hosts_) {
-        if (!x.usable()) continue;
-        const bool none = no_room(x, load_of(x));
-        all_full = all_full || none;
-        cold_room = cold_room || (!none && !is_ill(x) && guard_.cold(now_, x.started));
-      }
-      all_full = all_full && !cold_room;
+      const bool all_full = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
+        return x.usable() && (x.shedding || x.suspended || load_of(x) >= kFullAt);
+      });
       if (all_full) full_at_ = now_;
       if (now_ >= s.give_up_at || all_full || s.dials > 0) return give_up(key, s, dials);
       if (!std::exchange(s.waiting, true))
