--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -560,7 +560,7 @@
       const bool all_full = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
         return x.usable() && (x.shedding || x.suspended || load_of(x) >= kFullAt);
       });
-      if (all_full) full_at_ = now_;
+      if (all_full && mean_load_ >= kFullAt - kLightAt) full_at_ = now_;
       if (now_ >= s.give_up_at || all_full || s.dials > 0) return give_up(key, s, dials);
       if (!std::exchange(s.waiting, true))
         out_.wake(std::min(kBeat, s.give_up_at - now_), WakeId{key.packed()});
