--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -466,7 +466,7 @@
     mean_session_ = own_load / own;
     // A node with few sessions, as after a restart, must not take each for a good part of a host.
     // While sessions are refused every node has some waiting, and all fill a gap that shows at the same time.
-    const double alone = std::min(carried / (nodes_ * own_load), kLightAt / 2 / mean_session_);
+    const double alone = std::min(carried / (nodes_ * own_load), kLightAt / mean_session_);
     per_load_ = std::min((full() ? nodes_ : 1) * alone, 2 * kLightAt / mean_session_);
   }
 
