--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -492,7 +492,6 @@
     return rotation_.choose(hosts_, against_);
   }
 
-  static bool no_room(const Host& h, double load) { return h.shedding || h.suspended || load >= kFullAt; }
   bool is_ill(const Host& h) const { return now_ < h.aside_until || h.silence.unusual(now_) > kUnusual; }
 
   unsigned reasons(const Host& h, const Session& s, const Dials& dials, bool suspect) {
@@ -507,7 +506,7 @@
     }
     const double load = load_of(h) + copy_load(h, s);
     // Loads swing, and near what it can do a host serves few, past it nobody: a session is better refused.
-    if (no_room(h, load)) return barred;
+    if (h.shedding || h.suspended || load >= kFullAt) return barred;
     if (load > kCrowded * mean_load_) against |= crowded;
     if (h.zone != zone_ && prices_.crossing > 0) against |= remote;
     if (s.has_tried(h.id)) against |= tried;
@@ -559,8 +558,9 @@
     if (!dials.again(s, now_) || (full() && heavy(s))) return give_up(key, s, dials);
     Host* h = choose(s, dials);
     if (!h) {
-      const bool all_full = std::any_of(hosts_.begin(), hosts_.end(),
-                                        [&](const Host& x) { return x.usable() && no_room(x, load_of(x)); });
+      const bool all_full = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
+        return x.usable() && (x.shedding || x.suspended || load_of(x) >= kFullAt);
+      });
       if (all_full && mean_load_ >= kFullAt - kLightAt) full_at_ = now_;
       if (now_ >= s.give_up_at || all_full || s.dials > 0) return give_up(key, s, dials);
       if (!std::exchange(s.waiting, true))
@@ -617,7 +617,6 @@
     if (++beats_ % kBeatsPerProbe == 0) {
       even_out();
       let_go_heavy();
-      gather();
     }
   }
 
@@ -628,31 +627,6 @@
     }
   }
 
-  // Where room is short, the smallest remainder of a group joins the rest of it: a copy less for a move or
-  // two.
-  void gather() {
-    if (mean_load_ < kFullAt - 2 * kLightAt) return;
-    const Session* least = nullptr;
-    unsigned fewest = kFew + 1;
-    sessions_.each([&](SlabKey, Session& s) {
-      const Host* h = s.state == State::open && !s.moved && s.taken.group ? hosts_.find(s.host) : nullptr;
-      const unsigned here = h ? h->groups.of(*s.taken.group) : fewest;
-      if (here >= fewest) return;
-      const bool home = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& o) {
-        return o.id != h->id && o.usable() && o.groups.of(*s.taken.group) > here && !is_ill(o) &&
-               !no_room(o, load_of(o) + kLightAt) && (o.zone == zone_ || o.zone == h->zone);
-      });
-      if (home) least = &s, fewest = here;
-    });
-    if (!least) return;
-    sessions_.each([&](SlabKey, Session& s) {
-      if (s.state != State::open || s.moved || s.host != least->host || s.taken.group != least->taken.group)
-        return;
-      s.moved = true;
-      out_.move(s.id);
-    });
-  }
-
   // The paper's two schedules: pairs of heaviest and lightest on overload, else now and then toward a light
   // one.
   void even_out() {
@@ -738,7 +712,7 @@
     return any;
   }
 
-  static constexpr unsigned kMostPatience = 64, kFew = 2;
+  static constexpr unsigned kMostPatience = 64;
   static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2, kDear = 4, kHeavy = 2;
 
   Outlet& out_;
