Count forecast load against capacity where no piled-up work is reported

Cause: with its own recent peak as the measure the load's forecast stood at one nearly always and added 0.1 to hosts at 0.4, against the design page.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -31,10 +31,10 @@
 // The load of one host from its two last reports, now and forecast a horizon on.
 class LoadForecast {
  public:
-  void report(Micros now, double load, double piled) {
+  void report(Micros now, double load, double piled, double least_peak) {
     const double kept = at_ == kNever ? 0 : fade(now - at_, kQuietRest);
     growth_ = at_ == kNever || now <= at_ ? 0 : (piled - piled_) / seconds(now - at_);
-    peak_ = std::max(piled, peak_ * kept);
+    peak_ = std::max({piled, peak_ * kept, least_peak});
     load_ = load;
     piled_ = piled;
     at_ = now;
@@ -351,9 +351,9 @@
     h->silence.sign(now_);
     const std::optional<double> load = r.load ? r.load : r.busy;
     if (!load) return;
-    // Where no piled-up work is reported, the load's own trend stands for it.
-    const double piled = r.piled_up ? *r.piled_up : r.queued ? *r.queued : *load;
-    h->forecast.report(now_, *load, piled);
+    // Where no piled-up work is reported, the load's own forecast stands for it, with capacity as its peak.
+    const std::optional<double> piled = r.piled_up ? r.piled_up : r.queued;
+    h->forecast.report(now_, *load, piled.value_or(*load), piled ? 0 : 1);
     mark(*h);
   }
 
