--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -25,7 +25,7 @@
 constexpr double kWeightPiled = 0.11;
 constexpr double kSuspendAt = 0.8;
 constexpr double kLightAt = 0.1;
-constexpr double kFullAt = kSuspendAt - kLightAt / 2;  // a host so loaded gets nothing new
+constexpr double kFullAt = kSuspendAt - kLightAt;  // a host so loaded gets nothing new
 constexpr int kBeatsPerProbe = 8;
 
 // The load of one host from its two last reports, now and forecast a horizon on.
