--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -617,7 +617,6 @@
     if (++beats_ % kBeatsPerProbe == 0) {
       even_out();
       let_go_heavy();
-      bring_home();
     }
   }
 
@@ -628,19 +627,6 @@
     }
   }
 
-  // Where crossing is dear and this zone has room, own sessions in other zones come home, a few at a time.
-  void bring_home() {
-    if (mean_load_ >= kDear * prices_.crossing) return;
-    const bool room = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& h) {
-      return h.zone == zone_ && h.usable() && !is_ill(h) && !guard_.cold(now_, h.started) &&
-             load_of(h) < std::min(mean_load_, kFullAt - kLightAt);
-    });
-    if (!room) return;
-    for (Host& h : hosts_) {
-      if (h.zone != zone_ && h.usable()) move_off(h, h.own_load * kLightAt, Leaving::drain);
-    }
-  }
-
   // The paper's two schedules: pairs of heaviest and lightest on overload, else now and then toward a light
   // one.
   void even_out() {
