--- a/benchlink/wire.cpp
+++ b/benchlink/wire.cpp
@@ -359,6 +359,9 @@
   }
   void watch() override { reply_.message("OBSERVE", who_).word("true").end(); }
   void log(std::string_view line) override { reply_.message("LOG", who_).text(line).end(); }
+  void log(std::string_view line, HostId host) override {
+    log(std::string(line) + ": " + names_.at(host.value));
+  }
 
  private:
   static std::int64_t rid(SessId s) { return static_cast<std::int64_t>(s.value); }
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -122,11 +122,13 @@
   // A failure after the last pause doubles the pause for which the host is passed over; many failures at once
   // tell no more than one. Being accepted proves little where connections break soon after: only a time
   // without failures ends the doubling.
-  void failed(Micros now) {
-    if (now < aside_until) return;
+  // True where the pause has grown to its longest.
+  bool failed(Micros now) {
+    if (now < aside_until) return false;
     if (aside_until != kNever && now - aside_until > kQuietRest) last_pause = Micros{0};
     last_pause = std::clamp(2 * last_pause, kProbeEvery, 8 * kProbeEvery);
     aside_until = now + last_pause;
+    return last_pause == 8 * kProbeEvery;
   }
 };
 
@@ -283,7 +285,7 @@
       // So it is where a host sheds load: its reports may look light just after, and clients that are sent
       // there break off again and again. It gets nothing new until a later report shows it below suspension.
       if (h && h->usable() && how == Ending::broken) {
-        h->failed(now_);
+        failed(*h);
         h->shedding = true;
       }
       sessions_.drop(key);
@@ -295,7 +297,7 @@
       if (how == Ending::finished)
         h->silence.sign(now_);
       else if (how != Ending::cancelled && how != Ending::unsent)
-        h->failed(now_);
+        failed(*h);
     }
     if (how == Ending::timed_out) patience_ = std::min(2 * patience_, kMostPatience);
     const bool proven = how == Ending::turned_away || how == Ending::unconnected || how == Ending::unsent;
@@ -394,6 +396,7 @@
 
   // Many nodes may fail at once: each waits longer after each failure, by chance, yet well within ask_every.
   void list_failed() override {
+    out_.log("the list failed, asking again soon");
     ask_list_at_ = now_ + list_wait_ / 2 + spread(list_wait_);
     list_wait_ = std::min(2 * list_wait_, std::max(kProbeEvery, list_.ask_every / 4));
   }
@@ -470,6 +473,10 @@
     per_load_ = std::min((full() ? nodes_ : 1) * alone, 2 * kLightAt / mean_session_);
   }
 
+  void failed(Host& h) {
+    if (h.failed(now_)) out_.log("fails again and again, passed over for eight probe intervals", h.id);
+  }
+
   void mark(Host& h) {
     h.suspended = reported(h, kProbeEvery) >= kSuspendAt;
     h.shedding = h.shedding && h.suspended;
@@ -486,6 +493,9 @@
     // When most look ill, the judgement is suspect; else a host that fails is no way out where the rest is
     // full.
     const bool suspect = 2 * ill_ones > usable;
+    if (suspect && !std::exchange(suspect_, suspect))
+      out_.log("most hosts look ill, using them all the same");
+    suspect_ = suspect;
     against_.clear();
     for (const Host& h : hosts_) against_.push_back(reasons(h, s, dials, suspect));
     if (s.taken.group) keep_together(*s.taken.group);
@@ -561,7 +571,10 @@
       const bool all_full = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
         return x.usable() && (x.shedding || x.suspended || load_of(x) >= kFullAt);
       });
-      if (all_full && mean_load_ >= kFullAt - kLightAt) full_at_ = now_;
+      if (all_full && mean_load_ >= kFullAt - kLightAt) {
+        if (!full()) out_.log("no host has room, refusing sessions");
+        full_at_ = now_;
+      }
       if (now_ >= s.give_up_at || all_full || s.dials > 0) return give_up(key, s, dials);
       if (!std::exchange(s.waiting, true))
         out_.wake(std::min(kBeat, s.give_up_at - now_), WakeId{key.packed()});
@@ -736,7 +749,7 @@
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, full_at_ = kNever,
                   list_wait_ = kProbeEvery;
-  bool listing_whole_ = false, mean_known_ = false;
+  bool listing_whole_ = false, mean_known_ = false, suspect_ = false;
   double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, mean_session_ = 0, per_share_ = 0;
   unsigned beats_ = 0, patience_ = 1;
 };
--- a/src/balance.h
+++ b/src/balance.h
@@ -84,6 +84,7 @@
   virtual void wake(Micros in, WakeId wake) = 0;
   virtual void watch() = 0;  // asks for the list and for its changes from now on
   virtual void log(std::string_view line) = 0;
+  virtual void log(std::string_view line, HostId host) = 0;
 };
 
 class Balancer;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -64,6 +64,66 @@
   for (int i = 0; i < 6; ++i) EXPECT_NE(w.settle(), b);
 }
 
+TEST(Overload, NeedsTwoPausesAfterTwoBreaks) {
+  Three w;
+  const auto until_b = [&] {
+    SessId last{};
+    int turns = 0;
+    do w.accept(last = w.arrive(0));
+    while (w.placed(last) != b && ++turns < 6);
+    return w.placed(last) == b ? std::optional(last) : std::nullopt;
+  };
+  for (const Micros pause : {1s, 2s}) {
+    const auto there = until_b();
+    ASSERT_TRUE(there);
+    w.finish(*there, Ending::broken);
+    w.report(b, 0.3);
+    w.pass(pause - 100ms);
+    EXPECT_FALSE(until_b());
+    w.pass(200ms);
+  }
+}
+
+TEST(Overload, AnIllHostIsNoWayOutWhereTheRestIsFull) {
+  Three w;
+  SessId last{};
+  do last = w.arrive(0);
+  while (w.placed(last) != b);
+  w.finish(last, Ending::erred);
+  w.loads(0.95, 0.3, 0.95);
+  EXPECT_TRUE(w.clients.at(w.arrive(0)).answered);
+  EXPECT_GE(w.refused, 1u);
+}
+
+TEST(Overload, NotedDelayCountsWhateverTheReportSays) {
+  Three w;
+  SessId last{};
+  do w.accept(last = w.arrive(0));
+  while (w.placed(last) != b);
+  w.clients.at(last).handle.messages_take(1500ms);
+  for (int i = 0; i < 4; ++i) EXPECT_NE(w.settle(), b);
+}
+
+TEST(Overload, LetsGoOfHeavySessionsWhileOthersAreRefused) {
+  Three w;
+  for (auto& [id, client] : w.clients) client.handle.load_is(1000);
+  Client& heavy = w.clients.begin()->second;
+  heavy.handle.load_is(5000);
+  w.loads(0.75, 0.75, 0.75);
+  w.arrive(0);
+  w.pass(1s);
+  for (const auto& [id, client] : w.clients) EXPECT_EQ(client.moved, &client == &heavy);
+}
+
+TEST(Groups, AreNotCopiedWhereThatTakesTheLastRoom) {
+  Three w;
+  const HostId home = w.settle(GroupId{5});
+  w.pass(5s);
+  for (const HostId h : {a, b, c}) w.report(h, h == home ? 0.95 : 0.66);
+  EXPECT_TRUE(w.clients.at(w.arrive(0, GroupId{5})).answered);
+  EXPECT_FALSE(w.clients.at(w.arrive(0)).answered);
+}
+
 TEST(Mover, MovesFromHeavyOnly) {
   Three w;
   w.loads(1.0, 0.2, 0.3);
