--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -547,17 +547,15 @@
       best_all = std::min(best_all, a & ~far);
     }
     if (best >= barred) return;
-    bool held = false;
-    for (std::size_t i = 0; i < hosts_.size(); ++i)
-      held = held || ((against_[i] & ~minor) == best && hosts_[i].holds(group));
     std::size_t home = hosts_.size();
+    bool held = false;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      if (held ? (against_[i] & ~minor) != best || !hosts_[i].holds(group) : (against_[i] & ~far) != best_all)
-        continue;
+      held = held || ((against_[i] & ~minor) == best && hosts_[i].holds(group));
+      if ((against_[i] & ~far) != best_all) continue;
       if (home == hosts_.size() || rank(group, hosts_[i].id) > rank(group, hosts_[home].id)) home = i;
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      if (i != home) against_[i] |= off_group;
+      if (held ? !hosts_[i].holds(group) : i != home) against_[i] |= off_group;
     }
   }
 
