--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -623,9 +623,7 @@
     }
     for (Host& h : hosts_) {
       if (!h.usable() || now_ < h.next_probe) continue;
-      // A calm host tells little new; where probes have a price it is asked half as often.
-      const bool calm = prices_.probe > 0 && !full() && load_of(h) < kSuspendAt / 2;
-      h.next_probe = now_ + (calm ? 2 : 1) * kProbeEvery;
+      h.next_probe = now_ + kProbeEvery;
       out_.probe(h.id);
     }
     leave_draining();
