--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -669,7 +669,7 @@
 
   // Moves show in the reports only after a while; until then the host is left alone.
   void pair_up(Host& heavy, Host& light) {
-    if (heavy.moved_at != kNever && heavy.forecast.at() - heavy.moved_at < kProbeEvery) return;
+    if (heavy.moved_at != kNever && heavy.forecast.at() - heavy.moved_at < 2 * kProbeEvery) return;
     const double load = load_of(heavy);
     const bool relief = light.suspended || guard_.cold(now_, light.started);
     // Where no host is lighter, one past what it can do serves nobody: the least useful load leaves for good.
