--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -445,7 +445,7 @@
     if (!h.forecast.known()) return mean_known_ ? mean_load_ : mean_own_ > 0 ? h.own / mean_own_ / 2 : 0;
     // What its messages wait for has to be done beside what is asked; no note for a while means little waits.
     const bool noted = h.delay_at != kNever && now_ - h.delay_at < 2 * kProbeEvery;
-    const double waiting = noted ? ratio(h.delay, kProbeEvery) : 0;
+    const double waiting = noted ? ratio(h.delay, 2 * kProbeEvery) : 0;
     return h.forecast.weigh(h.forecast.raw() + unseen + waiting, horizon);
   }
 
