--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -369,8 +369,7 @@
     Host* h = hosts_.find(id);
     if (!h) {
       h = &hosts_.add(Host(id));
-      // A node that knows nothing yet asks soon; later its turns stay spread as they fell.
-      h->next_probe = now_ + spread(mean_known_ ? kProbeEvery : kProbeEvery / 4);
+      h->next_probe = now_ + spread(kProbeEvery);
     } else if (started > h->started && h->standing != Standing::draining) {
       // A host that restarted has lost what was known of it.
       h->forecast = {};
