Charge a copy of a group by the number of nodes

Cause (incidents with five nodes and more): each node sees few sessions of a group and makes copies by itself, so a copy serves fewer sessions the more nodes there are. A copy is charged as two thirds of a usual session for each node, which is the same as before at three nodes.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -531,7 +531,7 @@
     if (!s.taken.group || h.holds(s.taken.group)) return 0;
     const bool held = std::any_of(hosts_.begin(), hosts_.end(),
                                   [&](const Host& o) { return o.usable() && o.holds(s.taken.group); });
-    return held ? kCopy * mean_session_ * per_load_ / h.share : 0;
+    return held ? kCopy * nodes_ * mean_session_ * per_load_ / h.share : 0;
   }
 
   // Each host that holds any of a group pays for it once more: the group's sessions pass over the others
@@ -588,7 +588,7 @@
     s.state = State::dialing;
     s.dial_out = true;
     s.host = h->id;
-    s.charged = s.load + (s.taken.group && !h->holds(s.taken.group) ? kCopy * mean_session_ : 0);
+    s.charged = s.load + (s.taken.group && !h->holds(s.taken.group) ? kCopy * nodes_ * mean_session_ : 0);
     h->sent.add(now_, s.charged);
     s.dialed_at = now_;
     out_.dial(s.id, h->id, limit);
@@ -726,7 +726,7 @@
   }
 
   static constexpr unsigned kMostPatience = 64;
-  static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2, kDear = 6, kHeavy = 2;
+  static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2.0 / 3, kDear = 6, kHeavy = 2;
 
   Outlet& out_;
   std::knuth_b chance_;
