--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -726,7 +726,7 @@
   }
 
   static constexpr unsigned kMostPatience = 64;
-  static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 1, kDear = 6, kHeavy = 2;
+  static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2.0 / 3, kDear = 6, kHeavy = 2;
 
   Outlet& out_;
   std::knuth_b chance_;
