--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -296,8 +296,9 @@
       h->sent.add(now_, -s->charged);
       if (how == Ending::finished)
         h->silence.sign(now_);
-      else if (how != Ending::cancelled && how != Ending::unsent)
-        failed(*h);
+      else if (how != Ending::cancelled && how != Ending::unsent &&
+               !(how == Ending::timed_out && patience_ > 1))
+        failed(*h);  // where dials time out elsewhere too, the host is not what fails
     }
     if (how == Ending::timed_out) patience_ = std::min(2 * patience_, kMostPatience);
     const bool proven = how == Ending::turned_away || how == Ending::unconnected || how == Ending::unsent;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -153,6 +153,17 @@
   EXPECT_LE(w.clients.at(first).dials.size(), 3u);  // 250 ms, then longer; not the whole six at 250 ms
 }
 
+TEST(Dials, TimeOutsEverywhereSetNoHostAside) {
+  Three w;
+  const SessId id = w.arrive(0);
+  w.pass(800ms);
+  const std::vector<Dialed> dials = w.clients.at(id).dials;
+  ASSERT_GE(dials.size(), 3u);
+  bool used = false;
+  for (int i = 0; i < 4; ++i) used = used || w.settle() == dials[1].host;
+  EXPECT_TRUE(used);
+}
+
 TEST(Dials, HeldWithoutAnyHostAreRefusedAtTheTarget) {
   World w(3);
   const SessId id = w.arrive(0);
