--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -371,12 +371,12 @@
     if (!h) {
       h = &hosts_.add(Host(id));
       h->next_probe = now_ + spread(kProbeEvery);
-    } else if (started > h->started && h->standing != Standing::draining) {
+    } else if (started > h->started) {
       // A host that restarted has lost what was known of it.
       h->forecast = {};
       h->silence = {};
-      h->suspended = false;
-      h->aside_until = kNever;
+      h->suspended = h->shedding = false;
+      h->aside_until = h->delay_at = kNever;
     }
     h->zone = zone;
     h->cell = cell;
