--- a/benchlink/wire.cpp
+++ b/benchlink/wire.cpp
@@ -237,7 +237,7 @@
                               ColdRule{rules.time("cold"), rules.real("coldShare", 1),
                                        rules.real("overloadFactor", 1), rules.time("tipAfter")},
                               ListRule{all.text("discovery", "") == "on_request", rules.time("askEvery")},
-                              Prices{prices.real("crossZone", 0), prices.real("probe", 0)});
+                              prices.real("crossZone", 0));
   }
 
   void at(Micros now) { balancer_->at(now); }
@@ -320,7 +320,6 @@
         if (field == "x1") report.piled_up = value;
         if (field == "util") report.busy = value;
         if (field == "queue") report.queued = value;
-        if (field == "eps") report.errors_per_s = value;
       }
     }
     balancer_->probed(name(host), answered, report);
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -66,7 +66,6 @@
     }
     last_ = now;
   }
-  bool heard() const { return last_ != kNever; }
   // Minus the common logarithm of the chance that a gap grows this long.
   double unusual(Micros now) const {
     if (last_ == kNever || !mean_.known()) return 0;
@@ -209,7 +208,7 @@
 class Decisions final : public Balancer {
  public:
   Decisions(Outlet& out, std::uint64_t seed, unsigned nodes, ZoneId zone, std::vector<Listener> listeners,
-            DialLimits dials, ColdRule cold, ListRule list, Prices prices)
+            DialLimits dials, ColdRule cold, ListRule list, double crossing_price)
       : out_(out),
         chance_(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32))),
         nodes_(std::max(1u, nodes)),
@@ -220,7 +219,7 @@
         cold_window_(cold.window),
         arrived_(4 * cold.warm_within),
         list_(list),
-        prices_(prices),
+        crossing_price_(crossing_price),
         rotation_(chance_()),
         usual_(listeners_.size()) {}
 
@@ -519,7 +518,7 @@
     // Loads swing, and near what it can do a host serves few, past it nobody: a session is better refused.
     if (h.shedding || h.suspended || load >= kFullAt) return barred;
     if (load > kCrowded * mean_load_) against |= crowded;
-    if (h.zone != zone_ && prices_.crossing > 0) against |= remote;
+    if (h.zone != zone_ && crossing_price_ > 0) against |= remote;
     if (s.has_tried(h.id)) against |= tried;
     if (is_ill(h) && !suspect) return barred;
     if (is_ill(h)) against |= ill;
@@ -540,7 +539,7 @@
   // works out alike, from ids, so that it does not spread over as many hosts as there are nodes.
   void keep_together(GroupId group) {
     // Where crossing is dear and the fleet has room, a copy in this zone costs less than crossing.
-    const unsigned minor = mean_load_ < kDear * prices_.crossing ? unsigned{crowded} : crowded | remote;
+    const unsigned minor = mean_load_ < kDear * crossing_price_ ? unsigned{crowded} : crowded | remote;
     const unsigned far = minor & remote;
     unsigned best = barred, best_all = barred;
     for (const unsigned a : against_) {
@@ -739,7 +738,7 @@
   Micros cold_window_;
   FadingSum arrived_;  // load of new sessions
   ListRule list_;
-  Prices prices_;
+  double crossing_price_;
   Rotation rotation_;
   std::vector<FadingMean> usual_;
   ClientLoads sent_away_;
@@ -759,9 +758,9 @@
 
 std::unique_ptr<Balancer> make_balancer(Outlet& outlet, std::uint64_t seed, unsigned nodes, ZoneId zone,
                                         std::vector<Listener> listeners, DialLimits dials, ColdRule cold,
-                                        ListRule list, Prices prices) {
+                                        ListRule list, double crossing_price) {
   return std::make_unique<Decisions>(outlet, seed, nodes, zone, std::move(listeners), dials, cold, list,
-                                     prices);
+                                     crossing_price);
 }
 
 }  // namespace flintweir
--- a/src/balance.h
+++ b/src/balance.h
@@ -47,12 +47,6 @@
   Micros ask_every;
 };
 
-// Each in points of service for one of it a session.
-struct Prices {
-  double crossing;
-  double probe;
-};
-
 struct Taken {
   ListenerId listener;
   TenantId tenant;
@@ -70,7 +64,6 @@
   std::optional<double> busy;      // share of its cores in use
   std::optional<double> piled_up;  // seconds of work waiting
   std::optional<double> queued;    // sessions waiting
-  std::optional<double> errors_per_s;
 };
 
 class Outlet {
@@ -132,9 +125,10 @@
   virtual void messages_take(SlabKey sess, Micros delay) = 0;
 };
 
+// `crossing_price`: points of service that each session costs which crosses zones once.
 std::unique_ptr<Balancer> make_balancer(Outlet& outlet, std::uint64_t seed, unsigned nodes, ZoneId zone,
                                         std::vector<Listener> listeners, DialLimits dials, ColdRule cold,
-                                        ListRule list, Prices prices);
+                                        ListRule list, double crossing_price);
 
 inline bool Sess::live() const { return balancer_ && balancer_->live(key_); }
 inline void Sess::accepted(DialNo dial) { balancer_->accepted(key_, dial); }
--- a/tests/world.h
+++ b/tests/world.h
@@ -62,7 +62,7 @@
     wakes.clear();
     probes.clear();
     balancer = make_balancer(*this, chance(), kNodes, ZoneId{0}, listeners, DialLimits{kMostDials, 1s}, kCold,
-                             ListRule{true, 10s}, Prices{0.1, 0.001});
+                             ListRule{true, 10s}, 0.1);
     balancer->at(now);
     tell_all();
   }
