--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -163,12 +163,13 @@
 
 // Reasons to pass over the host offered, in the order in which further walks drop them.
 enum Passing : unsigned {
-  remote = 1,
-  off_group = 2,
-  fresh = 4,
-  tried = 8,
-  ill = 16,
-  barred = 32  // never dropped
+  crowded = 1,
+  remote = 2,
+  off_group = 4,
+  fresh = 8,
+  tried = 16,
+  ill = 32,
+  barred = 64  // never dropped
 };
 
 // The hosts in the order of their ids, and the pointer into them.
@@ -516,6 +517,7 @@
     const double load = load_of(h) + copy_load(h, s);
     // Loads swing, and near what it can do a host serves few, past it nobody: a session is better refused.
     if (h.shedding || h.suspended || load >= kFullAt) return barred;
+    if (load > kCrowded * mean_load_) against |= crowded;
     if (h.zone != zone_ && crossing_price_ > 0) against |= remote;
     if (s.has_tried(h.id)) against |= tried;
     if (is_ill(h) && !suspect) return barred;
@@ -537,15 +539,19 @@
   // works out alike, from ids, so that it does not spread over as many hosts as there are nodes.
   void keep_together(GroupId group) {
     // Where crossing is dear and the fleet has room, a copy in this zone costs less than crossing.
-    const unsigned minor = mean_load_ < kDear * crossing_price_ ? 0 : unsigned{remote};
-    unsigned best = barred;
-    for (const unsigned a : against_) best = std::min(best, a & ~minor);
+    const unsigned minor = mean_load_ < kDear * crossing_price_ ? unsigned{crowded} : crowded | remote;
+    const unsigned far = minor & remote;
+    unsigned best = barred, best_all = barred;
+    for (const unsigned a : against_) {
+      best = std::min(best, a & ~minor);
+      best_all = std::min(best_all, a & ~far);
+    }
     if (best >= barred) return;
     std::size_t home = hosts_.size();
     bool held = false;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      if ((against_[i] & ~minor) != best) continue;
-      held = held || hosts_[i].holds(group);
+      held = held || ((against_[i] & ~minor) == best && hosts_[i].holds(group));
+      if ((against_[i] & ~far) != best_all) continue;
       if (home == hosts_.size() || rank(group, hosts_[i].id) > rank(group, hosts_[home].id)) home = i;
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
@@ -720,7 +726,7 @@
   }
 
   static constexpr unsigned kMostPatience = 64;
-  static constexpr double kAlone = 1e9, kUnusual = 8, kCopy = 2.0 / 3, kDear = 6, kHeavy = 2;
+  static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2.0 / 3, kDear = 6, kHeavy = 2;
 
   Outlet& out_;
   std::knuth_b chance_;
