Say each check once: no room, the charge of a copy, whether a host is ill

Behaviour as before. The check for a host without room and the charge of a group's copy stood twice; whether the node holds a session's group was looked up anew for each host offered, and a host's illness judged twice; the cold window was kept beside the guard that has it. Tests share one way to get a session to a given host; their assertions stay.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -86,6 +86,7 @@
 class ColdGuard {
  public:
   explicit ColdGuard(ColdRule rule) : rule_(rule) {}
+  Micros window() const { return rule_.window; }
   double warmth(Micros age) const {
     return std::clamp(rule_.share + (1 - rule_.share) * ratio(age, rule_.warm_within), rule_.share, 1.0);
   }
@@ -198,7 +199,7 @@
  public:
   // Every node that sees the pair moves the same share of its own, which together is what the mean asks.
   static double share(double heavy, double light) {
-    const double aim = std::max((heavy + light) / 2, kSuspendAt - kLightAt);
+    const double aim = std::max((heavy + light) / 2, kFullAt);
     return heavy > aim ? (heavy - aim) / heavy : 0;
   }
 };
@@ -216,7 +217,6 @@
         listeners_(std::move(listeners)),
         dial_limits_(dials),
         guard_(cold),
-        cold_window_(cold.window),
         arrived_(4 * cold.warm_within),
         list_(list),
         crossing_price_(crossing_price),
@@ -421,7 +421,7 @@
 
   // This node's part of what a warm host of this size takes a second when full, by load.
   double full_rate(const Host& h) {
-    const double rate = arrived_.per_second(now_, began_, cold_window_);
+    const double rate = arrived_.per_second(now_, began_, guard_.window());
     double carried = 0;
     for (const Host& w : hosts_) {
       if (w.usable() && w.forecast.known() && !guard_.cold(now_, w.started))
@@ -490,48 +490,46 @@
       ++usable;
       ill_ones += is_ill(h) ? 1 : 0;
     }
-    // When most look ill, the judgement is suspect; else a host that fails is no way out where the rest is
-    // full.
-    const bool suspect = 2 * ill_ones > usable;
-    if (suspect && !std::exchange(suspect_, suspect))
-      out_.log("most hosts look ill, using them all the same");
-    suspect_ = suspect;
+    // When most look ill, the judgement is suspect; else a host that fails is no way out where all are full.
+    const bool before = std::exchange(suspect_, 2 * ill_ones > usable);
+    if (suspect_ && !before) out_.log("most hosts look ill, using them all the same");
     against_.clear();
-    for (const Host& h : hosts_) against_.push_back(reasons(h, s, dials, suspect));
+    const bool held = std::any_of(hosts_.begin(), hosts_.end(),
+                                  [&](const Host& h) { return h.usable() && h.holds(s.taken.group); });
+    for (const Host& h : hosts_) against_.push_back(reasons(h, s, dials, held));
     if (s.taken.group) keep_together(*s.taken.group);
     return rotation_.choose(hosts_, against_);
   }
 
+  static bool no_room(const Host& h, double load) { return h.shedding || h.suspended || load >= kFullAt; }
+
   bool is_ill(const Host& h) const { return now_ < h.aside_until || h.silence.unusual(now_) > kUnusual; }
 
-  unsigned reasons(const Host& h, const Session& s, const Dials& dials, bool suspect) {
+  unsigned reasons(const Host& h, const Session& s, const Dials& dials, bool held) {
     if (!h.usable() || !dials.at(s, h)) return barred;
     unsigned against = 0;
     if (guard_.cold(now_, h.started)) {
       // A node that has just started doesn't know what it sent before.
-      if (now_ - began_ < cold_window_) return barred;
+      if (now_ - began_ < guard_.window()) return barred;
       if (!guard_.room(now_, h.started, full_rate(h), s.load, h.cold_sent)) return barred;
       const double warm = guard_.warmth(now_ - h.started);
       if (std::generate_canonical<double, 32>(chance_) > warm) against |= fresh;
     }
-    const double load = load_of(h) + copy_load(h, s);
+    // A group that this node has nowhere must start somewhere.
+    const double load = load_of(h) + (held ? copy_charge(h, s) * per_load_ / h.share : 0);
     // Loads swing, and near what it can do a host serves few, past it nobody: a session is better refused.
-    if (h.shedding || h.suspended || load >= kFullAt) return barred;
+    if (no_room(h, load)) return barred;
     if (load > kCrowded * mean_load_) against |= crowded;
     if (h.zone != zone_ && crossing_price_ > 0) against |= remote;
     if (s.has_tried(h.id)) against |= tried;
-    if (is_ill(h) && !suspect) return barred;
-    if (is_ill(h)) against |= ill;
-    return s.dials > 0 && against >= tried ? unsigned{barred} : against;
+    if (is_ill(h)) against |= suspect_ ? ill : barred;
+    return against >= (s.dials > 0 ? tried : barred) ? unsigned{barred} : against;
   }
 
   // What a host pays for a session's group that it does not hold yet; nothing tells it, so it is taken for
-  // that of a few usual sessions. A group that this node has nowhere must start somewhere.
-  double copy_load(const Host& h, const Session& s) const {
-    if (!s.taken.group || h.holds(s.taken.group)) return 0;
-    const bool held = std::any_of(hosts_.begin(), hosts_.end(),
-                                  [&](const Host& o) { return o.usable() && o.holds(s.taken.group); });
-    return held ? kCopy * nodes_ * mean_session_ * per_load_ / h.share : 0;
+  // that of a few usual sessions.
+  double copy_charge(const Host& h, const Session& s) const {
+    return s.taken.group && !h.holds(s.taken.group) ? kCopy * nodes_ * mean_session_ : 0;
   }
 
   // Each host that holds any of a group pays for it once more: the group's sessions pass over the others
@@ -568,9 +566,8 @@
     if (!dials.again(s, now_) || (full() && heavy(s))) return give_up(key, s, dials);
     Host* h = choose(s, dials);
     if (!h) {
-      const bool all_full = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
-        return x.usable() && (x.shedding || x.suspended || load_of(x) >= kFullAt);
-      });
+      const bool all_full = std::any_of(hosts_.begin(), hosts_.end(),
+                                        [&](const Host& x) { return x.usable() && no_room(x, load_of(x)); });
       if (all_full && mean_load_ >= kFullAt - kLightAt) {
         if (!full()) out_.log("no host has room, refusing sessions");
         full_at_ = now_;
@@ -588,7 +585,7 @@
     s.state = State::dialing;
     s.dial_out = true;
     s.host = h->id;
-    s.charged = s.load + (s.taken.group && !h->holds(s.taken.group) ? kCopy * nodes_ * mean_session_ : 0);
+    s.charged = s.load + copy_charge(*h, s);
     h->sent.add(now_, s.charged);
     s.dialed_at = now_;
     out_.dial(s.id, h->id, limit);
@@ -735,7 +732,6 @@
   std::vector<Listener> listeners_;
   DialLimits dial_limits_;
   ColdGuard guard_;
-  Micros cold_window_;
   FadingSum arrived_;  // load of new sessions
   ListRule list_;
   double crossing_price_;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -20,6 +20,15 @@
     report(c, lc);
   }
   HostId placed(SessId id) { return clients.at(id).dials.back().host; }
+  // A session accepted at `host`, where its turn comes soon.
+  std::optional<SessId> settle_at(HostId host) {
+    for (int turns = 0; turns < 6; ++turns) {
+      const SessId id = arrive(0);
+      accept(id);
+      if (placed(id) == host) return id;
+    }
+    return std::nullopt;
+  }
   HostId settle(std::optional<GroupId> group = {}) {
     const SessId id = arrive(0, group);
     accept(id);
@@ -57,29 +66,21 @@
 
 TEST(Overload, LeavesAloneAHostThatBreaksConnectionsOff) {
   Three w;
-  SessId last{};
-  do w.accept(last = w.arrive(0));
-  while (w.placed(last) != b);
-  w.finish(last, Ending::broken);
+  const auto there = w.settle_at(b);
+  ASSERT_TRUE(there);
+  w.finish(*there, Ending::broken);
   for (int i = 0; i < 6; ++i) EXPECT_NE(w.settle(), b);
 }
 
 TEST(Overload, NeedsTwoPausesAfterTwoBreaks) {
   Three w;
-  const auto until_b = [&] {
-    SessId last{};
-    int turns = 0;
-    do w.accept(last = w.arrive(0));
-    while (w.placed(last) != b && ++turns < 6);
-    return w.placed(last) == b ? std::optional(last) : std::nullopt;
-  };
   for (const Micros pause : {1s, 2s}) {
-    const auto there = until_b();
+    const auto there = w.settle_at(b);
     ASSERT_TRUE(there);
     w.finish(*there, Ending::broken);
     w.report(b, 0.3);
     w.pass(pause - 100ms);
-    EXPECT_FALSE(until_b());
+    EXPECT_FALSE(w.settle_at(b));
     w.pass(200ms);
   }
 }
@@ -97,10 +98,9 @@
 
 TEST(Overload, NotedDelayCountsWhateverTheReportSays) {
   Three w;
-  SessId last{};
-  do w.accept(last = w.arrive(0));
-  while (w.placed(last) != b);
-  w.clients.at(last).handle.messages_take(1500ms);
+  const auto there = w.settle_at(b);
+  ASSERT_TRUE(there);
+  w.clients.at(*there).handle.messages_take(1500ms);
   for (int i = 0; i < 4; ++i) EXPECT_NE(w.settle(), b);
 }
 
