Probe each host as seldom as the price of a probe asks

The interval is now the design's 1 s or as long as it takes for probes to cost 0.02 of the service of the node's own sessions; fading of what was sent and the silence judge follow it.

--- a/benchlink/wire.cpp
+++ b/benchlink/wire.cpp
@@ -237,7 +237,7 @@
                               ColdRule{rules.time("cold"), rules.real("coldShare", 1),
                                        rules.real("overloadFactor", 1), rules.time("tipAfter")},
                               ListRule{all.text("discovery", "") == "on_request", rules.time("askEvery")},
-                              prices.real("crossZone", 0));
+                              Prices{prices.real("crossZone", 0), prices.real("probe", 0)});
   }
 
   void at(Micros now) { balancer_->at(now); }
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -67,9 +67,9 @@
     last_ = now;
   }
   // Minus the common logarithm of the chance that a gap grows this long.
-  double unusual(Micros now) const {
+  double unusual(Micros now, Micros expected) const {
     if (last_ == kNever || !mean_.known()) return 0;
-    const double mean = std::max(mean_.or_else(0), seconds(kProbeEvery));
+    const double mean = std::max(mean_.or_else(0), seconds(expected));
     const double spread = std::max(std::sqrt(spread_.or_else(0)), mean / 4);
     const double y = (seconds(now - last_) - mean) / spread;
     const double tail = 0.5 * std::erfc(y / std::sqrt(2.0));
@@ -110,19 +110,38 @@
   ColdRule rule_;
 };
 
+// How often each host is probed: every interval of the design, or as seldom as it takes for probes to cost a
+// small part of the service of this node's sessions. Guards against many nodes that probe many hosts each
+// second: that costs more than all sessions earn, and loads the hosts besides.
+class ProbePace {
+ public:
+  explicit ProbePace(double price) : price_(price), taken_(2 * kQuietRest) {}
+  void took(Micros now) { taken_.add(now, 1); }
+  Micros interval(Micros now, Micros since, std::size_t hosts) const {
+    const double rate = (1 / seconds(kQuietRest) + taken_.per_second(now, since, kQuietRest));
+    const double wanted = price_ * static_cast<double>(hosts) / (kShare * rate);
+    return std::clamp(Micros{std::llround(wanted * 1e6)}, kProbeEvery, 100 * kProbeEvery);
+  }
+
+ private:
+  static constexpr double kShare = 0.02;
+  double price_;
+  FadingSum taken_;
+};
+
 struct Host : HostFacts {
   explicit Host(HostId h) : HostFacts(h, kProbeEvery) {}
   bool suspended = false;
   bool shedding = false;  // broke connections off since its last report
   LoadForecast forecast;
   SilenceJudge silence;
-  Micros next_probe = kNever, moved_at = kNever;
+  double probe_due = 0;  // a probe is sent when it reaches one
+  Micros moved_at = kNever;
   Micros aside_until = kNever, last_pause{0};
 
-  // A failure after the last pause doubles the pause for which the host is passed over; many failures at once
-  // tell no more than one. Being accepted proves little where connections break soon after: only a time
-  // without failures ends the doubling.
-  // True where the pause has grown to its longest.
+  // A failure after the last pause doubles the pause for which the host is passed over. Being accepted proves
+  // little where connections break soon after: only a time without failures ends the doubling. True where the
+  // pause has grown to its longest.
   bool failed(Micros now) {
     if (now < aside_until) return false;
     if (aside_until != kNever && now - aside_until > kQuietRest) last_pause = Micros{0};
@@ -209,7 +228,7 @@
 class Decisions final : public Balancer {
  public:
   Decisions(Outlet& out, std::uint64_t seed, unsigned nodes, ZoneId zone, std::vector<Listener> listeners,
-            DialLimits dials, ColdRule cold, ListRule list, double crossing_price)
+            DialLimits dials, ColdRule cold, ListRule list, Prices prices)
       : out_(out),
         chance_(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32))),
         nodes_(std::max(1u, nodes)),
@@ -219,7 +238,8 @@
         guard_(cold),
         arrived_(4 * cold.warm_within),
         list_(list),
-        crossing_price_(crossing_price),
+        crossing_price_(prices.crossing),
+        pace_(prices.probe),
         rotation_(chance_()),
         usual_(listeners_.size()) {}
 
@@ -242,7 +262,10 @@
     if (taken.client) fresh.load = sent_away_.of(*taken.client, now_ - kQuietRest).value_or(fresh.load);
     const SlabKey key = sessions_.add(fresh);
     // Repeats and returns would make a storm look like capacity.
-    if (!taken.returned && !taken.repeat) arrived_.add(now_, fresh.load);
+    if (!taken.returned && !taken.repeat) {
+      arrived_.add(now_, fresh.load);
+      pace_.took(now_);
+    }
     place(key, *sessions_.find(key));
     return {this, key};
   }
@@ -280,9 +303,9 @@
     Host* h = hosts_.find(s->host);
     if (s->state == State::open) {
       if (h) h->closed(s->load, s->taken.group);
-      // A connection that broke off is a failure of its host, unless the host was on its way out.
-      // So it is where a host sheds load: its reports may look light just after, and clients that are sent
-      // there break off again and again. It gets nothing new until a later report shows it below suspension.
+      // A connection that broke off is a failure of its host, unless that was on its way out. A host that
+      // sheds load may report little just after: it gets nothing until a later report shows it below
+      // suspension.
       if (h && h->usable() && how == Ending::broken) {
         failed(*h);
         h->shedding = true;
@@ -369,7 +392,7 @@
     Host* h = hosts_.find(id);
     if (!h) {
       h = &hosts_.add(Host(id));
-      h->next_probe = now_ + spread(kProbeEvery);
+      h->probe_due = std::generate_canonical<double, 32>(chance_);
     } else if (started > h->started) {
       // A host that restarted has lost what was known of it.
       h->forecast = {};
@@ -503,7 +526,9 @@
 
   static bool no_room(const Host& h, double load) { return h.shedding || h.suspended || load >= kFullAt; }
 
-  bool is_ill(const Host& h) const { return now_ < h.aside_until || h.silence.unusual(now_) > kUnusual; }
+  bool is_ill(const Host& h) const {
+    return now_ < h.aside_until || h.silence.unusual(now_, probe_every_) > kUnusual;
+  }
 
   unsigned reasons(const Host& h, const Session& s, const Dials& dials, bool held) {
     if (!h.usable() || !dials.at(s, h)) return barred;
@@ -618,9 +643,11 @@
       ask_list_at_ = kNever;
       out_.watch();
     }
+    probe_every_ = pace_.interval(now_, began_, hosts_.size());
     for (Host& h : hosts_) {
-      if (!h.usable() || now_ < h.next_probe) continue;
-      h.next_probe = now_ + kProbeEvery;
+      h.sent.fade_by(probe_every_);
+      if (!h.usable() || (h.probe_due += ratio(kBeat, probe_every_)) < 1) continue;
+      h.probe_due -= 1;
       out_.probe(h.id);
     }
     leave_draining();
@@ -637,8 +664,7 @@
     }
   }
 
-  // The paper's two schedules: pairs of heaviest and lightest on overload, else now and then toward a light
-  // one.
+  // The paper's two schedules: heaviest with lightest on overload, else now and then toward a light one.
   void even_out() {
     take_means();
     order_.clear();
@@ -735,6 +761,8 @@
   FadingSum arrived_;  // load of new sessions
   ListRule list_;
   double crossing_price_;
+  ProbePace pace_;
+  Micros probe_every_ = kProbeEvery;
   Rotation rotation_;
   std::vector<FadingMean> usual_;
   ClientLoads sent_away_;
@@ -754,9 +782,9 @@
 
 std::unique_ptr<Balancer> make_balancer(Outlet& outlet, std::uint64_t seed, unsigned nodes, ZoneId zone,
                                         std::vector<Listener> listeners, DialLimits dials, ColdRule cold,
-                                        ListRule list, double crossing_price) {
+                                        ListRule list, Prices prices) {
   return std::make_unique<Decisions>(outlet, seed, nodes, zone, std::move(listeners), dials, cold, list,
-                                     crossing_price);
+                                     prices);
 }
 
 }  // namespace flintweir
--- a/src/balance.h
+++ b/src/balance.h
@@ -47,6 +47,12 @@
   Micros ask_every;
 };
 
+// Points of service that each unit for each session costs.
+struct Prices {
+  double crossing;  // of zones
+  double probe;
+};
+
 struct Taken {
   ListenerId listener;
   TenantId tenant;
@@ -125,10 +131,9 @@
   virtual void messages_take(SlabKey sess, Micros delay) = 0;
 };
 
-// `crossing_price`: points of service that each session costs which crosses zones once.
 std::unique_ptr<Balancer> make_balancer(Outlet& outlet, std::uint64_t seed, unsigned nodes, ZoneId zone,
                                         std::vector<Listener> listeners, DialLimits dials, ColdRule cold,
-                                        ListRule list, double crossing_price);
+                                        ListRule list, Prices prices);
 
 inline bool Sess::live() const { return balancer_ && balancer_->live(key_); }
 inline void Sess::accepted(DialNo dial) { balancer_->accepted(key_, dial); }
--- a/src/numbers.h
+++ b/src/numbers.h
@@ -43,6 +43,7 @@
 class FadingSum {
  public:
   explicit FadingSum(Micros half) : half_(half) {}
+  void fade_by(Micros half) { half_ = half; }
   void add(Micros now, double x) {
     sum_ = at(now) + x;
     at_ = now;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -191,6 +191,23 @@
   for (int i = 0; i < 6; ++i) EXPECT_NE(w.settle(), c);
 }
 
+// Many hosts, few sessions and a price on probes: as many probes as the sessions can pay for.
+TEST(Probes, AreSeldomWhereSessionsAreFew) {
+  World w(9);
+  for (unsigned i = 1; i <= 50; ++i) w.hosts[HostId{i}] = {ZoneId{0}, CellId{0}};
+  w.restart();
+  w.pass(20s);
+  EXPECT_GE(w.probes.size(), 900u);
+  w.probe_price = 0.002;
+  w.restart();
+  for (int i = 0; i < 40; ++i) {
+    w.accept(w.arrive(0));
+    w.pass(1s);
+  }
+  EXPECT_GE(w.probes.size(), 100u);
+  EXPECT_LE(w.probes.size(), 400u);
+}
+
 // The rules, checked by the world at every act, on random days: all listener kinds, hosts that drain, go,
 // start cold and restart, dials that end in every way, lists that fail, and nodes that restart.
 class RandomDay : public testing::TestWithParam<std::uint64_t> {};
--- a/tests/world.h
+++ b/tests/world.h
@@ -62,7 +62,7 @@
     wakes.clear();
     probes.clear();
     balancer = make_balancer(*this, chance(), kNodes, ZoneId{0}, listeners, DialLimits{kMostDials, 1s}, kCold,
-                             ListRule{true, 10s}, 0.1);
+                             ListRule{true, 10s}, Prices{0.1, probe_price});
     balancer->at(now);
     tell_all();
   }
@@ -188,6 +188,7 @@
   std::unique_ptr<Balancer> balancer;
   double capacity = 0;  // sessions a second that fill a warm host; 0: not looked at
   unsigned refused = 0, watched = 0;
+  double probe_price = 0;
 
  private:
   void answer(SessId sess) {
