Charge a copy of a group for eight sessions at most

Cause: two thirds of a session for each node is 20 to 250 sessions at full size, so that no host had room for a group's first session and it was refused.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -118,7 +118,7 @@
   explicit ProbePace(double price) : price_(price), taken_(2 * kQuietRest) {}
   void took(Micros now) { taken_.add(now, 1); }
   Micros interval(Micros now, Micros since, std::size_t hosts) const {
-    const double rate = (1 / seconds(kQuietRest) + taken_.per_second(now, since, kQuietRest));
+    const double rate = 1 / seconds(kQuietRest) + taken_.per_second(now, since, kQuietRest);
     const double wanted = price_ * static_cast<double>(hosts) / (kShare * rate);
     return std::clamp(Micros{std::llround(wanted * 1e6)}, kProbeEvery, 100 * kProbeEvery);
   }
@@ -213,10 +213,10 @@
   std::size_t next_;
 };
 
-// Heavy to light: which share of its own load on the heavier of two hosts a node moves off.
+// Heavy to light: which share of its own load on the heavier of two hosts a node moves off. Every node that
+// sees the pair moves the same share of its own, which together is what the mean asks.
 class Mover {
  public:
-  // Every node that sees the pair moves the same share of its own, which together is what the mean asks.
   static double share(double heavy, double light) {
     const double aim = std::max((heavy + light) / 2, kFullAt);
     return heavy > aim ? (heavy - aim) / heavy : 0;
@@ -246,8 +246,7 @@
   void at(Micros now) override {
     now_ = now;
     if (began_ != kNever) return;
-    began_ = now;
-    quiet_since_ = now;
+    began_ = quiet_since_ = now;
     if (list_.asked) out_.watch();
     out_.wake(spread(kBeat), WakeId{0});
   }
@@ -551,10 +550,10 @@
     return against >= (s.dials > 0 ? tried : barred) ? unsigned{barred} : against;
   }
 
-  // What a host pays for a session's group that it does not hold yet; nothing tells it, so it is taken for
-  // that of a few usual sessions.
+  // What a host pays for a session's group that it does not hold yet: nothing tells, so that of a few
+  // sessions.
   double copy_charge(const Host& h, const Session& s) const {
-    return s.taken.group && !h.holds(s.taken.group) ? kCopy * nodes_ * mean_session_ : 0;
+    return s.taken.group && !h.holds(s.taken.group) ? std::min(kCopy * nodes_, kMostCopy) * mean_session_ : 0;
   }
 
   // Each host that holds any of a group pays for it once more: the group's sessions pass over the others
@@ -749,7 +748,8 @@
   }
 
   static constexpr unsigned kMostPatience = 64;
-  static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2.0 / 3, kDear = 6, kHeavy = 2;
+  static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2.0 / 3, kMostCopy = 8,
+                          kDear = 6, kHeavy = 2;
 
   Outlet& out_;
   std::knuth_b chance_;
