--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -473,11 +473,10 @@
 
   // The mean load of the hosts in use, for new ones and for comparison.
   void take_means() {
-    double load = 0, known = 0, own = 0, all = 0, own_load = 0, carried = 0, groups = 0;
+    double load = 0, known = 0, own = 0, all = 0, own_load = 0, carried = 0;
     for (const Host& h : hosts_) {
       if (!h.usable()) continue;
       all += 1;
-      groups += static_cast<double>(h.groups.kinds());
       own += h.own;
       own_load += h.own_load;
       if (!h.forecast.known()) continue;
@@ -488,7 +487,6 @@
     mean_known_ = known > 0;
     mean_load_ = known > 0 ? load / known : 0;
     mean_own_ = all > 0 ? own / all : 0;
-    sees_groups_ = own >= kFewOfGroup * groups;
     if (own_load <= 0) return;
     mean_session_ = own_load / own;
     // A node with few sessions, as after a restart, must not take each for a good part of a host.
@@ -545,7 +543,7 @@
     const double load = load_of(h) + (held ? copy_charge(h, s) * per_load_ / h.share : 0);
     // Loads swing, and near what it can do a host serves few, past it nobody: a session is better refused.
     if (no_room(h, load)) return barred;
-    if (load > crowded_at(s.taken.group, h)) against |= crowded;
+    if (load > kCrowded * mean_load_) against |= crowded;
     if (h.zone != zone_ && crossing_price_ > 0) against |= remote;
     if (s.has_tried(h.id)) against |= tried;
     if (is_ill(h)) against |= suspect_ ? ill : barred;
@@ -555,9 +553,7 @@
   // What a host pays for a session's group that it does not hold yet: nothing tells, so that of a few
   // sessions.
   double copy_charge(const Host& h, const Session& s) const {
-    return sees_groups_ && s.taken.group && !h.holds(s.taken.group)
-               ? std::min(kCopy * nodes_, kMostCopy) * mean_session_
-               : 0;
+    return s.taken.group && !h.holds(s.taken.group) ? std::min(kCopy * nodes_, kMostCopy) * mean_session_ : 0;
   }
 
   // Each host that holds any of a group pays for it once more: the group's sessions pass over the others
@@ -576,26 +572,17 @@
     std::size_t home = hosts_.size();
     bool held = false;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      held = held || (sees_groups_ && (against_[i] & ~minor) == best && hosts_[i].holds(group));
+      held = held || ((against_[i] & ~minor) == best && hosts_[i].holds(group));
       if ((against_[i] & ~far) != best_all) continue;
-      if (home == hosts_.size() || rank(group, hosts_[i]) > rank(group, hosts_[home])) home = i;
+      if (home == hosts_.size() || rank(group, hosts_[i].id) > rank(group, hosts_[home].id)) home = i;
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       if (held ? !hosts_[i].holds(group) : i != home) against_[i] |= off_group;
     }
   }
 
-  // A number from 0 to 1 for a group and a host, the same at every node.
-  static double draw(std::uint64_t group, HostId host) {
-    return std::ldexp(static_cast<double>(mix(group ^ mix(host.value)) >> 11) + 0.5, -53);
-  }
-  // How well a host suits a group, the same at every node: by chance, as often as its size says.
-  static double rank(GroupId group, const Host& h) { return -h.share / std::log(draw(group.value, h.id)); }
-  // Where a host fills up its groups leave it one after the other, the same at every node: each as a whole.
-  double crowded_at(std::optional<GroupId> group, const Host& h) const {
-    const double low = kCrowded * mean_load_;
-    return group && low < kFullAt ? low + (kFullAt - low) * draw(~group->value, h.id) : low;
-  }
+  // How well a host suits a group, the same at every node.
+  static std::uint64_t rank(GroupId group, HostId host) { return mix(group.value ^ mix(host.value)); }
 
   void place(SlabKey key, Session& s) {
     const Dials dials(listeners_[s.taken.listener.value], dial_limits_.most);
@@ -731,7 +718,8 @@
         const bool home = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& h) {
           return h.id != from.id && h.usable() && !h.suspended && h.holds(s.taken.group);
         });
-        order = home ? from.groups.of(*s.taken.group) : kAlone + rank(*s.taken.group, from);
+        order = home ? from.groups.of(*s.taken.group)
+                     : kAlone + static_cast<double>(rank(*s.taken.group, from.id));
       }
       leaving_.push_back({order, &s});
     });
@@ -761,7 +749,7 @@
 
   static constexpr unsigned kMostPatience = 64;
   static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2.0 / 3, kMostCopy = 8,
-                          kDear = 6, kHeavy = 2, kFewOfGroup = 2;
+                          kDear = 6, kHeavy = 2;
 
   Outlet& out_;
   std::knuth_b chance_;
@@ -785,7 +773,7 @@
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, full_at_ = kNever,
                   list_wait_ = kProbeEvery;
-  bool listing_whole_ = false, mean_known_ = false, suspect_ = false, sees_groups_ = false;
+  bool listing_whole_ = false, mean_known_ = false, suspect_ = false;
   double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, mean_session_ = 0, per_share_ = 0;
   unsigned beats_ = 0, patience_ = 1;
 };
