Ask the host offered before the dial where probes are seldom

Where the probe interval is over 2 s, the host offered is asked first and the walk repeated with its answer; a session waits for that a quarter of its handshake target at most. Hosts not asked yet count for the mean, but never as full.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -27,6 +27,7 @@
 constexpr double kLightAt = 0.1;
 constexpr double kFullAt = kSuspendAt - kLightAt;  // a host so loaded gets nothing new
 constexpr int kBeatsPerProbe = 8;
+constexpr Micros kCurrent = 2 * kProbeEvery;  // a report is, for so long
 
 // The load of one host from its two last reports, now and forecast a horizon on.
 class LoadForecast {
@@ -57,29 +58,18 @@
 // How unusual a host's present silence is, given the gaps between its signs of life so far.
 class SilenceJudge {
  public:
-  void sign(Micros now) {
-    if (last_ != kNever && now > last_) {
-      const double gap = seconds(now - last_);
-      const double off = gap - mean_.or_else(gap);
-      mean_.add(gap, kKeep);
-      spread_.add(off * off, kKeep);
-    }
-    last_ = now;
-  }
+  void sign(Micros now) { gaps_.sign(now); }
   // Minus the common logarithm of the chance that a gap grows this long.
   double unusual(Micros now, Micros expected) const {
-    if (last_ == kNever || !mean_.known()) return 0;
-    const double mean = std::max(mean_.or_else(0), seconds(expected));
-    const double spread = std::max(std::sqrt(spread_.or_else(0)), mean / 4);
-    const double y = (seconds(now - last_) - mean) / spread;
+    if (!gaps_.known()) return 0;
+    const double mean = std::max(gaps_.mean(), seconds(expected));
+    const double y = (seconds(now - gaps_.last()) - mean) / std::max(gaps_.spread(), mean / 4);
     const double tail = 0.5 * std::erfc(y / std::sqrt(2.0));
     return -std::log10(std::max(tail, 1e-30));
   }
 
  private:
-  static constexpr double kKeep = 0.9;
-  Micros last_ = kNever;
-  FadingMean mean_, spread_;
+  Gaps gaps_;
 };
 
 // What a cold host has been sent lately, against this node's part of what would tip it over.
@@ -132,11 +122,12 @@
 struct Host : HostFacts {
   explicit Host(HostId h) : HostFacts(h, kProbeEvery) {}
   bool suspended = false;
+  bool asking = false;    // before a dial
   bool shedding = false;  // broke connections off since its last report
   LoadForecast forecast;
   SilenceJudge silence;
   double probe_due = 0;  // a probe is sent when it reaches one
-  Micros moved_at = kNever;
+  Micros moved_at = kNever, asked_at{0};
   Micros aside_until = kNever, last_pause{0};
 
   // A failure after the last pause doubles the pause for which the host is passed over. Being accepted proves
@@ -253,11 +244,8 @@
 
   Sess take(SessId id, const Taken& taken) override {
     const Listener& l = listeners_[taken.listener.value];
-    Session fresh;
-    fresh.id = id;
-    fresh.taken = taken;
+    Session fresh(id, taken, usual_load(taken));
     fresh.give_up_at = std::min(now_ + l.handshake_target, taken.valid_until);
-    fresh.load = usual_load(taken);
     if (taken.client) fresh.load = sent_away_.of(*taken.client, now_ - kQuietRest).value_or(fresh.load);
     const SlabKey key = sessions_.add(fresh);
     // Repeats and returns would make a storm look like capacity.
@@ -270,13 +258,8 @@
   }
 
   Sess inherit(SessId id, const Taken& taken, HostId host) override {
-    Session s;
-    s.id = id;
-    s.taken = taken;
-    s.dials = 1;
-    s.dial_out = true;
-    s.host = host;
-    s.load = usual_load(taken);
+    Session s(id, taken, usual_load(taken));
+    s.dialed(host, now_);
     const SlabKey key = sessions_.add(s);
     open(*sessions_.find(key));
     return {this, key};
@@ -323,12 +306,7 @@
     }
     if (how == Ending::timed_out) patience_ = std::min(2 * patience_, kMostPatience);
     const bool proven = how == Ending::turned_away || how == Ending::unconnected || how == Ending::unsent;
-    if (!proven && !s->may_have_run) {
-      s->may_have_run = true;
-      s->ran_at = s->dialed_at;
-      s->ran_zone = h ? h->zone : ZoneId{};
-      s->ran_cell = h ? h->cell : CellId{};
-    }
+    if (!proven) s->ran(h ? h->zone : ZoneId{}, h ? h->cell : CellId{});
     if (over || s->state == State::over)
       sessions_.drop(key);
     else
@@ -371,14 +349,26 @@
 
   void probed(HostId id, bool answered, const LoadReport& r) override {
     Host* h = hosts_.find(id);
-    if (!h || !answered) return;  // a failed probe keeps the mark
-    h->silence.sign(now_);
+    if (!h) return;
+    if (answered) note_report(*h, r);  // a failed probe keeps the mark
+    if (!std::exchange(h->asking, false)) return;
+    held_.clear();
+    sessions_.each([&](SlabKey key, const Session& s) {
+      if (s.state == State::held && s.host == id) held_.push_back(key);
+    });
+    for (const SlabKey key : held_) {
+      if (Session* s = sessions_.find(key)) place(key, *s);
+    }
+  }
+
+  void note_report(Host& h, const LoadReport& r) {
+    h.silence.sign(now_);
     const std::optional<double> load = r.load ? r.load : r.busy;
     if (!load) return;
     // Where no piled-up work is reported, the load's own forecast stands for it, with capacity as its peak.
     const std::optional<double> piled = r.piled_up ? r.piled_up : r.queued;
-    h->forecast.report(now_, *load, piled.value_or(*load), piled ? 0 : 1);
-    mark(*h);
+    h.forecast.report(now_, *load, piled.value_or(*load), piled ? 0 : 1);
+    mark(h);
   }
 
   void list_begins(bool whole) override {
@@ -399,12 +389,7 @@
       h->suspended = h->shedding = false;
       h->aside_until = h->delay_at = kNever;
     }
-    h->zone = zone;
-    h->cell = cell;
-    h->standing = standing;
-    h->share = share > 0 ? share : 1;
-    h->started = started;
-    h->listed = true;
+    h->tell(zone, cell, standing, share, started);
   }
 
   void list_ends() override {
@@ -464,7 +449,9 @@
     return reported(h, Micros{0}, per_load_ / h.share * h.sent.at(now_));
   }
   double reported(const Host& h, Micros horizon, double unseen = 0) const {
-    if (!h.forecast.known()) return mean_known_ ? mean_load_ : mean_own_ > 0 ? h.own / mean_own_ / 2 : 0;
+    // A few reports of full hosts must not rule out those that nobody has asked yet.
+    if (!h.forecast.known() && mean_known_) return std::min(mean_load_, kFullAt - kLightAt) + unseen;
+    if (!h.forecast.known()) return mean_own_ > 0 ? h.own / mean_own_ / 2 : 0;
     // What its messages wait for has to be done beside what is asked; no note for a while means little waits.
     const bool noted = h.delay_at != kNever && now_ - h.delay_at < 2 * kProbeEvery;
     const double waiting = noted ? ratio(h.delay, 2 * kProbeEvery) : 0;
@@ -597,24 +584,37 @@
         full_at_ = now_;
       }
       if (now_ >= s.give_up_at || all_full || s.dials > 0) return give_up(key, s, dials);
-      if (!std::exchange(s.waiting, true))
-        out_.wake(std::min(kBeat, s.give_up_at - now_), WakeId{key.packed()});
-      return;
+      return hold(key, s);
+    }
+    if (must_ask(*h, s)) {
+      s.host = h->id;
+      if (!std::exchange(h->asking, true)) out_.probe(h->id);
+      h->asked_at = now_;
+      return hold(key, s);
     }
     if (guard_.cold(now_, h->started)) guard_.spend(now_, s.load, h->cold_sent);
     const Micros limit = dials.limit(s, now_, patience_);
-    if (s.dials < s.tried.size()) s.tried[s.dials] = h->id;
-    ++s.dials;
+    s.dialed(h->id, now_);
     ++h->dialing;
-    s.state = State::dialing;
-    s.dial_out = true;
-    s.host = h->id;
     s.charged = s.load + copy_charge(*h, s);
     h->sent.add(now_, s.charged);
-    s.dialed_at = now_;
     out_.dial(s.id, h->id, limit);
   }
 
+  void hold(SlabKey key, Session& s) {
+    if (!std::exchange(s.waiting, true))
+      out_.wake(std::min(kBeat, s.give_up_at - now_), WakeId{key.packed()});
+  }
+
+  // Where probes are seldom, the host offered is asked before the dial unless its report is current: most
+  // sessions went to hosts of which the node knew nothing. No session waits for that past a part of its
+  // target.
+  bool must_ask(const Host& h, const Session& s) const {
+    if (probe_every_ <= kCurrent) return false;
+    if (s.give_up_at - now_ < listeners_[s.taken.listener.value].handshake_target * 3 / 4) return false;
+    return h.asking || now_ - std::max(h.forecast.at(), h.asked_at) > kCurrent;
+  }
+
   // Sessions have lately been refused for want of room.
   bool full() const { return full_at_ != kNever && now_ - full_at_ < 2 * kProbeEvery; }
   bool heavy(const Session& s) const { return s.load > kHeavy * usual_load(s.taken); }
@@ -770,6 +770,7 @@
   std::vector<Host*> order_;
   std::vector<std::pair<double, Session*>> leaving_;
   std::vector<unsigned> against_;
+  std::vector<SlabKey> held_;
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, full_at_ = kNever,
                   list_wait_ = kProbeEvery;
--- a/src/host.h
+++ b/src/host.h
@@ -58,6 +58,14 @@
   std::vector<std::pair<Micros, double>> cold_sent;
   Micros delay{0}, delay_at = kNever;  // of messages, as last noted
 
+  void tell(ZoneId z, CellId c, Standing now_is, double size, Micros since) {
+    zone = z;
+    cell = c;
+    standing = now_is;
+    share = size > 0 ? size : 1;
+    started = since;
+    listed = true;
+  }
   bool usable() const { return standing == Standing::in; }
   bool holds(std::optional<GroupId> g) const { return g && groups.of(*g) > 0; }
   void opened(double load, std::optional<GroupId> g) {
--- a/src/numbers.h
+++ b/src/numbers.h
@@ -39,6 +39,29 @@
   bool known_ = false;
 };
 
+// The gaps between signs of life: their mean and how they spread about it.
+class Gaps {
+ public:
+  void sign(Micros now) {
+    if (last_ != kNever && now > last_) {
+      const double gap = seconds(now - last_);
+      const double off = gap - mean_.or_else(gap);
+      mean_.add(gap, kKeep);
+      square_.add(off * off, kKeep);
+    }
+    last_ = now;
+  }
+  bool known() const { return mean_.known(); }
+  Micros last() const { return last_; }
+  double mean() const { return mean_.or_else(0); }
+  double spread() const { return std::sqrt(square_.or_else(0)); }
+
+ private:
+  static constexpr double kKeep = 0.9;
+  Micros last_ = kNever;
+  FadingMean mean_, square_;
+};
+
 // A sum that fades by half every `half`.
 class FadingSum {
  public:
--- a/src/session.h
+++ b/src/session.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "balance.h"
 
@@ -11,6 +12,9 @@
 enum class State { held, dialing, open, over };
 
 struct Session {
+  Session() = default;
+  Session(SessId s, const Taken& t, double usual) : id(s), taken(t), load(usual) {}
+
   SessId id;
   Taken taken;
   State state = State::held;
@@ -30,6 +34,21 @@
   double load = 0;     // in microseconds of work a second
   double charged = 0;  // what its dial was counted for at its host
 
+  void dialed(HostId h, Micros now) {
+    if (dials < tried.size()) tried[dials] = h;
+    ++dials;
+    state = State::dialing;
+    dial_out = true;
+    host = h;
+    dialed_at = now;
+  }
+  // The dial that has just ended may have run.
+  void ran(ZoneId zone, CellId cell) {
+    if (std::exchange(may_have_run, true)) return;
+    ran_at = dialed_at;
+    ran_zone = zone;
+    ran_cell = cell;
+  }
   bool has_tried(HostId h) const {
     const auto end = tried.begin() + std::min<std::size_t>(dials, tried.size());
     return std::find(tried.begin(), end, h) != end;
