--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -426,18 +426,6 @@
     return usual_[t.listener.value].or_else(known > 0 ? all / known : t.usual_load.value_or(1));
   }
 
-  // This node's part of what a warm host of this size takes a second when full, by load.
-  double full_rate(const Host& h) {
-    const double rate = arrived_.per_second(now_, began_, guard_.window());
-    double carried = 0;
-    for (const Host& w : hosts_) {
-      if (w.usable() && w.forecast.known() && !guard_.cold(now_, w.started))
-        carried += w.forecast.raw() * w.share;
-    }
-    if (carried > 0) per_share_ = rate / carried;
-    return per_share_ * h.share;
-  }
-
   void open(Session& s) {
     s.state = State::open;
     s.may_have_run = true;
@@ -460,7 +448,7 @@
 
   // The mean load of the hosts in use, for new ones and for comparison.
   void take_means() {
-    double load = 0, known = 0, own = 0, all = 0, own_load = 0, carried = 0;
+    double load = 0, known = 0, own = 0, all = 0, own_load = 0, carried = 0, warm = 0;
     for (const Host& h : hosts_) {
       if (!h.usable()) continue;
       all += 1;
@@ -470,7 +458,10 @@
       known += 1;
       load += load_of(h);
       carried += h.forecast.raw() * h.share;
+      if (!guard_.cold(now_, h.started)) warm += h.forecast.raw() * h.share;
     }
+    // This node's part of what warm hosts take a second when full, by load and size.
+    if (warm > 0) per_share_ = arrived_.per_second(now_, began_, guard_.window()) / warm;
     mean_known_ = known > 0;
     mean_load_ = known > 0 ? load / known : 0;
     mean_own_ = all > 0 ? own / all : 0;
@@ -522,7 +513,7 @@
     if (guard_.cold(now_, h.started)) {
       // A node that has just started doesn't know what it sent before.
       if (now_ - began_ < guard_.window()) return barred;
-      if (!guard_.room(now_, h.started, full_rate(h), s.load, h.cold_sent)) return barred;
+      if (!guard_.room(now_, h.started, per_share_ * h.share, s.load, h.cold_sent)) return barred;
       const double warm = guard_.warmth(now_ - h.started);
       if (std::generate_canonical<double, 32>(chance_) > warm) against |= fresh;
     }
