--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -123,7 +123,6 @@
   explicit Host(HostId h) : HostFacts(h, kProbeEvery) {}
   bool suspended = false;
   bool asking = false;    // before a dial
-  bool mute = false;      // was asked so and did not answer
   bool shedding = false;  // broke connections off since its last report
   LoadForecast forecast;
   SilenceJudge silence;
@@ -353,7 +352,6 @@
     if (!h) return;
     if (answered) note_report(*h, r);  // a failed probe keeps the mark
     if (!std::exchange(h->asking, false)) return;
-    h->mute = !answered;
     held_.clear();
     sessions_.each([&](SlabKey key, const Session& s) {
       if (s.state == State::held && s.host == id) held_.push_back(key);
@@ -505,10 +503,8 @@
 
   static bool no_room(const Host& h, double load) { return h.shedding || h.suspended || load >= kFullAt; }
 
-  // A host too busy to answer when it was asked just now is no better than one that fails.
   bool is_ill(const Host& h) const {
-    const bool mute = (h.mute || (h.asking && now_ - h.asked_at >= kBeat)) && now_ - h.asked_at < kCurrent;
-    return mute || now_ < h.aside_until || h.silence.unusual(now_, probe_every_) > kUnusual;
+    return now_ < h.aside_until || h.silence.unusual(now_, probe_every_) > kUnusual;
   }
 
   unsigned reasons(const Host& h, const Session& s, const Dials& dials, bool held) {
@@ -583,10 +579,8 @@
     }
     if (must_ask(*h, s)) {
       s.host = h->id;
-      if (!std::exchange(h->asking, true)) {
-        out_.probe(h->id);
-        h->asked_at = now_;
-      }
+      if (!std::exchange(h->asking, true)) out_.probe(h->id);
+      h->asked_at = now_;
       return hold(key, s);
     }
     if (guard_.cold(now_, h->started)) guard_.spend(now_, s.load, h->cold_sent);
