Let a group's home follow hash and size where nodes see few of its sessions

Holders that a node sees now count where it has two sessions or more for each group and host; else the home is the host that ranks best by hash, weighted by size.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -448,11 +448,12 @@
 
   // The mean load of the hosts in use, for new ones and for comparison.
   void take_means() {
-    double load = 0, known = 0, own = 0, all = 0, own_load = 0, carried = 0, warm = 0;
+    double load = 0, known = 0, own = 0, all = 0, own_load = 0, carried = 0, warm = 0, groups = 0;
     for (const Host& h : hosts_) {
       if (!h.usable()) continue;
       all += 1;
       own += h.own;
+      groups += static_cast<double>(h.groups.kinds());
       own_load += h.own_load;
       if (!h.forecast.known()) continue;
       known += 1;
@@ -465,6 +466,7 @@
     mean_known_ = known > 0;
     mean_load_ = known > 0 ? load / known : 0;
     mean_own_ = all > 0 ? own / all : 0;
+    sees_groups_ = own >= kFewOfGroup * groups;
     if (own_load <= 0) return;
     mean_session_ = own_load / own;
     // A node with few sessions, as after a restart, must not take each for a good part of a host.
@@ -550,17 +552,21 @@
     std::size_t home = hosts_.size();
     bool held = false;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      held = held || ((against_[i] & ~minor) == best && hosts_[i].holds(group));
+      held = held || (sees_groups_ && (against_[i] & ~minor) == best && hosts_[i].holds(group));
       if ((against_[i] & ~far) != best_all) continue;
-      if (home == hosts_.size() || rank(group, hosts_[i].id) > rank(group, hosts_[home].id)) home = i;
+      if (home == hosts_.size() || rank(group, hosts_[i]) > rank(group, hosts_[home])) home = i;
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       if (held ? !hosts_[i].holds(group) : i != home) against_[i] |= off_group;
     }
   }
 
-  // How well a host suits a group, the same at every node.
-  static std::uint64_t rank(GroupId group, HostId host) { return mix(group.value ^ mix(host.value)); }
+  // How well a host suits a group, the same at every node: by chance, as often as its size says.
+  static double rank(GroupId group, const Host& h) {
+    const double chance =
+        std::ldexp(static_cast<double>(mix(group.value ^ mix(h.id.value)) >> 11) + 0.5, -53);
+    return -h.share / std::log(chance);
+  }
 
   void place(SlabKey key, Session& s) {
     const Dials dials(listeners_[s.taken.listener.value], dial_limits_.most);
@@ -709,8 +715,7 @@
         const bool home = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& h) {
           return h.id != from.id && h.usable() && !h.suspended && h.holds(s.taken.group);
         });
-        order = home ? from.groups.of(*s.taken.group)
-                     : kAlone + static_cast<double>(rank(*s.taken.group, from.id));
+        order = home ? from.groups.of(*s.taken.group) : kAlone + rank(*s.taken.group, from);
       }
       leaving_.push_back({order, &s});
     });
@@ -740,7 +745,7 @@
 
   static constexpr unsigned kMostPatience = 64;
   static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2.0 / 3, kMostCopy = 8,
-                          kDear = 6, kHeavy = 2;
+                          kDear = 6, kHeavy = 2, kFewOfGroup = 2;
 
   Outlet& out_;
   std::knuth_b chance_;
@@ -765,7 +770,7 @@
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, full_at_ = kNever,
                   list_wait_ = kProbeEvery;
-  bool listing_whole_ = false, mean_known_ = false, suspect_ = false;
+  bool listing_whole_ = false, mean_known_ = false, suspect_ = false, sees_groups_ = false;
   double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, mean_session_ = 0, per_share_ = 0;
   unsigned beats_ = 0, patience_ = 1;
 };
--- a/src/host.h
+++ b/src/host.h
@@ -18,6 +18,7 @@
     }
     return 0;
   }
+  std::size_t kinds() const { return counts_.size(); }
   void join(GroupId g) {
     for (auto& [group, count] : counts_) {
       if (group == g) return void(++count);
