Bound the hosts of a group where room is short

While the mean load is 0.6 or more a group keeps to its best hosts by rank, one and as many as its part of the node's sessions asks for (eight sessions of no group as prior).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <random>
 #include <utility>
 
@@ -549,15 +550,32 @@
       best_all = std::min(best_all, a & ~far);
     }
     if (best >= barred) return;
+    ranks_.clear();
+    for (const Host& h : hosts_) ranks_.push_back(h.usable() ? rank(group, h) : 0);
     std::size_t home = hosts_.size();
     bool held = false;
+    double count = 1, own = kPriorOwn;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      count += hosts_[i].groups.of(group);
+      own += hosts_[i].own;
       held = held || (sees_groups_ && (against_[i] & ~minor) == best && hosts_[i].holds(group));
       if ((against_[i] & ~far) != best_all) continue;
-      if (home == hosts_.size() || rank(group, hosts_[i]) > rank(group, hosts_[home])) home = i;
+      if (home == hosts_.size() || ranks_[i] > ranks_[home]) home = i;
+    }
+    // Where room is short a group keeps to as many hosts as its part of the sessions asks for, the best by
+    // rank: else each session that is turned away from one opens one more copy elsewhere, until copies fill
+    // the fleet.
+    double least = 0;
+    const double wanted = 1 + std::ceil(count / own * static_cast<double>(hosts_.size()));
+    if (mean_load_ >= kFullAt - kLightAt && wanted < static_cast<double>(hosts_.size())) {
+      sorted_ = ranks_;
+      const auto last = sorted_.begin() + static_cast<std::ptrdiff_t>(wanted);
+      std::nth_element(sorted_.begin(), last, sorted_.end(), std::greater<>());
+      least = *last;
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       if (held ? !hosts_[i].holds(group) : i != home) against_[i] |= off_group;
+      if (ranks_[i] <= least && !hosts_[i].holds(group)) against_[i] |= barred;
     }
   }
 
@@ -745,7 +763,7 @@
 
   static constexpr unsigned kMostPatience = 64;
   static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2.0 / 3, kMostCopy = 8,
-                          kDear = 6, kHeavy = 2, kFewOfGroup = 2;
+                          kDear = 6, kHeavy = 2, kFewOfGroup = 2, kPriorOwn = 8;
 
   Outlet& out_;
   std::knuth_b chance_;
@@ -767,6 +785,7 @@
   std::vector<std::pair<double, Session*>> leaving_;
   std::vector<unsigned> against_;
   std::vector<SlabKey> held_;
+  std::vector<double> ranks_, sorted_;
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, full_at_ = kNever,
                   list_wait_ = kProbeEvery;
