--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -85,15 +85,9 @@
     return started > Micros{0} && now - started < rule_.warm_within;
   }
   // `rate`: what this node's part of the warm host takes a second when full, in usual sessions.
-  bool room(Micros now, Micros started, double rate, double cost,
-            const std::vector<std::pair<Micros, double>>& sent) const {
-    double spent = 0;
-    for (const auto& [at, what] : sent) spent += now - at <= rule_.window ? what : 0;
-    return spent + cost <= kCaution * rule_.multiple * warmth(now - started) * rate * seconds(rule_.window);
-  }
-  void spend(Micros now, double cost, std::vector<std::pair<Micros, double>>& sent) const {
-    std::erase_if(sent, [&](const auto& s) { return now - s.first > rule_.window; });
-    sent.emplace_back(now, cost);
+  bool room(Micros now, Micros started, double rate, double cost, const RecentSum& sent) const {
+    const double budget = kCaution * rule_.multiple * warmth(now - started) * rate * seconds(rule_.window);
+    return sent.since(now - rule_.window) + cost <= budget;
   }
 
  private:
@@ -244,9 +238,8 @@
   }
 
   Sess take(SessId id, const Taken& taken) override {
-    const Listener& l = listeners_[taken.listener.value];
     Session fresh(id, taken, usual_load(taken));
-    fresh.give_up_at = std::min(now_ + l.handshake_target, taken.valid_until);
+    fresh.give_up_at = std::min(now_ + listeners_[taken.listener.value].handshake_target, taken.valid_until);
     if (taken.client) fresh.load = sent_away_.of(*taken.client, now_ - kQuietRest).value_or(fresh.load);
     const SlabKey key = sessions_.add(fresh);
     // Repeats and returns would make a storm look like capacity.
@@ -287,10 +280,9 @@
     if (s->state == State::open) {
       if (h) h->closed(s->load, s->taken.group);
       // A connection that broke off is a failure of its host, unless that was on its way out. A host that
-      // sheds load may report little just after: it gets nothing until a later report shows it below
-      // suspension.
+      // sheds load may report little just after: it gets nothing until a report shows it below suspension.
       if (h && h->usable() && how == Ending::broken) {
-        failed(*h);
+        set_aside(*h);
         h->shedding = true;
       }
       sessions_.drop(key);
@@ -303,7 +295,7 @@
         h->silence.sign(now_);
       else if (how != Ending::cancelled && how != Ending::unsent &&
                !(how == Ending::timed_out && patience_ > 1))
-        failed(*h);  // where dials time out elsewhere too, the host is not what fails
+        set_aside(*h);  // where dials time out elsewhere too, the host is not what fails
     }
     if (how == Ending::timed_out) patience_ = std::min(2 * patience_, kMostPatience);
     const bool proven = how == Ending::turned_away || how == Ending::unconnected || how == Ending::unsent;
@@ -476,7 +468,7 @@
     per_load_ = std::min((full() ? nodes_ : 1) * alone, 2 * kLightAt / mean_session_);
   }
 
-  void failed(Host& h) {
+  void set_aside(Host& h) {
     if (h.failed(now_)) out_.log("fails again and again, passed over for eight probe intervals", h.id);
   }
 
@@ -531,8 +523,7 @@
     return against >= (s.dials > 0 ? tried : barred) ? unsigned{barred} : against;
   }
 
-  // What a host pays for a session's group that it does not hold yet: nothing tells, so that of a few
-  // sessions.
+  // What a host pays for a group that it does not hold yet: nothing tells, so that of a few sessions.
   double copy_charge(const Host& h, const Session& s) const {
     return s.taken.group && !h.holds(s.taken.group) ? std::min(kCopy * nodes_, kMostCopy) * mean_session_ : 0;
   }
@@ -562,11 +553,10 @@
       if ((against_[i] & ~far) != best_all) continue;
       if (home == hosts_.size() || ranks_[i] > ranks_[home]) home = i;
     }
-    // Where room is short a group keeps to as many hosts as its part of the sessions asks for, the best by
-    // rank: else each session that is turned away from one opens one more copy elsewhere, until copies fill
-    // the fleet.
+    // Where room is short a group keeps to its best hosts, as many as its part of the sessions asks for.
+    // Guards against one more copy for each session that finds those full, until copies fill the fleet.
     double least = 0;
-    const double wanted = 1 + std::ceil(count / own * static_cast<double>(hosts_.size()));
+    const double wanted = 2 + std::ceil(count / own * static_cast<double>(hosts_.size()));
     if (mean_load_ >= kFullAt - kLightAt && wanted < static_cast<double>(hosts_.size())) {
       sorted_ = ranks_;
       const auto last = sorted_.begin() + static_cast<std::ptrdiff_t>(wanted);
@@ -607,7 +597,7 @@
       h->asked_at = now_;
       return hold(key, s);
     }
-    if (guard_.cold(now_, h->started)) guard_.spend(now_, s.load, h->cold_sent);
+    if (guard_.cold(now_, h->started)) h->cold_sent.add(now_, s.load, now_ - guard_.window());
     const Micros limit = dials.limit(s, now_, patience_);
     s.dialed(h->id, now_);
     ++h->dialing;
@@ -621,9 +611,8 @@
       out_.wake(std::min(kBeat, s.give_up_at - now_), WakeId{key.packed()});
   }
 
-  // Where probes are seldom, the host offered is asked before the dial unless its report is current: most
-  // sessions went to hosts of which the node knew nothing. No session waits for that past a part of its
-  // target.
+  // Where probes are seldom, the host offered is asked before the dial unless its report is current. Guards
+  // against dials to full hosts of which the node knows nothing. No session waits long for that.
   bool must_ask(const Host& h, const Session& s) const {
     if (probe_every_ <= kCurrent) return false;
     if (s.give_up_at - now_ < listeners_[s.taken.listener.value].handshake_target * 3 / 4) return false;
@@ -634,8 +623,7 @@
   bool full() const { return full_at_ != kNever && now_ - full_at_ < 2 * kProbeEvery; }
   bool heavy(const Session& s) const { return s.load > kHeavy * usual_load(s.taken); }
 
-  // While sessions are refused, one that costs far more than is usual at its listener takes the place of
-  // several.
+  // While sessions are refused, one that costs far more than usual takes the place of several.
   void let_go_heavy() {
     if (!full()) return;
     for (Host& h : hosts_) {
@@ -664,20 +652,16 @@
       h.probe_due -= 1;
       out_.probe(h.id);
     }
-    leave_draining();
+    // A host on its way out is the heaviest there can be: own connections leave it, a part at each beat.
+    for (Host& h : hosts_) {
+      if (h.standing == Standing::draining && h.own) move_off(h, h.own_load / kBeatsPerProbe, Leaving::drain);
+    }
     if (++beats_ % kBeatsPerProbe == 0) {
       even_out();
       let_go_heavy();
     }
   }
 
-  // A host on its way out is the heaviest there can be: own connections leave it, a part at each beat.
-  void leave_draining() {
-    for (Host& h : hosts_) {
-      if (h.standing == Standing::draining && h.own) move_off(h, h.own_load / kBeatsPerProbe, Leaving::drain);
-    }
-  }
-
   // The paper's two schedules: heaviest with lightest on overload, else now and then toward a light one.
   void even_out() {
     take_means();
--- a/src/host.h
+++ b/src/host.h
@@ -56,7 +56,7 @@
   unsigned dialing = 0;
   GroupCount groups;
   FadingSum sent;  // load sent lately, which the reports may not show yet
-  std::vector<std::pair<Micros, double>> cold_sent;
+  RecentSum cold_sent;
   Micros delay{0}, delay_at = kNever;  // of messages, as last noted
 
   void tell(ZoneId z, CellId c, Standing now_is, double size, Micros since) {
--- a/src/numbers.h
+++ b/src/numbers.h
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <utility>
+#include <vector>
 
 #include "ids.h"
 
@@ -62,6 +64,23 @@
   FadingMean mean_, square_;
 };
 
+// What was added lately, each with its time.
+class RecentSum {
+ public:
+  void add(Micros now, double x, Micros keep_since) {
+    std::erase_if(added_, [&](const auto& a) { return a.first < keep_since; });
+    added_.emplace_back(now, x);
+  }
+  double since(Micros from) const {
+    double sum = 0;
+    for (const auto& [at, x] : added_) sum += at >= from ? x : 0;
+    return sum;
+  }
+
+ private:
+  std::vector<std::pair<Micros, double>> added_;
+};
+
 // A sum that fades by half every `half`.
 class FadingSum {
  public:
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -1,3 +1,5 @@
+#include <set>
+
 #include "world.h"
 
 namespace flintweir::test {
@@ -124,6 +126,27 @@
   EXPECT_FALSE(w.clients.at(w.arrive(0)).answered);
 }
 
+// A group whose hosts are full one after the other: most of its sessions are refused, not copied everywhere.
+TEST(Groups, KeepToAFewHostsWhereRoomIsShort) {
+  Three w;
+  for (unsigned i = 4; i <= 20; ++i) w.hosts[HostId{i}] = {ZoneId{0}, CellId{0}};
+  w.tell_all();
+  std::map<HostId, double> load;
+  for (const auto& [id, place] : w.hosts) w.report(id, load[id] = 0.65);
+  std::set<HostId> used;
+  for (int i = 0; i < 20; ++i) {
+    const SessId id = w.arrive(0, GroupId{5});
+    if (w.clients.at(id).dials.empty()) continue;
+    w.accept(id);
+    used.insert(w.placed(id));
+    load[w.placed(id)] = 0.9;
+    w.pass(3s);
+    for (const auto& [h, l] : load) w.report(h, l);
+  }
+  EXPECT_GE(used.size(), 2u);
+  EXPECT_LE(used.size(), 6u);
+}
+
 TEST(Mover, MovesFromHeavyOnly) {
   Three w;
   w.loads(1.0, 0.2, 0.3);
