--- a/benchlink/wire.cpp
+++ b/benchlink/wire.cpp
@@ -320,7 +320,6 @@
         if (field == "x1") report.piled_up = value;
         if (field == "util") report.busy = value;
         if (field == "queue") report.queued = value;
-        if (field == "eps") report.errors = value;
       }
     }
     balancer_->probed(name(host), answered, report);
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -102,11 +102,9 @@
  public:
   explicit ProbePace(double price) : price_(price), taken_(2 * kQuietRest) {}
   void took(Micros now) { taken_.add(now, 1); }
-  double rate(Micros now, Micros since) const {
-    return 1 / seconds(kQuietRest) + taken_.per_second(now, since, kQuietRest);
-  }
   Micros interval(Micros now, Micros since, std::size_t hosts) const {
-    const double wanted = price_ * static_cast<double>(hosts) / (kShare * rate(now, since));
+    const double rate = 1 / seconds(kQuietRest) + taken_.per_second(now, since, kQuietRest);
+    const double wanted = price_ * static_cast<double>(hosts) / (kShare * rate);
     return std::clamp(Micros{std::llround(wanted * 1e6)}, kProbeEvery, 100 * kProbeEvery);
   }
 
@@ -120,7 +118,6 @@
   explicit Host(HostId h) : HostFacts(h, kProbeEvery) {}
   bool suspended = false;
   bool asking = false;    // before a dial
-  bool erring = false;    // reports many errors
   bool shedding = false;  // broke connections off since its last report
   LoadForecast forecast;
   SilenceJudge silence;
@@ -364,10 +361,6 @@
     // Where no piled-up work is reported, the load's own forecast stands for it, with capacity as its peak.
     const std::optional<double> piled = r.piled_up ? r.piled_up : r.queued;
     h.forecast.report(now_, *load, piled.value_or(*load), piled ? 0 : 1);
-    // A host that fails quickly looks light. Its errors are many where they are a good part of the dials that
-    // a host gets on average, by this node's own rate.
-    h.erring = r.errors.value_or(0) >
-               kErring * pace_.rate(now_, began_) * nodes_ / static_cast<double>(hosts_.size());
     mark(h);
   }
 
@@ -506,7 +499,7 @@
   static bool no_room(const Host& h, double load) { return h.shedding || h.suspended || load >= kFullAt; }
 
   bool is_ill(const Host& h) const {
-    return h.erring || now_ < h.aside_until || h.silence.unusual(now_, probe_every_) > kUnusual;
+    return now_ < h.aside_until || h.silence.unusual(now_, probe_every_) > kUnusual;
   }
 
   unsigned reasons(const Host& h, const Session& s, const Dials& dials, bool held) {
@@ -754,7 +747,7 @@
 
   static constexpr unsigned kMostPatience = 64;
   static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2.0 / 3, kMostCopy = 8,
-                          kDear = 6, kHeavy = 2, kFewOfGroup = 2, kPriorOwn = 8, kErring = 0.2;
+                          kDear = 6, kHeavy = 2, kFewOfGroup = 2, kPriorOwn = 8;
 
   Outlet& out_;
   std::knuth_b chance_;
--- a/src/balance.h
+++ b/src/balance.h
@@ -70,7 +70,6 @@
   std::optional<double> busy;      // share of its cores in use
   std::optional<double> piled_up;  // seconds of work waiting
   std::optional<double> queued;    // sessions waiting
-  std::optional<double> errors;    // a second
 };
 
 class Outlet {
