--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -246,7 +246,6 @@
     if (!taken.returned && !taken.repeat) {
       arrived_.add(now_, fresh.load);
       pace_.took(now_);
-      see(taken);
     }
     place(key, *sessions_.find(key));
     return {this, key};
@@ -255,7 +254,6 @@
   Sess inherit(SessId id, const Taken& taken, HostId host) override {
     Session s(id, taken, usual_load(taken));
     s.dialed(host, now_);
-    see(taken);
     const SlabKey key = sessions_.add(s);
     open(*sessions_.find(key));
     return {this, key};
@@ -421,11 +419,6 @@
     return usual_[t.listener.value].or_else(known > 0 ? all / known : t.usual_load.value_or(1));
   }
 
-  void see(const Taken& t) {
-    ++seen_all_;
-    if (t.group) seen_.join(*t.group);
-  }
-
   void open(Session& s) {
     s.state = State::open;
     s.may_have_run = true;
@@ -466,8 +459,6 @@
     mean_known_ = known > 0;
     mean_load_ = known > 0 ? load / known : 0;
     mean_own_ = all > 0 ? own / all : 0;
-    busiest_mean_ =
-        std::max(mean_load_, busiest_mean_ * fade(now_ - std::exchange(meant_at_, now_), kQuietRest));
     sees_groups_ = own >= kFewOfGroup * groups;
     if (own_load <= 0) return;
     mean_session_ = own_load / own;
@@ -501,7 +492,7 @@
     const bool held = std::any_of(hosts_.begin(), hosts_.end(),
                                   [&](const Host& h) { return h.usable() && h.holds(s.taken.group); });
     for (const Host& h : hosts_) against_.push_back(reasons(h, s, dials, held));
-    if (s.taken.group) keep_together(*s.taken.group, s.taken.client.value_or(ClientKey{s.id.value}));
+    if (s.taken.group) keep_together(*s.taken.group);
     return rotation_.choose(hosts_, against_);
   }
 
@@ -540,7 +531,7 @@
   // Each host that holds any of a group pays for it once more: the group's sessions pass over the others
   // while one that holds it is as fit as any. A group that none such holds starts at a host that every node
   // works out alike, from ids, so that it does not spread over as many hosts as there are nodes.
-  void keep_together(GroupId group, ClientKey client) {
+  void keep_together(GroupId group) {
     // Where crossing is dear and the fleet has room, a copy in this zone costs less than crossing.
     const unsigned minor = mean_load_ < kDear * crossing_price_ ? unsigned{crowded} : crowded | remote;
     const unsigned far = minor & remote;
@@ -551,35 +542,33 @@
     }
     if (best >= barred) return;
     ranks_.clear();
-    fit_.clear();
+    for (const Host& h : hosts_) ranks_.push_back(h.usable() ? rank(group, h) : 0);
+    std::size_t home = hosts_.size();
     bool held = false;
+    double count = 1, own = kPriorOwn;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      ranks_.push_back(hosts_[i].usable() ? rank(group, hosts_[i]) : 0);
+      count += hosts_[i].groups.of(group);
+      own += hosts_[i].own;
       held = held || (sees_groups_ && (against_[i] & ~minor) == best && hosts_[i].holds(group));
-      if ((against_[i] & ~far) == best_all) fit_.push_back(ranks_[i]);
+      if ((against_[i] & ~far) != best_all) continue;
+      if (home == hosts_.size() || ranks_[i] > ranks_[home]) home = i;
+    }
+    // Where room is short a group keeps to its best hosts, as many as its part of the sessions asks for.
+    // Guards against one more copy for each session that finds those full, until copies fill the fleet.
+    double least = 0;
+    const double wanted = 2 + std::ceil(count / own * static_cast<double>(hosts_.size()));
+    if (mean_load_ >= kFullAt - kLightAt && wanted < static_cast<double>(hosts_.size())) {
+      sorted_ = ranks_;
+      const auto last = sorted_.begin() + static_cast<std::ptrdiff_t>(wanted);
+      std::nth_element(sorted_.begin(), last, sorted_.end(), std::greater<>());
+      least = *last;
     }
-    // As many hosts as the group's part of the sessions asks for, by what this node has seen of it. Its
-    // clients are spread over so many from the start. Guards against all going to the first where all come at
-    // once.
-    const double part = (1 + seen_.of(group)) / (kPriorOwn + seen_all_) * static_cast<double>(hosts_.size());
-    const double slots = std::max(1.0, std::round(part * busiest_mean_ / (kFullAt - kLightAt)));
-    const double slot = static_cast<double>(mix(client.value) >> 11) * 0x1p-53 * slots;
-    const double home = nth_best(fit_, static_cast<std::size_t>(slot));
-    // Where room is short a group keeps to its best hosts, as many as that and some to spare. Guards against
-    // one more copy for each session that finds those full, until copies fill the fleet.
-    const double least = mean_load_ >= kFullAt - kLightAt ? nth_best(fit_ = ranks_, 2 + std::ceil(part)) : 0;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      if (held ? !hosts_[i].holds(group) : ranks_[i] != home) against_[i] |= off_group;
+      if (held ? !hosts_[i].holds(group) : i != home) against_[i] |= off_group;
       if (ranks_[i] <= least && !hosts_[i].holds(group)) against_[i] |= barred;
     }
   }
 
-  static double nth_best(std::vector<double>& ranks, std::size_t n) {
-    const auto at = ranks.begin() + static_cast<std::ptrdiff_t>(std::min(n, ranks.size() - 1));
-    std::nth_element(ranks.begin(), at, ranks.end(), std::greater<>());
-    return *at;
-  }
-
   // How well a host suits a group, the same at every node: by chance, as often as its size says.
   static double rank(GroupId group, const Host& h) {
     const double chance =
@@ -780,10 +769,7 @@
   std::vector<std::pair<double, Session*>> leaving_;
   std::vector<unsigned> against_;
   std::vector<SlabKey> held_;
-  GroupCount seen_;  // sessions of each group, first tries only
-  double seen_all_ = 0, busiest_mean_ = 0;
-  Micros meant_at_{0};
-  std::vector<double> ranks_, fit_;
+  std::vector<double> ranks_, sorted_;
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, full_at_ = kNever,
                   list_wait_ = kProbeEvery;
