--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -109,7 +109,7 @@
   }
 
  private:
-  static constexpr double kShare = 0.01;
+  static constexpr double kShare = 0.02;
   double price_;
   FadingSum taken_;
 };
