Let a host asked before a dial keep its turn

Cause: the pointer had moved on when the answer came, so that the walk offered the next host and asked again. Found by the test of asking.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -194,6 +194,7 @@
     }
     return nullptr;
   }
+  void hand_back() { --next_; }  // the host just chosen keeps its turn
 
  private:
   std::size_t next_;
@@ -365,9 +366,8 @@
   }
 
   void list_begins(bool whole) override {
-    if (!whole) return;
-    for (Host& h : hosts_) h.listed = false;
-    listing_whole_ = true;
+    listing_whole_ = whole;
+    for (Host& h : hosts_) h.listed = h.listed && !whole;
   }
 
   void listed(HostId id, ZoneId zone, CellId cell, Standing standing, double share, Micros started) override {
@@ -592,6 +592,7 @@
       return hold(key, s);
     }
     if (must_ask(*h, s)) {
+      rotation_.hand_back();
       s.host = h->id;
       if (!std::exchange(h->asking, true)) out_.probe(h->id);
       h->asked_at = now_;
@@ -619,7 +620,6 @@
     return h.asking || now_ - std::max(h.forecast.at(), h.asked_at) > kCurrent;
   }
 
-  // Sessions have lately been refused for want of room.
   bool full() const { return full_at_ != kNever && now_ - full_at_ < 2 * kProbeEvery; }
   bool heavy(const Session& s) const { return s.load > kHeavy * usual_load(s.taken); }
 
