--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -103,7 +103,7 @@
   explicit ProbePace(double price) : price_(price), taken_(2 * kQuietRest) {}
   void took(Micros now) { taken_.add(now, 1); }
   Micros interval(Micros now, Micros since, std::size_t hosts) const {
-    const double rate = 1 / seconds(kQuietRest) + taken_.per_second(now, since, kQuietRest);
+    const double rate = 1 / seconds(kQuietRest) + taken_.per_second(now, since, 2 * kProbeEvery);
     const double wanted = price_ * static_cast<double>(hosts) / (kShare * rate);
     return std::clamp(Micros{std::llround(wanted * 1e6)}, kProbeEvery, 100 * kProbeEvery);
   }
