--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -105,7 +105,8 @@
   Micros interval(Micros now, Micros since, std::size_t hosts) const {
     const double rate = 1 / seconds(kQuietRest) + taken_.per_second(now, since, 2 * kProbeEvery);
     const double wanted = price_ * static_cast<double>(hosts) / (kShare * rate);
-    return std::clamp(Micros{std::llround(wanted * 1e6)}, kProbeEvery, 100 * kProbeEvery);
+    if (wanted < seconds(kCurrent)) return kProbeEvery;  // little is won by a little longer
+    return std::min(Micros{std::llround(wanted * 1e6)}, 100 * kProbeEvery);
   }
 
  private:
@@ -523,7 +524,6 @@
     return against >= (s.dials > 0 ? tried : barred) ? unsigned{barred} : against;
   }
 
-  // What a host pays for a group that it does not hold yet: nothing tells, so that of a few sessions.
   double copy_charge(const Host& h, const Session& s) const {
     return s.taken.group && !h.holds(s.taken.group) ? std::min(kCopy * nodes_, kMostCopy) * mean_session_ : 0;
   }
