Ask the list spread in time at a node's start; send no probes where none are allowed

Cause: all nodes asked the list in the same moment, and at 300 nodes and more most calls failed at once. A node's first call now comes within half the time after which silence counts as being told, less where nodes are few. Probes are left out where the settings forbid them (found by reading).

--- a/benchlink/wire.cpp
+++ b/benchlink/wire.cpp
@@ -230,14 +230,16 @@
       fields_.emplace_back(name);
     }
     const bool stays_away = ceilings.yes("retryAfter");
-    balancer_ = make_balancer(*this, seed, static_cast<unsigned>(all.real("balancers", 1)),
-                              ZoneId{static_cast<std::uint32_t>(all.real("myZone", 0))}, std::move(listeners),
-                              DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)),
-                                         stays_away ? ceilings.time("maxRetryAfter") : Micros{0}},
-                              ColdRule{rules.time("cold"), rules.real("coldShare", 1),
-                                       rules.real("overloadFactor", 1), rules.time("tipAfter")},
-                              ListRule{all.text("discovery", "") == "on_request", rules.time("askEvery")},
-                              Prices{prices.real("crossZone", 0), prices.real("probe", 0)});
+    balancer_ =
+        make_balancer(*this, seed, static_cast<unsigned>(all.real("balancers", 1)),
+                      ZoneId{static_cast<std::uint32_t>(all.real("myZone", 0))}, std::move(listeners),
+                      DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)),
+                                 stays_away ? ceilings.time("maxRetryAfter") : Micros{0}},
+                      ColdRule{rules.time("cold"), rules.real("coldShare", 1),
+                               rules.real("overloadFactor", 1), rules.time("tipAfter")},
+                      ListRule{all.text("discovery", "") == "on_request", rules.time("askEvery")},
+                      Prices{prices.real("crossZone", 0),
+                             ceilings.yes("probes") ? std::optional(prices.real("probe", 0)) : std::nullopt});
   }
 
   void at(Micros now) { balancer_->at(now); }
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -100,18 +100,19 @@
 // second: that costs more than all sessions earn, and loads the hosts besides.
 class ProbePace {
  public:
-  explicit ProbePace(double price) : price_(price), taken_(2 * kQuietRest) {}
+  explicit ProbePace(std::optional<double> price) : price_(price), taken_(2 * kQuietRest) {}
+  bool allowed() const { return price_.has_value(); }
   void took(Micros now) { taken_.add(now, 1); }
   Micros interval(Micros now, Micros since, std::size_t hosts) const {
     const double rate = 1 / seconds(kQuietRest) + taken_.per_second(now, since, 2 * kProbeEvery);
-    const double wanted = price_ * static_cast<double>(hosts) / (kShare * rate);
+    const double wanted = price_.value_or(0) * static_cast<double>(hosts) / (kShare * rate);
     if (wanted < seconds(kCurrent)) return kProbeEvery;  // little is won by a little longer
     return std::min(Micros{std::llround(wanted * 1e6)}, 100 * kProbeEvery);
   }
 
  private:
   static constexpr double kShare = 0.02;
-  double price_;
+  std::optional<double> price_;
   FadingSum taken_;
 };
 
@@ -235,7 +236,8 @@
     now_ = now;
     if (began_ != kNever) return;
     began_ = quiet_since_ = now;
-    if (list_.asked) out_.watch();
+    // The list serves all nodes: they don't ask it all at once, which fails for most where they are many.
+    if (list_.asked) ask_list_at_ = now_ + spread(std::min(list_.ask_every / 2, kBeat * (nodes_ - 1)));
     out_.wake(spread(kBeat), WakeId{0});
   }
 
@@ -480,14 +482,11 @@
 
   Host* choose(const Session& s, const Dials& dials) {
     take_means();
-    unsigned ill_ones = 0, usable = 0;
-    for (const Host& h : hosts_) {
-      if (!h.usable()) continue;
-      ++usable;
-      ill_ones += is_ill(h) ? 1 : 0;
-    }
+    const auto ill_one = [&](const Host& h) { return h.usable() && is_ill(h); };
+    const auto usable = std::count_if(hosts_.begin(), hosts_.end(), [](const Host& h) { return h.usable(); });
     // When most look ill, the judgement is suspect; else a host that fails is no way out where all are full.
-    const bool before = std::exchange(suspect_, 2 * ill_ones > usable);
+    const bool before =
+        std::exchange(suspect_, 2 * std::count_if(hosts_.begin(), hosts_.end(), ill_one) > usable);
     if (suspect_ && !before) out_.log("most hosts look ill, using them all the same");
     against_.clear();
     const bool held = std::any_of(hosts_.begin(), hosts_.end(),
@@ -648,7 +647,7 @@
     probe_every_ = pace_.interval(now_, began_, hosts_.size());
     for (Host& h : hosts_) {
       h.sent.fade_by(probe_every_);
-      if (!h.usable() || (h.probe_due += ratio(kBeat, probe_every_)) < 1) continue;
+      if (!pace_.allowed() || !h.usable() || (h.probe_due += ratio(kBeat, probe_every_)) < 1) continue;
       h.probe_due -= 1;
       out_.probe(h.id);
     }
--- a/src/balance.h
+++ b/src/balance.h
@@ -49,8 +49,8 @@
 
 // Points of service that each unit for each session costs.
 struct Prices {
-  double crossing;  // of zones
-  double probe;
+  double crossing;              // of zones
+  std::optional<double> probe;  // absent where hosts may not be probed
 };
 
 struct Taken {
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -204,6 +204,16 @@
   EXPECT_GT(w.watched, before);
 }
 
+TEST(Probes, AreNotSentWhereTheyAreNotAllowed) {
+  Three w;
+  w.probes.clear();
+  w.probe_price.reset();
+  w.restart();
+  w.pass(3s);
+  EXPECT_TRUE(w.probes.empty());
+  EXPECT_EQ(w.watched, 2u);
+}
+
 TEST(Silence, PassesOverAHostThatStopsAnswering) {
   Three w;
   for (int i = 0; i < 400; ++i) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -188,7 +188,7 @@
   std::unique_ptr<Balancer> balancer;
   double capacity = 0;  // sessions a second that fill a warm host; 0: not looked at
   unsigned refused = 0, watched = 0;
-  double probe_price = 0;
+  std::optional<double> probe_price = 0;
 
  private:
   void answer(SessId sess) {
