--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -250,7 +250,6 @@
     if (!taken.returned && !taken.repeat) {
       arrived_.add(now_, fresh.load);
       pace_.took(now_);
-      see(taken);
     }
     place(key, *sessions_.find(key));
     return {this, key};
@@ -259,7 +258,6 @@
   Sess inherit(SessId id, const Taken& taken, HostId host) override {
     Session s(id, taken, usual_load(taken));
     s.dialed(host, now_);
-    see(taken);
     const SlabKey key = sessions_.add(s);
     open(*sessions_.find(key));
     return {this, key};
@@ -325,7 +323,6 @@
     if (Host* h = hosts_.find(s->host)) h->own_load += load - s->load;
     s->load = load;
     usual_[s->taken.listener.value].add(load, 0.98);
-    usual_any_.add(load, 0.98);
   }
 
   // Work piled up at a host makes its messages late long after its reported load has fallen.
@@ -417,12 +414,12 @@
   static bool current(const Session& s, DialNo dial) { return s.dial_out && dial.value + 1 == s.dials; }
 
   double usual_load(const Taken& t) const {
-    return usual_[t.listener.value].or_else(usual_any_.or_else(t.usual_load.value_or(1)));
-  }
-
-  void see(const Taken& t) {
-    ++seen_all_;
-    if (t.group) seen_.join(*t.group);
+    double all = 0, known = 0;
+    for (const FadingMean& m : usual_) {
+      all += m.or_else(0);
+      known += m.known() ? 1 : 0;
+    }
+    return usual_[t.listener.value].or_else(known > 0 ? all / known : t.usual_load.value_or(1));
   }
 
   void open(Session& s) {
@@ -495,7 +492,7 @@
     const bool held = std::any_of(hosts_.begin(), hosts_.end(),
                                   [&](const Host& h) { return h.usable() && h.holds(s.taken.group); });
     for (const Host& h : hosts_) against_.push_back(reasons(h, s, dials, held));
-    if (s.taken.group) keep_together(*s.taken.group, s.taken);
+    if (s.taken.group) keep_together(*s.taken.group);
     return rotation_.choose(hosts_, against_);
   }
 
@@ -533,7 +530,7 @@
   // Each host that holds any of a group pays for it once more: the group's sessions pass over the others
   // while one that holds it is as fit as any. A group that none such holds starts at a host that every node
   // works out alike, from ids, so that it does not spread over as many hosts as there are nodes.
-  void keep_together(GroupId group, const Taken& t) {
+  void keep_together(GroupId group) {
     // Where crossing is dear and the fleet has room, a copy in this zone costs less than crossing.
     const unsigned minor = mean_load_ < kDear * crossing_price_ ? unsigned{crowded} : crowded | remote;
     const unsigned far = minor & remote;
@@ -543,13 +540,8 @@
       best_all = std::min(best_all, a & ~far);
     }
     if (best >= barred) return;
-    // Clients that come back spread over as many homes as a large group needs. Guards against all of them at
-    // the first one, where all come at once and reports show that host empty.
-    const double homes = (seen_.of(group) - 1.0) / seen_all_ * static_cast<double>(hosts_.size());
-    const bool spread_out = t.returned && t.client && homes > 1;
-    const auto salt = spread_out ? mix(t.client->value) % static_cast<std::uint64_t>(homes) : 0;
     ranks_.clear();
-    for (const Host& h : hosts_) ranks_.push_back(h.usable() ? rank({group.value + salt}, h) : 0);
+    for (const Host& h : hosts_) ranks_.push_back(h.usable() ? rank(group, h) : 0);
     std::size_t home = hosts_.size();
     bool held = false;
     double count = 1, own = kPriorOwn;
@@ -770,9 +762,6 @@
   Micros probe_every_ = kProbeEvery;
   Rotation rotation_;
   std::vector<FadingMean> usual_;
-  FadingMean usual_any_;
-  GroupCount seen_;  // sessions of each group, first tries only
-  double seen_all_ = 8;
   ClientLoads sent_away_;
   HostsById<Host> hosts_;
   std::vector<Host*> order_;
