--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -332,6 +332,47 @@
   }
 }
 
+// Rule 4 over many nodes at once, each with its small part of the sessions and no word of the others'.
+TEST(Cold, StaysWithinItsBudgetOverAllNodes) {
+  constexpr unsigned kMany = 12;
+  constexpr double kCapacity = 60, kRate = 110;  // sessions a second: of one warm host, and in all
+  constexpr HostId fresh{4};
+  std::deque<Three> nodes;
+  for (std::uint64_t seed = 1; seed <= kMany; ++seed) {
+    nodes.emplace_back(seed).nodes = kMany;
+    nodes.back().restart();
+  }
+  std::mt19937_64 chance(99);
+  std::poisson_distribution<int> arrivals(kRate / kMany / 10);
+  std::size_t most = 0;
+  for (int step = 0; step < 300 && !testing::Test::HasFailure(); ++step) {
+    std::size_t sent = 0;
+    for (Three& w : nodes) {
+      if (step == 150) {
+        w.hosts[fresh] = {ZoneId{0}, CellId{0}};
+        w.change(fresh, Standing::in, w.now);
+      }
+      w.pass(100ms);
+      for (const HostId h : std::exchange(w.probes, {}))
+        w.report(h, h == fresh ? 0.1 : step < 150 ? kRate / 3 / kCapacity : 0.9);
+      for (int n = arrivals(chance); n > 0; --n) {
+        const SessId id = w.arrive(0);
+        if (w.clients.at(id).dials.empty()) continue;
+        w.accept(id);
+        w.finish(id, Ending::finished);
+      }
+      const std::deque<Micros>& to = w.hosts[fresh].sent;
+      sent +=
+          std::count_if(to.begin(), to.end(), [&](Micros at) { return w.now - at <= World::kCold.window; });
+    }
+    const double age = std::min(1.0, std::max(0, step - 150) * 0.1 / 10);
+    const double window = 2, present = kCapacity * (0.3 + 0.7 * age);
+    EXPECT_LE(static_cast<double>(sent), World::kCold.multiple * present * window);
+    most = std::max(most, sent);
+  }
+  EXPECT_GT(most, 0u);
+}
+
 TEST(Cold, GetsNothingFromANodeThatHasJustStarted) {
   World w(5);
   w.hosts[a] = {ZoneId{0}, CellId{0}, Standing::in, 0us, w.now - 1s};
--- a/tests/world.h
+++ b/tests/world.h
@@ -61,7 +61,7 @@
     clients.clear();
     wakes.clear();
     probes.clear();
-    balancer = make_balancer(*this, chance(), kNodes, ZoneId{0}, listeners, DialLimits{kMostDials, 1s}, kCold,
+    balancer = make_balancer(*this, chance(), nodes, ZoneId{0}, listeners, DialLimits{kMostDials, 1s}, kCold,
                              ListRule{true, 10s}, Prices{0.1, probe_price});
     balancer->at(now);
     tell_all();
@@ -189,6 +189,7 @@
   double capacity = 0;  // sessions a second that fill a warm host; 0: not looked at
   unsigned refused = 0, watched = 0;
   std::optional<double> probe_price = 0;
+  unsigned nodes = kNodes;  // taken up by the next restart
 
  private:
   void answer(SessId sess) {
