--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -746,7 +746,7 @@
 
   static constexpr unsigned kMostPatience = 64;
   static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2.0 / 3, kMostCopy = 8,
-                          kDear = 6, kHeavy = 2, kFewOfGroup = 2, kPriorOwn = 8;
+                          kDear = 4, kHeavy = 2, kFewOfGroup = 2, kPriorOwn = 8;
 
   Outlet& out_;
   std::knuth_b chance_;
