Judge each host's illness once a choice; walk the fleet fewer times

A choice judged every host twice, with a logarithm each time, and went over all hosts four times more than it needs.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -119,8 +119,9 @@
 struct Host : HostFacts {
   explicit Host(HostId h) : HostFacts(h, kProbeEvery) {}
   bool suspended = false;
-  bool asking = false;    // before a dial
-  bool shedding = false;  // broke connections off since its last report
+  bool seems_ill = false;  // as judged at the latest choice
+  bool asking = false;     // before a dial
+  bool shedding = false;   // broke connections off since its last report
   LoadForecast forecast;
   SilenceJudge silence;
   double probe_due = 0;  // a probe is sent when it reaches one
@@ -358,19 +359,10 @@
     }
   }
 
-  void note_report(Host& h, const LoadReport& r) {
-    h.silence.sign(now_);
-    const std::optional<double> load = r.load ? r.load : r.busy;
-    if (!load) return;
-    // Where no piled-up work is reported, the load's own forecast stands for it, with capacity as its peak.
-    const std::optional<double> piled = r.piled_up ? r.piled_up : r.queued;
-    h.forecast.report(now_, *load, piled.value_or(*load), piled ? 0 : 1);
-    mark(h);
-  }
-
   void list_begins(bool whole) override {
     listing_whole_ = whole;
-    for (Host& h : hosts_) h.listed = h.listed && !whole;
+    if (!whole) return;
+    for (Host& h : hosts_) h.listed = false;
   }
 
   void listed(HostId id, ZoneId zone, CellId cell, Standing standing, double share, Micros started) override {
@@ -422,6 +414,16 @@
     return usual_[t.listener.value].or_else(known > 0 ? all / known : t.usual_load.value_or(1));
   }
 
+  void note_report(Host& h, const LoadReport& r) {
+    h.silence.sign(now_);
+    const std::optional<double> load = r.load ? r.load : r.busy;
+    if (!load) return;
+    // Where no piled-up work is reported, the load's own forecast stands for it, with capacity as its peak.
+    const std::optional<double> piled = r.piled_up ? r.piled_up : r.queued;
+    h.forecast.report(now_, *load, piled.value_or(*load), piled ? 0 : 1);
+    mark(h);
+  }
+
   void open(Session& s) {
     s.state = State::open;
     s.may_have_run = true;
@@ -437,8 +439,8 @@
     if (!h.forecast.known() && mean_known_) return std::min(mean_load_, kFullAt - kLightAt) + unseen;
     if (!h.forecast.known()) return mean_own_ > 0 ? h.own / mean_own_ / 2 : 0;
     // What its messages wait for has to be done beside what is asked; no note for a while means little waits.
-    const bool noted = h.delay_at != kNever && now_ - h.delay_at < 2 * kProbeEvery;
-    const double waiting = noted ? ratio(h.delay, 2 * kProbeEvery) : 0;
+    const bool noted = h.delay_at != kNever && now_ - h.delay_at < kCurrent;
+    const double waiting = noted ? ratio(h.delay, kCurrent) : 0;
     return h.forecast.weigh(h.forecast.raw() + unseen + waiting, horizon);
   }
 
@@ -482,15 +484,18 @@
 
   Host* choose(const Session& s, const Dials& dials) {
     take_means();
-    const auto ill_one = [&](const Host& h) { return h.usable() && is_ill(h); };
-    const auto usable = std::count_if(hosts_.begin(), hosts_.end(), [](const Host& h) { return h.usable(); });
+    int more_ill = 0;
+    bool held = false;
+    for (Host& h : hosts_) {
+      if (!h.usable()) continue;
+      h.seems_ill = now_ < h.aside_until || h.silence.unusual(now_, probe_every_) > kUnusual;
+      more_ill += h.seems_ill ? 1 : -1;
+      held = held || h.holds(s.taken.group);
+    }
     // When most look ill, the judgement is suspect; else a host that fails is no way out where all are full.
-    const bool before =
-        std::exchange(suspect_, 2 * std::count_if(hosts_.begin(), hosts_.end(), ill_one) > usable);
+    const bool before = std::exchange(suspect_, more_ill > 0);
     if (suspect_ && !before) out_.log("most hosts look ill, using them all the same");
     against_.clear();
-    const bool held = std::any_of(hosts_.begin(), hosts_.end(),
-                                  [&](const Host& h) { return h.usable() && h.holds(s.taken.group); });
     for (const Host& h : hosts_) against_.push_back(reasons(h, s, dials, held));
     if (s.taken.group) keep_together(*s.taken.group);
     return rotation_.choose(hosts_, against_);
@@ -498,10 +503,6 @@
 
   static bool no_room(const Host& h, double load) { return h.shedding || h.suspended || load >= kFullAt; }
 
-  bool is_ill(const Host& h) const {
-    return now_ < h.aside_until || h.silence.unusual(now_, probe_every_) > kUnusual;
-  }
-
   unsigned reasons(const Host& h, const Session& s, const Dials& dials, bool held) {
     if (!h.usable() || !dials.at(s, h)) return barred;
     unsigned against = 0;
@@ -519,11 +520,11 @@
     if (load > kCrowded * mean_load_) against |= crowded;
     if (h.zone != zone_ && crossing_price_ > 0) against |= remote;
     if (s.has_tried(h.id)) against |= tried;
-    if (is_ill(h)) against |= suspect_ ? ill : barred;
+    if (h.seems_ill) against |= suspect_ ? ill : barred;
     return against >= (s.dials > 0 ? tried : barred) ? unsigned{barred} : against;
   }
 
-  double copy_charge(const Host& h, const Session& s) const {
+  double copy_charge(const Host& h, const Session& s) const {  // nothing tells it: that of a few sessions
     return s.taken.group && !h.holds(s.taken.group) ? std::min(kCopy * nodes_, kMostCopy) * mean_session_ : 0;
   }
 
@@ -541,16 +542,14 @@
     }
     if (best >= barred) return;
     ranks_.clear();
-    for (const Host& h : hosts_) ranks_.push_back(h.usable() ? rank(group, h) : 0);
-    std::size_t home = hosts_.size();
     bool held = false;
-    double count = 1, own = kPriorOwn;
+    double home = 0, count = 1, own = kPriorOwn;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      ranks_.push_back(hosts_[i].usable() ? rank(group, hosts_[i]) : 0);
       count += hosts_[i].groups.of(group);
       own += hosts_[i].own;
       held = held || (sees_groups_ && (against_[i] & ~minor) == best && hosts_[i].holds(group));
-      if ((against_[i] & ~far) != best_all) continue;
-      if (home == hosts_.size() || ranks_[i] > ranks_[home]) home = i;
+      if ((against_[i] & ~far) == best_all) home = std::max(home, ranks_[i]);
     }
     // Where room is short a group keeps to its best hosts, as many as its part of the sessions asks for.
     // Guards against one more copy for each session that finds those full, until copies fill the fleet.
@@ -563,7 +562,7 @@
       least = *last;
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      if (held ? !hosts_[i].holds(group) : i != home) against_[i] |= off_group;
+      if (held ? !hosts_[i].holds(group) : ranks_[i] != home) against_[i] |= off_group;
       if (ranks_[i] <= least && !hosts_[i].holds(group)) against_[i] |= barred;
     }
   }
@@ -619,7 +618,7 @@
     return h.asking || now_ - std::max(h.forecast.at(), h.asked_at) > kCurrent;
   }
 
-  bool full() const { return full_at_ != kNever && now_ - full_at_ < 2 * kProbeEvery; }
+  bool full() const { return full_at_ != kNever && now_ - full_at_ < 2 * kProbeEvery; }  // of late
   bool heavy(const Session& s) const { return s.load > kHeavy * usual_load(s.taken); }
 
   // While sessions are refused, one that costs far more than usual takes the place of several.
