--- a/benchlink/wire.cpp
+++ b/benchlink/wire.cpp
@@ -1,32 +1,22 @@
 #include "wire.h"
 
-#include <simdjson.h>
-
 #include <array>
 #include <charconv>
 #include <cmath>
 #include <unordered_map>
 #include <vector>
 
-#include "balance.h"
+#include "setup/deployment.h"
 
 namespace flintweir::benchlink {
 namespace {
 
+using setup::bad;
 using simdjson::dom::array;
 using simdjson::dom::element;
-using simdjson::dom::element_type;
-
-[[noreturn]] void bad(std::string what) { throw BadInput(std::move(what)); }
-
-std::uint64_t hash(std::string_view text) {
-  std::uint64_t h = 14695981039346656037ull;  // FNV-1a
-  for (const unsigned char c : text) h = (h ^ c) * 1099511628211ull;
-  return h;
-}
 
 // A host's id is worked out from its address alone, so that it is the same at every node.
-HostId host_id(std::string_view address) { return {hash(address)}; }
+HostId host_id(std::string_view address) { return {setup::id_of(address)}; }
 
 // The values of one message, read in their order; `what` names it in complaints.
 class Reader {
@@ -96,54 +86,6 @@
   array::iterator it_, end_;
 };
 
-// Settings by name, with a stand-in where a key is absent.
-class Values {
- public:
-  Values(element e, std::string_view what) {
-    if (e.get(object_)) bad(std::string(what) + " is not an object");
-  }
-  Values(const Values& outer, std::string_view key) : object_() {
-    if (outer.object_[key].get(object_)) bad("CONFIGURE: env." + std::string(key) + " is not an object");
-  }
-  double real(std::string_view key, double other) const {
-    double out;
-    return object_[key].get(out) ? other : out;
-  }
-  Micros time(std::string_view key, Micros other = Micros{0}) const {
-    return Micros{std::llround(real(key, static_cast<double>(other.count())))};
-  }
-  std::string_view text(std::string_view key, std::string_view other) const {
-    std::string_view out;
-    return object_[key].get(out) ? other : out;
-  }
-  bool yes(std::string_view key) const {
-    bool out;
-    return !object_[key].get(out) && out;
-  }
-  array row(std::string_view key) const {
-    array out;
-    if (object_[key].get(out)) bad("CONFIGURE: env." + std::string(key) + " is not a list");
-    return out;
-  }
-
- private:
-  simdjson::dom::object object_;
-};
-
-Effect effect_named(std::string_view name) {
-  if (name == "repeatable") return Effect::repeatable;
-  if (name == "by_key") return Effect::referenced;
-  if (name == "once") return Effect::once_only;
-  bad("CONFIGURE: unknown effect '" + std::string(name) + "'");
-}
-
-Reach reach_named(std::string_view name) {
-  if (name == "all") return Reach::all;
-  if (name == "zone") return Reach::zone;
-  if (name == "cell") return Reach::cell;
-  bad("CONFIGURE: unknown group '" + std::string(name) + "'");
-}
-
 Ending ending_coded(std::uint64_t code) {
   constexpr std::array endings{Ending::finished,    Ending::erred,  Ending::turned_away, Ending::timed_out,
                                Ending::unconnected, Ending::broken, Ending::cancelled,   Ending::unsent};
@@ -213,33 +155,10 @@
 class Node final : public Outlet {
  public:
   Node(Reply& reply, std::uint64_t who, std::uint64_t seed, element env) : reply_(reply), who_(who) {
-    const Values all(env, "CONFIGURE: env");
-    const Values ceilings(all, "ceilings"), rules(all, "rules"), prices(all, "prices");
-    const Values reporting(all, "reporting");
-    std::vector<Listener> listeners;
-    for (const element e : all.row("listeners")) {
-      const Values l(e, "CONFIGURE: a listener");
-      listeners.push_back({l.time("handshakeTarget"), l.time("dialTimeout"),
-                           effect_named(l.text("effect", "once")), reach_named(l.text("group", "cell")),
-                           l.time("dedupWindow"), l.real("utility", 1)});
-    }
-    listener_count_ = listeners.size();
-    for (const element e : reporting.row("fields")) {
-      std::string_view name;
-      if (e.get(name)) bad("CONFIGURE: a report field is not a text");
-      fields_.emplace_back(name);
-    }
-    const bool stays_away = ceilings.yes("retryAfter");
-    balancer_ =
-        make_balancer(*this, seed, static_cast<unsigned>(all.real("balancers", 1)),
-                      ZoneId{static_cast<std::uint32_t>(all.real("myZone", 0))}, std::move(listeners),
-                      DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)),
-                                 stays_away ? ceilings.time("maxRetryAfter") : Micros{0}},
-                      ColdRule{rules.time("cold"), rules.real("coldShare", 1),
-                               rules.real("overloadFactor", 1), rules.time("tipAfter")},
-                      ListRule{all.text("discovery", "") == "on_request", rules.time("askEvery")},
-                      Prices{prices.real("crossZone", 0),
-                             ceilings.yes("probes") ? std::optional(prices.real("probe", 0)) : std::nullopt});
+    const setup::Values settings(env, "CONFIGURE: env");
+    listener_count_ = setup::names(settings, "listeners").size();
+    fields_ = setup::report_fields(settings);
+    balancer_ = setup::balancer_for(settings, *this, seed);
   }
 
   void at(Micros now) { balancer_->at(now); }
@@ -318,10 +237,7 @@
         if (!e) continue;
         double value;
         if (e->get(value)) v.wrong(field, "a number");
-        if (field == "x0") report.load = value;
-        if (field == "x1") report.piled_up = value;
-        if (field == "util") report.busy = value;
-        if (field == "queue") report.queued = value;
+        setup::set_field(report, field, value);
       }
     }
     balancer_->probed(name(host), answered, report);
--- a/benchlink/wire.h
+++ b/benchlink/wire.h
@@ -3,21 +3,15 @@
 #pragma once
 
 #include <memory>
-#include <stdexcept>
-#include <string>
 #include <string_view>
 
 namespace flintweir::benchlink {
 
-struct BadInput : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
 class Wire {
  public:
   Wire();
   ~Wire();
-  // One batch in, one reply out (without the line's end). Throws BadInput on what the wire does not allow.
+  // One batch in, one reply out (without the line's end). Throws setup::BadInput on what the wire does not allow.
   std::string_view answer(std::string_view batch);
 
  private:
--- /dev/null
+++ b/src/net/discovery.h
@@ -0,0 +1,47 @@
+// Follows the list of hosts: a watch that goes on from answer to answer, told to the module as it comes.
+#pragma once
+
+#include <simdjson.h>
+
+#include "balance.h"
+#include "net/hosts.h"
+#include "net/http_get.h"
+
+namespace flintweir::net {
+
+class Discovery final : HttpGet::Told {
+ public:
+  class Told {
+   public:
+    virtual Balancer& balancer_now() = 0;  // with the time said
+    virtual void host_gone(HostId host) = 0;
+
+   protected:
+    ~Told() = default;
+  };
+  Discovery(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, const Tcp::endpoint& at,
+            std::vector<std::string> zones, Hosts& hosts, Told& told)
+      : get_(io, descriptors, wakes, at, *this), zones_(std::move(zones)), hosts_(hosts), told_(told) {}
+
+  // Takes a list in discovery's form; false, with nothing changed, where it is malformed.
+  bool take(const simdjson::dom::element& list);
+  void watch();
+
+ private:
+  void http_answered(unsigned status, std::string& body) override;
+  void http_failed(const char* why) override;
+  void ask();
+  // Calls entry(id, name, endpoint, zone, cell, standing, share, started) for each target; false: malformed.
+  template <class Entry>
+  bool each_target(const simdjson::dom::array& targets, Entry entry) const;
+
+  HttpGet get_;
+  std::vector<std::string> zones_;
+  Hosts& hosts_;
+  Told& told_;
+  simdjson::dom::parser parser_;
+  std::uint64_t version_ = 0;
+  bool watching_ = false;
+};
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/host_conn.cpp
@@ -0,0 +1,111 @@
+#include "net/host_conn.h"
+
+#include <charconv>
+
+#include "net/heads.h"
+
+namespace flintweir::net {
+
+void HostConn::dial(const Tcp::endpoint& to, std::string_view head, std::string_view time_left,
+                    Micros within) {
+  head_ = head;
+  time_left_ = time_left;
+  until_ = wakes_.now() + within;
+  digits_size_ = sent_ = 0;
+  if (!stream_.connect(to, *this)) return fail();
+  ++use_;
+  phase_ = Phase::connecting;
+  wakes_.after(std::min(connect_within_, within), *this, token(Due::connect));
+  wakes_.after(within, *this, token(Due::limit));
+}
+
+void HostConn::fail() {
+  ++use_;
+  phase_ = Phase::failed;
+  wakes_.after(Micros{0}, *this, token(Due::limit));
+}
+
+void HostConn::give_up() {
+  ++use_;
+  phase_ = Phase::idle;
+  stream_.close();
+}
+
+Stream& HostConn::accepted() {
+  ++use_;
+  phase_ = Phase::given;
+  return stream_;
+}
+
+void HostConn::connected(Stream&, std::error_code failed) {
+  if (failed) return end(Ending::unconnected);
+  phase_ = Phase::sending;
+  if (!time_left_.empty()) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until_ - wakes_.now()).count();
+    const auto end =
+        std::to_chars(digits_.data(), digits_.data() + digits_.size(), std::max<long long>(left, 1));
+    digits_size_ = static_cast<std::size_t>(end.ptr - digits_.data());
+  }
+  stream_.want_read();
+  send();
+}
+
+// Whether the last byte was written decides whether the session may have run, so it is known exactly.
+void HostConn::send() {
+  const std::size_t before =
+      time_left_.empty() ? head_.size() : static_cast<std::size_t>(time_left_.data() - head_.data());
+  const std::string_view after =
+      time_left_.empty() ? std::string_view{} : head_.substr(before + time_left_.size());
+  const std::array<std::string_view, 3> texts{head_.substr(0, before), {digits_.data(), digits_size_}, after};
+  std::array<asio::const_buffer, 3> parts;
+  std::size_t skip = sent_, all = 0;
+  for (std::size_t i = 0; i < texts.size(); ++i) {
+    const std::size_t skipped = std::min(skip, texts[i].size());
+    skip -= skipped;
+    all += texts[i].size();
+    parts[i] = asio::const_buffer(texts[i].data() + skipped, texts[i].size() - skipped);
+  }
+  const auto n = stream_.write(parts);
+  if (!n) return broken(stream_);
+  sent_ += *n;
+  if (sent_ < all) return stream_.want_write();
+  phase_ = Phase::sent;
+}
+
+void HostConn::came(Stream&) {
+  const auto line = stream_.in().line();
+  if (!line) {
+    if (stream_.at_end()) return broken(stream_);
+    if (stream_.in().held().size() >= kLongestLine) return end(Ending::erred);
+    return stream_.want_read();
+  }
+  std::string_view rest;
+  switch (said(without_end(*line), rest)) {
+    case Says::up:
+      return owner_.host_accepted();
+    case Says::bye:
+      return end(Ending::finished);
+    case Says::move:
+      return end(Ending::cancelled);
+    case Says::busy:
+      return end(Ending::turned_away);
+    default:
+      return end(Ending::erred);
+  }
+}
+
+void HostConn::broken(Stream&) { end(phase_ == Phase::sent ? Ending::broken : Ending::unconnected); }
+
+void HostConn::woken(std::uint64_t t) {
+  if (t == token(Due::connect) && phase_ == Phase::connecting) return end(Ending::unconnected);
+  if (t != token(Due::limit)) return;
+  if (phase_ == Phase::failed) return end(Ending::unsent);
+  if (out()) end(phase_ == Phase::sent ? Ending::timed_out : Ending::unconnected);
+}
+
+void HostConn::end(Ending how) {
+  give_up();
+  owner_.dial_ended(how);
+}
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/host_conn.h
@@ -0,0 +1,59 @@
+// One dial: a connection to a host up to its answer, and how it ended otherwise.
+#pragma once
+
+#include <array>
+
+#include "balance.h"
+#include "net/stream.h"
+#include "net/wakes.h"
+
+namespace flintweir::net {
+
+class HostOwner {
+ public:
+  virtual void host_accepted() = 0;         // the UP line lies unread in the stream
+  virtual void dial_ended(Ending how) = 0;  // the connection is closed
+
+ protected:
+  ~HostOwner() = default;
+};
+
+class HostConn final : StreamEvents, Woken {
+ public:
+  HostConn(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, Micros connect_within,
+           HostOwner& owner)
+      : stream_(io, descriptors), wakes_(wakes), connect_within_(connect_within), owner_(owner) {}
+
+  // `head` is sent on, but for the digits `time_left` within it, which become the time that this dial has.
+  // Both must stay in place until it ends. The end comes in a later turn, never from within.
+  void dial(const Tcp::endpoint& to, std::string_view head, std::string_view time_left, Micros within);
+  void fail();     // as a dial that can't be made; ends in a later turn, too
+  void give_up();  // without a call on the owner
+  bool out() const { return phase_ != Phase::idle && phase_ != Phase::given; }
+  Stream& accepted();  // from now on another's
+
+ private:
+  enum class Phase { idle, failed, connecting, sending, sent, given };
+  enum class Due : std::uint64_t { connect, limit };
+  void connected(Stream&, std::error_code) override;
+  void came(Stream&) override;
+  void writable(Stream&) override { send(); }
+  void broken(Stream&) override;
+  void woken(std::uint64_t token) override;
+  std::uint64_t token(Due due) const { return use_ << 1 | static_cast<std::uint64_t>(due); }
+  void send();
+  void end(Ending how);
+
+  Stream stream_;
+  Wakes& wakes_;
+  Micros connect_within_;
+  HostOwner& owner_;
+  Phase phase_ = Phase::idle;
+  std::uint64_t use_ = 0;
+  std::string_view head_, time_left_;
+  std::array<char, 24> digits_{};
+  std::size_t digits_size_ = 0, sent_ = 0;
+  Micros until_{0};
+};
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/hosts.h
@@ -0,0 +1,53 @@
+// Where hosts are reached: what the list says of them beside what the module is told.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "ids.h"
+#include "net/stream.h"
+
+namespace flintweir::net {
+
+class Hosts {
+ public:
+  struct Host {
+    std::string name;
+    Tcp::endpoint at;
+    bool listed = true;
+    bool late = false;  // its messages are
+    Micros late_told{0};
+  };
+  const Host* find(HostId id) const {
+    const auto it = hosts_.find(id.value);
+    return it == hosts_.end() ? nullptr : &it->second;
+  }
+  Host* find(HostId id) { return const_cast<Host*>(std::as_const(*this).find(id)); }
+  const char* name(HostId id) const {
+    const Host* h = find(id);
+    return h ? h->name.c_str() : "-";
+  }
+  // A whole list: hosts that it does not name are gone.
+  void list_begins() {
+    for (auto& [id, host] : hosts_) host.listed = false;
+  }
+  void listed(HostId id, std::string_view name, const Tcp::endpoint& at) {
+    Host& host = hosts_[id.value];
+    if (host.name != name) host.name = name;
+    host.at = at;
+    host.listed = true;
+  }
+  void gone(HostId id) { hosts_.erase(id.value); }
+  void list_ends() {
+    std::erase_if(hosts_, [](const auto& entry) { return !entry.second.listed; });
+  }
+
+ private:
+  std::unordered_map<std::uint64_t, Host> hosts_;
+};
+
+// An address as `a.b.c.d:port` or `[v6]:port`; there are no names to look up.
+std::optional<Tcp::endpoint> endpoint_of(std::string_view text);
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/http_get.cpp
@@ -0,0 +1,110 @@
+#include "net/http_get.h"
+
+#include <sstream>
+
+namespace flintweir::net {
+namespace {
+
+constexpr std::size_t kLongestBody = 16u << 20;
+
+}  // namespace
+
+HttpGet::HttpGet(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, const Tcp::endpoint& at,
+                 Told& told)
+    : stream_(io, descriptors), wakes_(wakes), at_(at), told_(told) {
+  std::ostringstream name;
+  name << at;
+  host_ = name.str();
+  http_parser_settings_init(&callbacks_);
+  callbacks_.on_body = [](http_parser* p, const char* bytes, std::size_t n) {
+    std::string& body = static_cast<HttpGet*>(p->data)->body_;
+    if (body.size() + n > kLongestBody) return 1;
+    body.append(bytes, n);
+    return 0;
+  };
+  callbacks_.on_message_complete = [](http_parser* p) {
+    static_cast<HttpGet*>(p->data)->whole_ = true;
+    http_parser_pause(p, 1);
+    return 0;
+  };
+}
+
+void HttpGet::get(std::string_view path, Micros within) {
+  request_ = "GET ";
+  request_.append(path)
+      .append(" HTTP/1.1\r\nHost: ")
+      .append(host_)
+      .append("\r\nAccept: application/json\r\n\r\n");
+  body_.clear();
+  sent_ = 0;
+  whole_ = false;
+  asking_ = true;
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = this;
+  wakes_.after(within, *this, ++token_);
+  kept_ = stream_.open();
+  if (kept_) return send();
+  if (!stream_.connect(at_, *this)) wakes_.after(Micros{0}, *this, token_);
+}
+
+void HttpGet::connected(Stream&, std::error_code failed) {
+  if (failed) return fail("no connection");
+  stream_.want_read();
+  send();
+}
+
+void HttpGet::send() {
+  const auto n = stream_.write(std::string_view(request_).substr(sent_));
+  if (!n) return broken(stream_);
+  sent_ += *n;
+  if (sent_ < request_.size()) stream_.want_write();
+  stream_.want_read();
+}
+
+void HttpGet::came(Stream&) {
+  const std::string_view bytes = stream_.in().held();
+  if (!asking_) return stream_.close();  // the end of an idle connection, or what nobody asked for
+  if (!bytes.empty()) {
+    kept_ = false;
+    http_parser_execute(&parser_, &callbacks_, bytes.data(), bytes.size());
+  }
+  if (!whole_ && stream_.at_end()) {
+    http_parser_execute(&parser_, &callbacks_, nullptr, 0);  // a body may last until the end
+    if (!whole_) return broken(stream_);
+  }
+  const auto error = HTTP_PARSER_ERRNO(&parser_);
+  if (error != HPE_OK && error != HPE_PAUSED) return fail(http_errno_name(error));
+  stream_.in().clear();
+  if (!whole_) return stream_.want_read();
+  asking_ = false;
+  ++token_;
+  if (stream_.at_end() || !http_should_keep_alive(&parser_))
+    stream_.close();
+  else
+    stream_.want_read();
+  told_.http_answered(parser_.status_code, body_);
+}
+
+void HttpGet::broken(Stream&) {
+  stream_.close();
+  if (!asking_) return;
+  // A kept connection may have ended while it was idle: asked again on a new one, once.
+  if (std::exchange(kept_, false)) {
+    sent_ = 0;
+    if (stream_.connect(at_, *this)) return;
+  }
+  fail("the connection broke");
+}
+
+void HttpGet::woken(std::uint64_t token) {
+  if (token == token_ && asking_) fail("no answer in time");
+}
+
+void HttpGet::fail(const char* why) {
+  asking_ = false;
+  ++token_;
+  stream_.close();
+  told_.http_failed(why);
+}
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/http_get.h
@@ -0,0 +1,50 @@
+// One HTTP/1.1 GET at a time over a kept connection.
+#pragma once
+
+#include <http_parser.h>
+
+#include <string>
+
+#include "net/stream.h"
+#include "net/wakes.h"
+
+namespace flintweir::net {
+
+class HttpGet final : StreamEvents, Woken {
+ public:
+  class Told {
+   public:
+    virtual void http_answered(unsigned status, std::string& body) = 0;
+    virtual void http_failed(const char* why) = 0;
+
+   protected:
+    ~Told() = default;
+  };
+  HttpGet(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, const Tcp::endpoint& at, Told& told);
+
+  // One call on Told ends it, in a later turn.
+  void get(std::string_view path, Micros within);
+
+ private:
+  void connected(Stream&, std::error_code failed) override;
+  void came(Stream&) override;
+  void writable(Stream&) override { send(); }
+  void broken(Stream&) override;
+  void woken(std::uint64_t token) override;
+  void send();
+  void fail(const char* why);
+
+  Stream stream_;
+  Wakes& wakes_;
+  Tcp::endpoint at_;
+  std::string host_;
+  Told& told_;
+  http_parser parser_{};
+  http_parser_settings callbacks_{};
+  std::string request_, body_;
+  std::size_t sent_ = 0;
+  std::uint64_t token_ = 0;
+  bool asking_ = false, kept_ = false, whole_ = false;
+};
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/link.cpp
@@ -0,0 +1,153 @@
+#include "net/link.h"
+
+#include <algorithm>
+
+#include "net/sessions.h"
+#include "setup/deployment.h"
+
+namespace flintweir::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Micros kHolderAgain = 250ms;  // between dials to the host that holds a connection already
+
+}  // namespace
+
+Link::Link(Sessions& s)
+    : sessions_(s),
+      client_(s.io_, s.descriptors_, s.wakes_, s.patience_.first_line, *this),
+      host_(s.io_, s.descriptors_, s.wakes_, s.patience_.connect, *this),
+      relay_(s.wakes_, *this) {}
+
+void Link::begin(SlabKey key, Tcp::socket socket) {
+  key_ = key;
+  handle_ = Sess();
+  taken_ = Taken{};
+  time_left_ = {};
+  at_ = HostId{};
+  dials_ = 0;
+  inherited_ = answered_ = open_ = moving_ = false;
+  began_ = sessions_.wakes_.now();
+  client_.begin(std::move(socket));
+}
+
+bool Link::taking() const { return !sessions_.leaving_; }
+
+void Link::head_came(std::string_view line) {
+  began_ = sessions_.wakes_.now();
+  std::string_view at;
+  if (!sessions_.heads_.open(line, began_, taken_, at, time_left_))
+    return answer("ERR\r\n", Reason::bad_line);
+  // Refused before the module hears of it: nothing has been dialled.
+  if (sessions_.leaving_) return answer("BUSY\r\n", Reason::restarting);
+  if (!sessions_.has_room()) return answer("BUSY\r\n", Reason::no_descriptors);
+  if (!at.empty()) {
+    inherited_ = true;
+    at_ = HostId{setup::id_of(at)};
+    return dial_holder();
+  }
+  const Sess handle = sessions_.balancer_now().take(SessId{key_.packed()}, taken_);
+  if (!answered_) handle_ = handle;
+}
+
+void Link::dial(HostId host, Micros within) {
+  at_ = host;
+  ++dials_;
+  const Micros left = taken_.valid_until - sessions_.wakes_.now();
+  const Micros limit = within > 0us ? std::min(within, left) : left;
+  const Hosts::Host* h = sessions_.hosts_.find(host);
+  if (!h || !sessions_.has_room()) return host_.fail();
+  host_.dial(h->at, client_.head(), time_left_, limit);
+}
+
+// A connection that was open before this node's: only its holder can go on with it.
+void Link::dial_holder() {
+  if (!answered_) dial(at_, 0us);
+}
+
+void Link::answer(std::string_view line, Reason reason) {
+  answered_ = true;
+  log_end(reason);
+  client_.answer(line);
+}
+
+void Link::move(Reason why) {
+  if (!movable()) return;
+  moving_ = true;
+  relay_.move(why);
+}
+
+void Link::client_left() {
+  if (answered_) return;
+  if (handle_.live()) {
+    sessions_.balancer_now();
+    handle_.left();
+    if (host_.out()) {
+      host_.give_up();
+      handle_.ended(dial_no(), Ending::cancelled, true);
+    }
+  }
+  host_.give_up();
+  // It may have ended only its sending; then this is its one final answer.
+  answer("ERR\r\n", Reason::left);
+}
+
+void Link::client_failed(Reason reason) {
+  answered_ = true;
+  log_end(reason);
+}
+
+void Link::client_closed() { sessions_.free(key_); }
+
+void Link::host_accepted() {
+  open_ = answered_ = true;
+  Balancer& balancer = sessions_.balancer_now();
+  if (inherited_)
+    handle_ = balancer.inherit(SessId{key_.packed()}, taken_, at_);
+  else
+    handle_.accepted(dial_no());
+  if (sessions_.leaving_) sessions_.leave_soon();
+  relay_.start(client_.accepted(), host_.accepted());
+}
+
+void Link::dial_ended(Ending how) {
+  if (!inherited_) {
+    sessions_.balancer_now();
+    return handle_.ended(dial_no(), how, false);
+  }
+  const bool never_ran = how == Ending::unconnected || how == Ending::turned_away || how == Ending::unsent;
+  if (!never_ran || sessions_.wakes_.now() + kHolderAgain >= taken_.valid_until)
+    return answer(never_ran ? "BUSY\r\n" : "ERR\r\n", never_ran ? Reason::refused : Reason::torn_down);
+  sessions_.again(key_, kHolderAgain);
+}
+
+void Link::load_is(double micros_per_s) {
+  sessions_.balancer_now();
+  handle_.load_is(micros_per_s);
+}
+
+void Link::message_took(Micros delay) {
+  if (!sessions_.delay_counts(at_, delay)) return;
+  sessions_.balancer_now();
+  handle_.messages_take(delay);
+}
+
+void Link::relay_over(Ending how, Reason why) {
+  open_ = false;
+  log_end(why);
+  sessions_.balancer_now();
+  handle_.ended(inherited_ ? DialNo{0} : dial_no(), how, true);
+}
+
+void Link::relay_closed() { sessions_.free(key_); }
+
+void Link::log_end(Reason reason) {
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(sessions_.wakes_.now() - began_).count();
+  log_line("end %s client=%016llx host=%s listener=%u dials=%u ms=%lld", code_of(reason),
+           static_cast<unsigned long long>(taken_.client.value_or(ClientKey{}).value),
+           sessions_.hosts_.name(at_), taken_.listener.value, dials_, static_cast<long long>(ms));
+}
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/link.h
@@ -0,0 +1,54 @@
+// One client's connection with that to its host, and the module's handle on the session they make.
+#pragma once
+
+#include "balance.h"
+#include "net/client_conn.h"
+#include "net/host_conn.h"
+#include "net/relay.h"
+
+namespace flintweir::net {
+
+class Sessions;
+
+class Link final : ClientOwner, HostOwner, RelayOwner {
+ public:
+  explicit Link(Sessions& sessions);
+
+  void begin(SlabKey key, Tcp::socket socket);
+  // What the module does.
+  void dial(HostId host, Micros within);
+  void answer(std::string_view line, Reason reason);
+  void move(Reason why);
+  bool movable() const { return open_ && !moving_; }
+  void dial_holder();
+
+ private:
+  bool taking() const override;
+  void head_came(std::string_view line) override;
+  void client_left() override;
+  void client_closed() override;
+  void client_failed(Reason reason) override;
+  void host_accepted() override;
+  void dial_ended(Ending how) override;
+  void load_is(double micros_per_s) override;
+  void message_took(Micros delay) override;
+  void relay_over(Ending how, Reason why) override;
+  void relay_closed() override;
+  DialNo dial_no() const { return {dials_ > 0 ? dials_ - 1 : 0}; }
+  void log_end(Reason reason);
+
+  Sessions& sessions_;
+  ClientConn client_;
+  HostConn host_;
+  Relay relay_;
+  SlabKey key_;
+  Sess handle_;
+  Taken taken_{};
+  std::string_view time_left_;
+  HostId at_;
+  Micros began_{0};
+  std::uint32_t dials_ = 0;
+  bool inherited_ = false, answered_ = false, open_ = false, moving_ = false;
+};
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/log.cpp
@@ -0,0 +1,63 @@
+#include "net/log.h"
+
+#include <chrono>
+#include <cstdarg>
+#include <cstdio>
+
+namespace flintweir::net {
+
+void log_line(const char* format, ...) {
+  using Clock = std::chrono::steady_clock;
+  constexpr unsigned kLinesPerSecond = 500;
+  static Clock::time_point second = Clock::now();
+  static unsigned written = 0, dropped = 0;
+  if (const auto now = Clock::now(); now - second >= std::chrono::seconds(1)) {
+    if (dropped > 0) std::fprintf(stderr, "log: %u lines dropped\n", dropped);
+    second = now;
+    written = dropped = 0;
+  }
+  if (written >= kLinesPerSecond) return void(++dropped);
+  ++written;
+  char line[1024];
+  std::va_list args;
+  va_start(args, format);
+  std::vsnprintf(line, sizeof line, format, args);
+  va_end(args);
+  std::fprintf(stderr, "%s\n", line);
+}
+
+const char* code_of(Reason reason) {
+  switch (reason) {
+    case Reason::checked:
+      return "checked";
+    case Reason::bad_line:
+      return "bad-line";
+    case Reason::refused:
+      return "refused";
+    case Reason::torn_down:
+      return "torn-down";
+    case Reason::no_descriptors:
+      return "no-descriptors";
+    case Reason::left:
+      return "left";
+    case Reason::client_ended:
+      return "client-ended";
+    case Reason::host_ended:
+      return "host-ended";
+    case Reason::host_moved:
+      return "host-moved";
+    case Reason::host_broke:
+      return "host-broke";
+    case Reason::host_silent:
+      return "host-silent";
+    case Reason::host_garbled:
+      return "host-garbled";
+    case Reason::moved:
+      return "moved";
+    case Reason::restarting:
+      return "restarting";
+  }
+  return "unknown";
+}
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/node.cpp
@@ -0,0 +1,132 @@
+#include "net/node.h"
+
+#include <algorithm>
+#include <csignal>
+
+#include "net/log.h"
+#include "setup/deployment.h"
+
+namespace flintweir::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t kOwnDescriptors = 16;  // standard streams, the event queue, the door
+constexpr int kAcceptsInARow = 64;
+
+std::vector<Micros> listener_times(const setup::Values& settings, std::string_view key) {
+  std::vector<Micros> times;
+  for (const auto e : settings.row("listeners")) times.push_back(setup::Values(e, "a listener").time(key));
+  if (times.empty()) setup::bad("settings.listeners is empty");
+  return times;
+}
+
+Micros longest(const std::vector<Micros>& times) { return *std::max_element(times.begin(), times.end()); }
+
+// What messages may take, where delays are the module's to know.
+Micros message_target(const setup::Values& settings) {
+  if (!settings.has("familyInfo")) return 0us;
+  const setup::Values family(settings, "familyInfo");
+  if (!family.yes("tellsDelay")) return 0us;
+  double least = 0;
+  for (const auto e : family.row("messageAim")) {
+    double aim;
+    if (!e.get(aim) && aim > 0 && (least == 0 || aim < least)) least = aim;
+  }
+  return Micros{static_cast<std::int64_t>(least)};
+}
+
+HeadReader head_reader(const setup::Values& settings) {
+  const bool groups = settings.has("familyInfo") && setup::Values(settings, "familyInfo").yes("groups");
+  return {setup::names(settings, "listeners"), listener_times(settings, "dialTimeout"), groups};
+}
+
+Patience patience(const setup::Values& settings) {
+  const std::vector<Micros> targets = listener_times(settings, "handshakeTarget");
+  const Micros target = *std::min_element(targets.begin(), targets.end());
+  return {setup::Values(settings, "ceilings").time("connectTimeout", target / 4),
+          4 * longest(listener_times(settings, "dialTimeout")), target / 2};
+}
+
+// Half of the memory for sessions; each takes its place in the table and what the kernel keeps for two
+// sockets.
+std::size_t most_sessions(const NodeFile& file) {
+  constexpr std::size_t kEach = sizeof(Link) + (64u << 10);
+  return std::max<std::size_t>((file.memory_mb() << 20) / 2 / kEach, 1);
+}
+
+}  // namespace
+
+Node::Node(const NodeFile& file, bool listening)
+    : descriptors_(std::max(file.sockets(), 4 * kOwnDescriptors) - kOwnDescriptors),
+      longest_dial_(longest(listener_times(file.settings(), "dialTimeout"))),
+      sessions_(io_, descriptors_, wakes_, hosts_, patience(file.settings()), message_target(file.settings()),
+                head_reader(file.settings()), most_sessions(file), *this),
+      discovery_(io_, descriptors_, wakes_, file.discovery(), setup::names(file.settings(), "failureDomains"),
+                 hosts_, *this) {
+  sessions_.serve(file.settings(), file.seed());
+  if (const auto known = file.known(); known && !discovery_.take(*known)) {
+    setup::bad("configuration: known is not a list of hosts");
+  }
+  sessions_.balancer_now();
+  const Tcp::endpoint at = file.listen();
+  if (!listening) return;
+  door_.open(at.protocol());
+  door_.set_option(Tcp::acceptor::reuse_address(true));
+  door_.bind(at);
+  door_.listen(4096);
+  door_.non_blocking(true);
+}
+
+void Node::run() {
+  signals_.add(SIGTERM);
+  signals_.add(SIGINT);
+  signals_.async_wait([this](std::error_code ec, int) {
+    if (!ec) leave();
+  });
+  wait_for_clients();
+  io_.run();
+}
+
+void Node::wait_for_clients() {
+  door_.async_wait(Tcp::acceptor::wait_read, [this](std::error_code ec) {
+    if (!ec) accept();
+  });
+}
+
+void Node::accept() {
+  for (int i = 0; i < kAcceptsInARow; ++i) {
+    std::error_code ec;
+    if (!descriptors_.room(1)) ec = asio::error::no_descriptors;
+    Tcp::socket socket(io_);
+    if (!ec) door_.accept(socket, ec);
+    if (ec == asio::error::would_block) break;
+    if (ec == asio::error::connection_aborted || ec == asio::error::interrupted) continue;
+    if (ec) {
+      // Those that wait are taken as soon as others have gone.
+      log_line("accept: %s", ec.message().c_str());
+      return wakes_.after(10ms, *this, accept_again);
+    }
+    sessions_.take(std::move(socket));
+  }
+  wait_for_clients();
+}
+
+void Node::woken(std::uint64_t due) {
+  if (due == accept_again) return accept();
+  if (wakes_.now() >= gone_by_) {
+    log_line("left");
+    return io_.stop();
+  }
+  wakes_.after(20ms, *this, left);
+}
+
+// Clients are moved over half the longest dial timeout; those that still come are answered until it is over.
+void Node::leave() {
+  log_line("leaving: moving all sessions");
+  gone_by_ = wakes_.now() + longest_dial_ + 200ms;
+  sessions_.leave(longest_dial_ / 2);
+  wakes_.after(0us, *this, left);
+}
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/probes.cpp
@@ -0,0 +1,90 @@
+#include "net/probes.h"
+
+#include "net/heads.h"
+
+namespace flintweir::net {
+
+void Probes::ask(HostId host, const Tcp::endpoint* at) {
+  const auto [it, fresh] = by_host_.try_emplace(host.value, nullptr);
+  if (fresh) {
+    if (free_.empty()) free_.push_back(&probes_.emplace_back(*this));
+    it->second = free_.back();
+    free_.pop_back();
+  }
+  it->second->ask(host, at);
+}
+
+void Probes::forget(HostId host) {
+  const auto it = by_host_.find(host.value);
+  if (it == by_host_.end()) return;
+  it->second->drop();
+  free_.push_back(it->second);
+  by_host_.erase(it);
+}
+
+void Probes::Probe::drop() {
+  ++token_;
+  asking_ = false;
+  stream_.close();
+}
+
+void Probes::Probe::ask(HostId host, const Tcp::endpoint* at) {
+  if (std::exchange(asking_, true)) return;  // the answer under way serves both
+  host_ = host;
+  // A host may come back at a new address.
+  if (at && at_ != *at) stream_.close();
+  if (at) at_ = *at;
+  ++token_;
+  kept_ = stream_.open();
+  if (kept_)
+    send();
+  else if (!at || !stream_.connect(at_, *this))
+    return probes_.wakes_.after(Micros{0}, *this, token_);
+  probes_.wakes_.after(probes_.answer_within_, *this, token_);
+}
+
+void Probes::Probe::connected(Stream&, std::error_code failed) { failed ? broken(stream_) : send(); }
+
+void Probes::Probe::send() {
+  if (!stream_.write("STATS\r\n")) return broken(stream_);
+  stream_.want_read();
+}
+
+void Probes::Probe::came(Stream&) {
+  const auto line = stream_.in().line();
+  if (!line) {
+    if (stream_.at_end() || stream_.in().full()) return broken(stream_);
+    return stream_.want_read();
+  }
+  std::string_view rest;
+  const bool pong = said(without_end(*line), rest) == Says::pong;
+  const LoadReport report = pong ? load_report(rest) : LoadReport{};
+  stream_.in().drop(line->size());
+  if (!pong || stream_.at_end()) stream_.close();
+  // What nobody asked for is no answer to the next question.
+  if (!asking_) return stream_.close();
+  stream_.want_read();
+  end(pong, report);
+}
+
+void Probes::Probe::broken(Stream&) {
+  stream_.close();
+  if (!asking_) return;
+  // A kept connection may have been closed by the host while it was idle: that says nothing of the host.
+  if (std::exchange(kept_, false) && stream_.connect(at_, *this)) return;
+  end(false, {});
+}
+
+void Probes::Probe::woken(std::uint64_t token) {
+  if (token != token_ || !asking_) return;
+  stream_.close();  // an answer that comes later must not be taken for the next one's
+  end(false, {});
+}
+
+void Probes::Probe::end(bool answered, const LoadReport& report) {
+  ++token_;
+  asking_ = false;
+  probes_.told_.probed(host_, answered, report);
+}
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/probes.h
@@ -0,0 +1,62 @@
+// Asks hosts for their load, over one kept connection a host.
+#pragma once
+
+#include <deque>
+#include <unordered_map>
+
+#include "balance.h"
+#include "net/hosts.h"
+#include "net/wakes.h"
+
+namespace flintweir::net {
+
+class Probes {
+ public:
+  class Told {
+   public:
+    virtual void probed(HostId host, bool answered, const LoadReport& report) = 0;
+
+   protected:
+    ~Told() = default;
+  };
+  Probes(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, Micros answer_within, Told& told)
+      : io_(io), descriptors_(descriptors), wakes_(wakes), answer_within_(answer_within), told_(told) {}
+
+  // Answered by one call of probed(), in a later turn.
+  void ask(HostId host, const Tcp::endpoint* at);
+  void forget(HostId host);
+
+ private:
+  class Probe final : StreamEvents, Woken {
+   public:
+    explicit Probe(Probes& probes) : probes_(probes), stream_(probes.io_, probes.descriptors_) {}
+    void ask(HostId host, const Tcp::endpoint* at);
+    void drop();
+
+   private:
+    void connected(Stream&, std::error_code failed) override;
+    void came(Stream&) override;
+    void broken(Stream&) override;
+    void woken(std::uint64_t token) override;
+    void send();
+    void end(bool answered, const LoadReport& report);
+
+    Probes& probes_;
+    Stream stream_;
+    HostId host_;
+    Tcp::endpoint at_;
+    std::uint64_t token_ = 0;
+    bool asking_ = false, kept_ = false;  // kept: the connection has answered before
+  };
+
+  asio::io_context& io_;
+  Descriptors& descriptors_;
+  Wakes& wakes_;
+  Micros answer_within_;
+  Told& told_;
+  std::deque<Probe> probes_;
+  std::vector<Probe*> free_;
+  std::unordered_map<std::uint64_t, Probe*> by_host_;
+};
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/relay.cpp
@@ -0,0 +1,169 @@
+#include "net/relay.h"
+
+#include "net/client_conn.h"
+#include "net/heads.h"
+
+namespace flintweir::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A client says something every 2 s, and a running host that brings nothing back for 7 s loses the
+// connection: with this, it is moved after 6 s at the latest.
+constexpr Micros kSilence = 4s;
+
+}  // namespace
+
+void Relay::start(Stream& client, Stream& host) {
+  ++use_;
+  client_ = &client;
+  host_ = &host;
+  seen_ = 0;
+  move_left_ = {};
+  between_lines_ = true;
+  moving_ = over_ = bye_ = sent_away_ = false;
+  asked_at_ = Micros{0};
+  client.hand_to(*this);
+  host.hand_to(*this);
+  client_came();
+  if (client_) host_came();
+}
+
+void Relay::move(Reason why) {
+  if (!client_ || over_ || std::exchange(moving_, true)) return;
+  why_moving_ = why;
+  wakes_.after(Micros{0}, *this, token(Due::move));
+}
+
+void Relay::came(Stream& stream) { &stream == client_ ? client_came() : host_came(); }
+
+void Relay::writable(Stream& stream) { &stream == client_ ? down_stream() : up_stream(); }
+
+void Relay::client_came() {
+  if (sent_away_) client_->in().clear();  // it was told to leave; what it said crossed that
+  const std::string_view said_now = client_->in().held();
+  if (asked_at_ == Micros{0} && said_now.find('\n') != said_now.npos) {
+    asked_at_ = wakes_.now();
+    wakes_.after(kSilence, *this, token(Due::silence));
+  }
+  if (client_->at_end()) over(Ending::cancelled, Reason::client_ended);
+  up_stream();
+}
+
+void Relay::up_stream() {
+  LineBuffer& bytes = client_->in();
+  if (!bytes.empty() && host_->open() && !host_->shut()) {
+    const auto n = host_->write(bytes.held());
+    // What a host said before it broke off is still to be read; its reading side tells of the end.
+    bytes.drop(n.value_or(bytes.held().size()));
+    if (!bytes.empty()) host_->want_write();
+  }
+  if (client_->at_end()) {
+    if (bytes.empty()) host_->end_sending();
+    if (host_->at_end() || sent_away_) return close();
+  }
+  client_->want_read();
+}
+
+void Relay::host_came() {
+  while (const auto line = host_->in().line(seen_)) {
+    seen_ += line->size();
+    std::string_view rest;
+    const Says says = said(without_end(*line), rest);
+    bye_ = says == Says::bye;
+    sent_away_ = sent_away_ || says == Says::move;
+    if (says == Says::load) {
+      if (const auto load = number(rest)) owner_.load_is(*load);
+    } else if (says != Says::up && asked_at_ != Micros{0}) {
+      owner_.message_took(wakes_.now() - std::exchange(asked_at_, Micros{0}));
+    }
+  }
+  if (host_->at_end()) over(host_ending(), host_reason());
+  // A line past the longest allowed can't be passed on whole: its client is moved.
+  if (!host_->at_end() && host_->in().held().size() - seen_ > kLongestLine) move(Reason::host_garbled);
+  down_stream();
+}
+
+Ending Relay::host_ending() const {
+  return bye_ ? Ending::finished : sent_away_ ? Ending::cancelled : Ending::broken;
+}
+Reason Relay::host_reason() const {
+  return bye_ ? Reason::host_ended : sent_away_ ? Reason::host_moved : Reason::host_broke;
+}
+
+// Only whole lines go on to the client, so that MOVE can be said between two of them at any time.
+void Relay::down_stream() {
+  LineBuffer& bytes = host_->in();
+  if (const std::size_t whole = host_->at_end() ? bytes.held().size() : seen_; whole > 0) {
+    const auto n = client_->write(bytes.held().substr(0, whole));
+    if (!n) return broken(*client_);
+    if (*n > 0) between_lines_ = bytes.held()[*n - 1] == '\n';
+    bytes.drop(*n);
+    seen_ -= std::min(seen_, *n);
+    if (*n < whole) return client_->want_write();
+  }
+  if (moving_ && between_lines_) return say_move();
+  if (host_->at_end()) {
+    client_->end_sending();
+    if (client_->at_end()) return close();
+  }
+  host_->want_read();
+}
+
+void Relay::say_move() {
+  if (!sent_away_) {
+    sent_away_ = true;
+    move_left_ = "MOVE\r\n";
+    over(why_moving_ == Reason::host_silent ? Ending::broken : Ending::cancelled, why_moving_);
+    host_->close();
+  }
+  const auto n = client_->write(move_left_);
+  if (!n) return broken(*client_);
+  move_left_.remove_prefix(*n);
+  if (!move_left_.empty()) return client_->want_write();
+  client_->end_sending();
+  client_came();
+}
+
+void Relay::broken(Stream& stream) {
+  if (&stream == client_) {
+    over(Ending::cancelled, Reason::client_ended);
+    host_->abort();
+    return close();
+  }
+  over(host_ending(), host_reason());
+  if (!bye_ && !sent_away_) {
+    client_->write(host_->in().held());
+    client_->abort();
+    return close();
+  }
+  host_->close();
+  client_->end_sending();
+  client_->want_read();
+}
+
+void Relay::over(Ending how, Reason why) {
+  if (std::exchange(over_, true)) return;
+  wakes_.after(kLinger, *this, token(Due::linger));
+  owner_.relay_over(how, why);
+}
+
+void Relay::woken(std::uint64_t t) {
+  if (t == token(Due::linger)) return close();
+  if (t == token(Due::move) && !over_) return down_stream();
+  // A silent host sends no reset, and TCP notices nothing: the client is sent to another.
+  if (t != token(Due::silence) || over_ || asked_at_ == Micros{0}) return;
+  const Micros silent = wakes_.now() - asked_at_;
+  if (silent >= kSilence) return move(Reason::host_silent);
+  wakes_.after(kSilence - silent, *this, token(Due::silence));
+}
+
+void Relay::close() {
+  ++use_;
+  client_->close();
+  host_->close();
+  client_ = host_ = nullptr;
+  owner_.relay_closed();
+}
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/relay.h
@@ -0,0 +1,60 @@
+// An accepted session: lines passed on both ways, unchanged, until one side ends it or it is moved.
+#pragma once
+
+#include "balance.h"
+#include "net/log.h"
+#include "net/stream.h"
+#include "net/wakes.h"
+
+namespace flintweir::net {
+
+class RelayOwner {
+ public:
+  virtual void load_is(double micros_per_s) = 0;
+  virtual void message_took(Micros delay) = 0;
+  virtual void relay_over(Ending how, Reason why) = 0;  // once; both sides may take a while yet to close
+  virtual void relay_closed() = 0;                      // the places may be used again
+
+ protected:
+  ~RelayOwner() = default;
+};
+
+class Relay final : StreamEvents, Woken {
+ public:
+  Relay(Wakes& wakes, RelayOwner& owner) : wakes_(wakes), owner_(owner) {}
+
+  void start(Stream& client, Stream& host);
+  // Tells the client to come again and closes both sides, in a later turn. Harmless once over.
+  void move(Reason why);
+
+ private:
+  enum class Due : std::uint64_t { move, silence, linger };
+  void came(Stream& stream) override;
+  void writable(Stream& stream) override;
+  void broken(Stream& stream) override;
+  void woken(std::uint64_t token) override;
+  std::uint64_t token(Due due) const { return use_ << 2 | static_cast<std::uint64_t>(due); }
+  void client_came();
+  void host_came();
+  void up_stream();
+  void down_stream();
+  void say_move();
+  void over(Ending how, Reason why);
+  void close();
+  Ending host_ending() const;
+  Reason host_reason() const;
+
+  Wakes& wakes_;
+  RelayOwner& owner_;
+  Stream* client_ = nullptr;
+  Stream* host_ = nullptr;
+  std::uint64_t use_ = 0;
+  std::size_t seen_ = 0;        // of what is held for the client: lines looked at
+  std::string_view move_left_;  // of the MOVE line: not written yet
+  bool between_lines_ = true;   // as the client has them
+  bool moving_ = false, over_ = false, bye_ = false, sent_away_ = false;
+  Reason why_moving_ = Reason::moved;
+  Micros asked_at_{0};  // by a client's line that nothing has come back for; zero: none
+};
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/sessions.cpp
@@ -0,0 +1,119 @@
+#include "net/sessions.h"
+
+#include <cstdio>
+
+#include "setup/deployment.h"
+
+namespace flintweir::net {
+
+using namespace std::chrono_literals;
+
+Sessions::Sessions(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, Hosts& hosts,
+                   Patience patience, Micros message_target, HeadReader heads, std::size_t most, Told& told)
+    : io_(io),
+      descriptors_(descriptors),
+      wakes_(wakes),
+      hosts_(hosts),
+      patience_(patience),
+      message_target_(message_target),
+      heads_(std::move(heads)),
+      most_(most),
+      told_(told),
+      probes_(io, descriptors, wakes, patience.probe, *this) {}
+
+void Sessions::serve(const setup::Values& settings, std::uint64_t seed) {
+  balancer_ = setup::balancer_for(settings, *this, seed);
+}
+
+Balancer& Sessions::balancer_now() {
+  balancer_->at(wakes_.now());
+  return *balancer_;
+}
+
+void Sessions::take(Tcp::socket socket) {
+  const SlabKey key = links_.lend(*this);
+  ++count_;
+  links_.find(key)->begin(key, std::move(socket));
+}
+
+void Sessions::free(SlabKey key) {
+  links_.drop(key);
+  --count_;
+}
+
+void Sessions::dial(SessId sess, HostId host, Micros limit) {
+  if (Link* link = find(sess)) link->dial(host, limit);
+}
+
+void Sessions::refuse(SessId sess, Micros stay_away) {
+  char line[40] = "BUSY\r\n";
+  const long long ms = std::chrono::ceil<std::chrono::milliseconds>(stay_away).count();
+  if (ms > 0) std::snprintf(line, sizeof line, "BUSY %lld\r\n", ms);
+  if (Link* link = find(sess)) link->answer(line, Reason::refused);
+}
+
+void Sessions::tear_down(SessId sess) {
+  if (Link* link = find(sess)) link->answer("ERR\r\n", Reason::torn_down);
+}
+
+void Sessions::move(SessId sess) {
+  if (Link* link = find(sess)) link->move(Reason::moved);
+}
+
+void Sessions::probe(HostId host) {
+  const Hosts::Host* h = hosts_.find(host);
+  probes_.ask(host, h && descriptors_.room(kSpare / 2) ? &h->at : nullptr);
+}
+
+void Sessions::probed(HostId host, bool answered, const LoadReport& report) {
+  balancer_now().probed(host, answered, report);
+}
+
+void Sessions::log(std::string_view line) {
+  log_line("balance: %.*s", static_cast<int>(line.size()), line.data());
+}
+
+void Sessions::log(std::string_view line, HostId host) {
+  log_line("balance: %.*s: %s", static_cast<int>(line.size()), line.data(), hosts_.name(host));
+}
+
+void Sessions::dial_again(std::uint64_t key) {
+  if (Link* link = links_.find(SlabKey::unpacked(key))) link->dial_holder();
+}
+
+// A delay is told while it is over a third of what messages may take, once a second for each host, and once
+// more when it is back under.
+bool Sessions::delay_counts(HostId host, Micros delay) {
+  Hosts::Host* h = hosts_.find(host);
+  if (!h || message_target_ == 0us) return false;
+  const bool late = delay > message_target_ / 3;
+  if (!late) return std::exchange(h->late, false);
+  const Micros now = wakes_.now();
+  if (h->late && now - h->late_told < 1s) return false;
+  h->late = true;
+  h->late_told = now;
+  return true;
+}
+
+void Sessions::leave(Micros over) {
+  leaving_ = true;
+  leave_by_ = wakes_.now() + over;
+  leave_soon();
+}
+
+// Guards against all clients of a node coming back in the same moment: that is a storm for the others.
+void Sessions::move_next(std::uint64_t) {
+  std::size_t open = 0;
+  Link* next = nullptr;
+  links_.each([&](SlabKey, Link& link) {
+    if (!link.movable()) return;
+    ++open;
+    if (!next) next = &link;
+  });
+  if (!next) return;
+  next->move(Reason::restarting);
+  const Micros left = std::max(leave_by_ - wakes_.now(), Micros{0});
+  if (open > 1) wakes_.after(left / static_cast<std::int64_t>(open), move_next_, 0);
+}
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/sessions.h
@@ -0,0 +1,91 @@
+// The table of sessions: what clients, hosts and the clock say becomes calls on the module, and what the
+// module does becomes answers, dials and moves.
+#pragma once
+
+#include "balance.h"
+#include "net/heads.h"
+#include "net/hosts.h"
+#include "net/link.h"
+#include "net/probes.h"
+#include "setup/values.h"
+#include "slab.h"
+
+namespace flintweir::net {
+
+// How long things may take on this deployment's network.
+struct Patience {
+  Micros connect, first_line, probe;
+};
+
+class Sessions final : public Outlet, Probes::Told {
+ public:
+  class Told {
+   public:
+    virtual void watch_list() = 0;
+
+   protected:
+    ~Told() = default;
+  };
+  // `message_target` is zero where delays of messages are not the module's to know.
+  Sessions(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, Hosts& hosts, Patience patience,
+           Micros message_target, HeadReader heads, std::size_t most, Told& told);
+
+  void serve(const setup::Values& settings, std::uint64_t seed);  // makes the balancer
+  Balancer& balancer_now();                                       // with the time said
+  void take(Tcp::socket socket);
+  void host_gone(HostId host) { probes_.forget(host); }
+  // From now on nothing new is taken, and open sessions are moved, evenly over so long.
+  void leave(Micros over);
+  bool empty() const { return count_ == 0; }
+
+  void dial(SessId sess, HostId host, Micros limit) override;
+  void refuse(SessId sess, Micros stay_away) override;
+  void tear_down(SessId sess) override;
+  void move(SessId sess) override;
+  void probe(HostId host) override;
+  void wake(Micros in, WakeId wake) override { wakes_.after(in, module_wakes_, wake.value); }
+  void watch() override { told_.watch_list(); }
+  void log(std::string_view line) override;
+  void log(std::string_view line, HostId host) override;
+
+ private:
+  friend class Link;
+  struct Waker final : Woken {
+    Waker(Sessions& s, void (Sessions::*c)(std::uint64_t)) : sessions(s), call(c) {}
+    void woken(std::uint64_t token) override { (sessions.*call)(token); }
+    Sessions& sessions;
+    void (Sessions::*call)(std::uint64_t);
+  };
+  void probed(HostId host, bool answered, const LoadReport& report) override;
+  void wake_module(std::uint64_t wake) { balancer_now().woken(WakeId{wake}); }
+  void dial_again(std::uint64_t key);
+  void move_next(std::uint64_t);
+
+  Link* find(SessId sess) { return links_.find(SlabKey::unpacked(sess.value)); }
+  bool has_room() const { return count_ <= most_ && descriptors_.room(kSpare); }
+  void again(SlabKey key, Micros in) { wakes_.after(in, dial_again_, key.packed()); }
+  void leave_soon() { wakes_.after(Micros{0}, move_next_, 0); }
+  bool delay_counts(HostId host, Micros delay);
+  void free(SlabKey key);
+
+  static constexpr std::size_t kSpare = 16;  // descriptors kept for refusing, for probes and for the list
+
+  asio::io_context& io_;
+  Descriptors& descriptors_;
+  Wakes& wakes_;
+  Hosts& hosts_;
+  Patience patience_;
+  Micros message_target_;
+  HeadReader heads_;
+  std::size_t most_, count_ = 0;
+  Told& told_;
+  Probes probes_;
+  Waker module_wakes_{*this, &Sessions::wake_module}, dial_again_{*this, &Sessions::dial_again},
+      move_next_{*this, &Sessions::move_next};
+  Slab<Link> links_;
+  std::unique_ptr<Balancer> balancer_;
+  bool leaving_ = false;
+  Micros leave_by_{0};
+};
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/setup/deployment.cpp
@@ -0,0 +1,74 @@
+#include "setup/deployment.h"
+
+namespace flintweir::setup {
+namespace {
+
+Effect effect_named(std::string_view name) {
+  if (name == "repeatable") return Effect::repeatable;
+  if (name == "by_key") return Effect::referenced;
+  if (name == "once") return Effect::once_only;
+  bad("settings: unknown effect '" + std::string(name) + "'");
+}
+
+Reach reach_named(std::string_view name) {
+  if (name == "all") return Reach::all;
+  if (name == "zone") return Reach::zone;
+  if (name == "cell") return Reach::cell;
+  bad("settings: unknown group '" + std::string(name) + "'");
+}
+
+}  // namespace
+
+std::unique_ptr<Balancer> balancer_for(const Values& settings, Outlet& outlet, std::uint64_t seed) {
+  const Values ceilings(settings, "ceilings"), rules(settings, "rules"), prices(settings, "prices");
+  std::vector<Listener> listeners;
+  for (const simdjson::dom::element e : settings.row("listeners")) {
+    const Values l(e, "settings: a listener");
+    listeners.push_back({l.time("handshakeTarget"), l.time("dialTimeout"),
+                         effect_named(l.text("effect", "once")), reach_named(l.text("group", "cell")),
+                         l.time("dedupWindow"), l.real("utility", 1)});
+  }
+  return make_balancer(
+      outlet, seed, static_cast<unsigned>(settings.real("balancers", 1)),
+      ZoneId{static_cast<std::uint32_t>(settings.real("myZone", 0))}, std::move(listeners),
+      DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)),
+                 ceilings.yes("retryAfter") ? ceilings.time("maxRetryAfter") : Micros{0}},
+      ColdRule{rules.time("cold"), rules.real("coldShare", 1), rules.real("overloadFactor", 1),
+               rules.time("tipAfter")},
+      ListRule{settings.text("discovery", "") == "on_request", rules.time("askEvery")},
+      Prices{prices.real("crossZone", 0),
+             ceilings.yes("probes") ? std::optional(prices.real("probe", 0)) : std::nullopt});
+}
+
+std::vector<std::string> names(const Values& settings, std::string_view list) {
+  std::vector<std::string> out;
+  for (const simdjson::dom::element e : settings.row(list)) {
+    std::string_view name;
+    if (e.get(name)) name = Values(e, "settings." + std::string(list)).text("name", "");
+    out.emplace_back(name);
+  }
+  return out;
+}
+
+std::vector<std::string> report_fields(const Values& settings) {
+  const Values reporting(settings, "reporting");
+  for (const simdjson::dom::element e : reporting.row("fields")) {
+    if (!e.is_string()) bad("settings: a report field is not a text");
+  }
+  return names(reporting, "fields");
+}
+
+void set_field(LoadReport& report, std::string_view name, double value) {
+  if (name == "x0") report.load = value;
+  if (name == "x1") report.piled_up = value;
+  if (name == "util") report.busy = value;
+  if (name == "queue") report.queued = value;
+}
+
+std::uint64_t id_of(std::string_view name) {
+  std::uint64_t h = 14695981039346656037ull;  // FNV-1a
+  for (const unsigned char c : name) h = (h ^ c) * 1099511628211ull;
+  return h;
+}
+
+}  // namespace flintweir::setup
--- a/src/slab.h
+++ b/src/slab.h
@@ -1,7 +1,8 @@
-// Values at reused places. A key outlives its value safely: a place that was reused has another turn.
+// Values at reused places that never move. A key outlives its value safely: a place reused has another turn.
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <utility>
 #include <vector>
 
@@ -22,15 +23,21 @@
 class Slab {
  public:
   SlabKey add(T value) {
+    const SlabKey key = lend();
+    cells_[key.place].value = std::move(value);
+    return key;
+  }
+
+  // A place whose value is as its last user left it, or made from `args` where the place is new.
+  template <class... Args>
+  SlabKey lend(Args&&... args) {
     if (free_.empty()) {
       free_.push_back(static_cast<std::uint32_t>(cells_.size()));
-      cells_.emplace_back();
-      free_.reserve(cells_.capacity());
+      cells_.emplace_back(std::forward<Args>(args)...);
     }
     const std::uint32_t place = free_.back();
     free_.pop_back();
     Cell& cell = cells_[place];
-    cell.value = std::move(value);
     cell.used = true;
     return {place, ++cell.turn};
   }
@@ -57,11 +64,13 @@
 
  private:
   struct Cell {
-    T value{};
+    template <class... Args>
+    explicit Cell(Args&&... args) : value(std::forward<Args>(args)...) {}
+    T value;
     std::uint32_t turn = 0;
     bool used = false;
   };
-  std::vector<Cell> cells_;
+  std::deque<Cell> cells_;
   std::vector<std::uint32_t> free_;
 };
 
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "setup/values.h"
+
 namespace flintweir::benchlink {
 namespace {
 
@@ -31,7 +33,7 @@
   Wire wire;
   wire.answer(batch(1000, std::string(kConfigure) + "," + kHosts));
   EXPECT_EQ(wire.answer(batch(2000, R"(["DESTROY",3])")), R"({"output":[]})");
-  EXPECT_THROW(wire.answer(batch(3000, R"(["TICK_DUE",3,"0"])")), BadInput);
+  EXPECT_THROW(wire.answer(batch(3000, R"(["TICK_DUE",3,"0"])")), setup::BadInput);
 }
 
 class BadLine : public testing::TestWithParam<const char*> {};
@@ -42,7 +44,7 @@
   try {
     wire.answer(GetParam());
     FAIL() << "taken without complaint";
-  } catch (const BadInput& e) {
+  } catch (const setup::BadInput& e) {
     EXPECT_GT(std::string(e.what()).size(), 10u);
   }
 }
