--- a/src/net/client_conn.cpp
+++ b/src/net/client_conn.cpp
@@ -53,7 +53,7 @@
   // Closing with bytes unread would reset the connection and might take the answer with it.
   stream_.in().clear();
   phase_ = Phase::lingering;
-  wakes_.after(stream_.at_end() ? Micros{0} : kLinger, *this, ++token_);
+  wakes_.after(stream_.at_end() || owner_.crowded() ? Micros{0} : kLinger, *this, ++token_);
   stream_.want_read();
 }
 
--- a/src/net/client_conn.h
+++ b/src/net/client_conn.h
@@ -9,7 +9,8 @@
 
 class ClientOwner {
  public:
-  virtual bool taking() const = 0;  // whether fronts are told that this node takes clients
+  virtual bool taking() const = 0;   // whether fronts are told that this node takes clients
+  virtual bool crowded() const = 0;  // no descriptor is to be held longer than it must
   virtual void head_came(std::string_view line) = 0;
   virtual void client_left() = 0;                 // after its first line, before any answer
   virtual void client_closed() = 0;               // all is over, the place may be used again
--- a/src/net/line_buffer.h
+++ b/src/net/line_buffer.h
@@ -12,6 +12,8 @@
 
 class LineBuffer {
  public:
+  static constexpr std::size_t kRoom = 2 * kLongestLine;
+
   void clear() { begin_ = end_ = 0; }
   bool empty() const { return begin_ == end_; }
   bool full() const { return end_ - begin_ == bytes_.size(); }
@@ -37,7 +39,7 @@
   void drop(std::size_t n) { begin_ += n; }
 
  private:
-  std::array<char, 2 * kLongestLine> bytes_;
+  std::array<char, kRoom> bytes_;
   std::size_t begin_ = 0, end_ = 0;
 };
 
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -34,6 +34,8 @@
 
 bool Link::taking() const { return !sessions_.leaving_; }
 
+bool Link::crowded() const { return !sessions_.has_room(); }
+
 void Link::head_came(std::string_view line) {
   began_ = sessions_.wakes_.now();
   std::string_view at;
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -24,6 +24,7 @@
 
  private:
   bool taking() const override;
+  bool crowded() const override;
   void head_came(std::string_view line) override;
   void client_left() override;
   void client_closed() override;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -12,7 +12,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kOwnDescriptors = 16;  // standard streams, the event queue, the door
-constexpr int kAcceptsInARow = 64;
+constexpr int kAcceptsInARow = 8;  // so that those taken get their hosts before the next take the descriptors
 
 std::vector<Micros> listener_times(const setup::Values& settings, std::string_view key) {
   std::vector<Micros> times;
@@ -84,6 +84,8 @@
   signals_.async_wait([this](std::error_code ec, int) {
     if (!ec) leave();
   });
+  const Tcp::endpoint at = door_.local_endpoint();
+  log_line("serving at %s:%u", at.address().to_string().c_str(), at.port());
   wait_for_clients();
   io_.run();
 }
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -19,6 +19,7 @@
   client_ = &client;
   host_ = &host;
   seen_ = 0;
+  lagging_ = LineBuffer::kRoom + 1;
   move_left_ = {};
   between_lines_ = true;
   moving_ = over_ = bye_ = sent_away_ = false;
@@ -149,8 +150,16 @@
 }
 
 void Relay::woken(std::uint64_t t) {
-  if (t == token(Due::linger)) return close();
-  if (t == token(Due::move) && !over_) return down_stream();
+  if (t == token(Due::linger)) return linger();
+  if (t == token(Due::move) && !over_) {
+    wakes_.after(kSilence, *this, token(Due::stuck));
+    return down_stream();
+  }
+  if (t == token(Due::stuck) && !over_) {  // the client reads nothing: MOVE can't be said
+    over(Ending::cancelled, why_moving_);
+    client_->abort();
+    return close();
+  }
   // A silent host sends no reset, and TCP notices nothing: the client is sent to another.
   if (t != token(Due::silence) || over_ || asked_at_ == Micros{0}) return;
   const Micros silent = wakes_.now() - asked_at_;
@@ -158,6 +167,14 @@
   wakes_.after(kSilence - silent, *this, token(Due::silence));
 }
 
+// Both sides have had their time, but a slow client that goes on taking what is left gets all of it.
+void Relay::linger() {
+  const std::size_t left = host_->in().held().size();
+  if (left == 0 || left >= lagging_) return close();
+  lagging_ = left;
+  wakes_.after(kLinger, *this, token(Due::linger));
+}
+
 void Relay::close() {
   ++use_;
   client_->close();
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -28,7 +28,7 @@
   void move(Reason why);
 
  private:
-  enum class Due : std::uint64_t { move, silence, linger };
+  enum class Due : std::uint64_t { move, stuck, silence, linger };
   void came(Stream& stream) override;
   void writable(Stream& stream) override;
   void broken(Stream& stream) override;
@@ -39,6 +39,7 @@
   void up_stream();
   void down_stream();
   void say_move();
+  void linger();
   void over(Ending how, Reason why);
   void close();
   Ending host_ending() const;
@@ -54,7 +55,8 @@
   bool between_lines_ = true;   // as the client has them
   bool moving_ = false, over_ = false, bye_ = false, sent_away_ = false;
   Reason why_moving_ = Reason::moved;
-  Micros asked_at_{0};  // by a client's line that nothing has come back for; zero: none
+  std::size_t lagging_ = 0;  // bytes that the client had still to take when last looked at
+  Micros asked_at_{0};       // by a client's line that nothing has come back for; zero: none
 };
 
 }  // namespace flintweir::net
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,129 @@
+// The parts of the node that need no other process.
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include "net/heads.h"
+#include "net/hosts.h"
+#include "net/line_buffer.h"
+#include "net/wakes.h"
+
+namespace flintweir::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(Heads, DecodesTheFirstLineInPlace) {
+  const HeadReader reader({"chat", "pay"}, {2s, 3s}, true);
+  const std::string line = "OPEN 9b 7f c=pay,d=1500,g=5c,again=1,h=2.5,new=x";
+  Taken taken{};
+  std::string_view at, time_left;
+  ASSERT_TRUE(reader.open(line, 10s, taken, at, time_left));
+  EXPECT_EQ(taken.listener, ListenerId{1});
+  EXPECT_EQ(taken.client, ClientKey{0x7f});
+  EXPECT_EQ(taken.group, GroupId{0x5c});
+  EXPECT_EQ(taken.valid_until, 11500ms);
+  EXPECT_EQ(taken.usual_load, 2.5);
+  EXPECT_TRUE(taken.returned);
+  EXPECT_FALSE(taken.repeat);
+  EXPECT_EQ(time_left.data(), line.data() + line.find("1500"));
+  EXPECT_TRUE(at.empty());
+}
+
+class BadHead : public testing::TestWithParam<const char*> {};
+TEST_P(BadHead, IsMalformed) {
+  const HeadReader reader({"chat"}, {2s}, false);
+  Taken taken{};
+  std::string_view at, time_left;
+  EXPECT_FALSE(reader.open(GetParam(), 0s, taken, at, time_left));
+}
+INSTANTIATE_TEST_SUITE_P(Lines, BadHead,
+                         testing::Values("", "OPEN", "OPEN 1", "OPEN 1 2", "OPEN 1 2 c=other,d=5",
+                                         "GET / HTTP/1.1", "open 1 2 c=chat", "OPEN 1 2 c=chat,d=-5",
+                                         "OPEN 1 2 c=chat,d=5x", "OPEN 1 2 d=5", "OPEN  2 c=chat",
+                                         "OPEN 1 2 c=chat,d=99999999999999999999"));
+
+// Whatever comes, decoding stays within the line and a decoded time lies where it says.
+TEST(Heads, AnyBytesAreSafe) {
+  std::mt19937_64 chance(7);
+  const HeadReader reader({"chat"}, {2s}, true);
+  const std::string parts[] = {"OPEN ", "c=chat", ",",  "=",   "d=",    "9", " ",
+                               "g=",    "at=",    "h=", "\0x", "1e999", "-"};
+  for (int i = 0; i < 20000; ++i) {
+    std::string line = i % 2 ? "OPEN 1 2 c=chat," : "";
+    for (int n = static_cast<int>(chance() % 9); n > 0; --n) line += parts[chance() % std::size(parts)];
+    Taken taken{};
+    std::string_view at, time_left, rest;
+    if (reader.open(line, 1s, taken, at, time_left)) {
+      EXPECT_GE(taken.valid_until, 1s) << line;
+      EXPECT_TRUE(time_left.empty() || time_left.data() >= line.data());
+    }
+    said(line, rest);
+    EXPECT_LE(rest.size(), line.size());
+    load_report(line);
+  }
+}
+
+TEST(Heads, ReadsLoadReports) {
+  const LoadReport r = load_report("eps=0.1,util=0.61,x0=0.4,queue=2,what=,x1=nan");
+  EXPECT_EQ(r.busy, 0.61);
+  EXPECT_EQ(r.load, 0.4);
+  EXPECT_EQ(r.queued, 2);
+  EXPECT_FALSE(r.piled_up);
+}
+
+TEST(Hosts, AddressesAreNumbers) {
+  EXPECT_EQ(endpoint_of("127.0.0.1:81")->port(), 81);
+  EXPECT_TRUE(endpoint_of("[::1]:81"));
+  for (const char* bad : {"", "127.0.0.1", "localhost:81", "127.0.0.1:", "127.0.0.1:99999", "127.0.0.1:8x"})
+    EXPECT_FALSE(endpoint_of(bad)) << bad;
+}
+
+// What goes in comes out in the same order, whatever the sizes, and no more is held than there is room for.
+TEST(LineBuffer, KeepsBytesInOrder) {
+  std::mt19937_64 chance(3);
+  LineBuffer buffer;
+  std::uint8_t in = 0, out = 0;
+  for (int i = 0; i < 5000; ++i) {
+    const auto [to, room] = buffer.room();
+    const std::size_t n = room > 0 ? chance() % (room + 1) : 0;
+    for (std::size_t j = 0; j < n; ++j) to[j] = static_cast<char>(in++);
+    buffer.came(n);
+    ASSERT_EQ(buffer.full(), buffer.held().size() == 2 * kLongestLine);
+    const std::size_t taken = chance() % (buffer.held().size() + 1);
+    for (std::size_t j = 0; j < taken; ++j) ASSERT_EQ(static_cast<std::uint8_t>(buffer.held()[j]), out++);
+    buffer.drop(taken);
+  }
+}
+
+struct Recorder final : Woken {
+  std::vector<std::uint64_t> seen;
+  void woken(std::uint64_t token) override { seen.push_back(token); }
+};
+
+TEST(Wakes, ComeInTheirOrderAndNeverFromWithin) {
+  asio::io_context io;
+  Wakes wakes(io);
+  Recorder seen;
+  struct Again final : Woken {
+    Wakes& wakes;
+    Recorder& seen;
+    int left = 3;
+    Again(Wakes& w, Recorder& s) : wakes(w), seen(s) {}
+    void woken(std::uint64_t) override {
+      if (left-- > 0) wakes.after(0us, *this, 0);  // must not starve what else is due
+      seen.woken(100);
+    }
+  } again(wakes, seen);
+  wakes.after(20ms, seen, 3);
+  wakes.after(0us, again, 0);
+  wakes.after(0us, seen, 1);
+  wakes.after(10ms, seen, 2);
+  io.run();
+  EXPECT_EQ(seen.seen, (std::vector<std::uint64_t>{100, 1, 100, 100, 100, 2, 3}));
+}
+
+}  // namespace
+}  // namespace flintweir::net
