Reuse the memory of pending waits, notice vanished clients, raise the descriptor limit

Sockets now holds what all connections share: the loop, the count of descriptors, and blocks for pending waits, so that serving allocates nothing once warm. TCP keep-alive finds clients whose machine is gone (their places were held for good), and serve raises the soft limit of descriptors, which is 1,024 by default while the configuration may allow more. A limit too small to serve with is a wrong configuration now.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,9 +1,9 @@
 #include <getopt.h>
+#include <sys/resource.h>
 
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <cstring>
 #include <exception>
 #include <string>
 
@@ -28,8 +28,17 @@
   return 2;
 }
 
+// The soft limit of descriptors is often far under what the configuration allows.
+void raise_descriptor_limit() {
+  rlimit limit;
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 int serve(const std::string& config) {
   std::signal(SIGPIPE, SIG_IGN);
+  raise_descriptor_limit();
   const flintweir::net::NodeFile file(config);
   flintweir::net::Node node(file);
   node.run();
--- a/src/net/client_conn.h
+++ b/src/net/client_conn.h
@@ -22,9 +22,8 @@
 
 class ClientConn final : StreamEvents, Woken {
  public:
-  ClientConn(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, Micros first_line_within,
-             ClientOwner& owner)
-      : stream_(io, descriptors), wakes_(wakes), first_line_within_(first_line_within), owner_(owner) {}
+  ClientConn(Sockets& sockets, Wakes& wakes, Micros first_line_within, ClientOwner& owner)
+      : stream_(sockets), wakes_(wakes), first_line_within_(first_line_within), owner_(owner) {}
 
   void begin(Tcp::socket socket);
   std::string_view head() const { return head_; }  // where it lies in the buffer
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -19,9 +19,9 @@
    protected:
     ~Told() = default;
   };
-  Discovery(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, const Tcp::endpoint& at,
-            std::vector<std::string> zones, Hosts& hosts, Told& told)
-      : get_(io, descriptors, wakes, at, *this), zones_(std::move(zones)), hosts_(hosts), told_(told) {}
+  Discovery(Sockets& sockets, Wakes& wakes, const Tcp::endpoint& at, std::vector<std::string> zones,
+            Hosts& hosts, Told& told)
+      : get_(sockets, wakes, at, *this), zones_(std::move(zones)), hosts_(hosts), told_(told) {}
 
   // Takes a list in discovery's form; false, with nothing changed, where it is malformed.
   bool take(const simdjson::dom::element& list);
--- a/src/net/host_conn.h
+++ b/src/net/host_conn.h
@@ -20,9 +20,8 @@
 
 class HostConn final : StreamEvents, Woken {
  public:
-  HostConn(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, Micros connect_within,
-           HostOwner& owner)
-      : stream_(io, descriptors), wakes_(wakes), connect_within_(connect_within), owner_(owner) {}
+  HostConn(Sockets& sockets, Wakes& wakes, Micros connect_within, HostOwner& owner)
+      : stream_(sockets), wakes_(wakes), connect_within_(connect_within), owner_(owner) {}
 
   // `head` is sent on, but for the digits `time_left` within it, which become the time that this dial has.
   // Both must stay in place until it ends. The end comes in a later turn, never from within.
--- a/src/net/http_get.cpp
+++ b/src/net/http_get.cpp
@@ -9,9 +9,8 @@
 
 }  // namespace
 
-HttpGet::HttpGet(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, const Tcp::endpoint& at,
-                 Told& told)
-    : stream_(io, descriptors), wakes_(wakes), at_(at), told_(told) {
+HttpGet::HttpGet(Sockets& sockets, Wakes& wakes, const Tcp::endpoint& at, Told& told)
+    : stream_(sockets), wakes_(wakes), at_(at), told_(told) {
   std::ostringstream name;
   name << at;
   host_ = name.str();
--- a/src/net/http_get.h
+++ b/src/net/http_get.h
@@ -20,7 +20,7 @@
    protected:
     ~Told() = default;
   };
-  HttpGet(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, const Tcp::endpoint& at, Told& told);
+  HttpGet(Sockets& sockets, Wakes& wakes, const Tcp::endpoint& at, Told& told);
 
   // One call on Told ends it, in a later turn.
   void get(std::string_view path, Micros within);
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -16,8 +16,8 @@
 
 Link::Link(Sessions& s)
     : sessions_(s),
-      client_(s.io_, s.descriptors_, s.wakes_, s.patience_.first_line, *this),
-      host_(s.io_, s.descriptors_, s.wakes_, s.patience_.connect, *this),
+      client_(s.sockets_, s.wakes_, s.patience_.first_line, *this),
+      host_(s.sockets_, s.wakes_, s.patience_.connect, *this),
       relay_(s.wakes_, *this) {}
 
 void Link::begin(SlabKey key, Tcp::socket socket) {
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -48,6 +48,13 @@
           4 * longest(listener_times(settings, "dialTimeout")), target / 2};
 }
 
+std::size_t socket_limit(const NodeFile& file) {
+  if (file.sockets() < 4 * kOwnDescriptors) {
+    setup::bad("configuration: limits.sockets is under " + std::to_string(4 * kOwnDescriptors));
+  }
+  return file.sockets() - kOwnDescriptors;
+}
+
 // Half of the memory for sessions; each takes its place in the table and what the kernel keeps for two
 // sockets.
 std::size_t most_sessions(const NodeFile& file) {
@@ -58,12 +65,12 @@
 }  // namespace
 
 Node::Node(const NodeFile& file, bool listening)
-    : descriptors_(std::max(file.sockets(), 4 * kOwnDescriptors) - kOwnDescriptors),
+    : sockets_(socket_limit(file)),
       longest_dial_(longest(listener_times(file.settings(), "dialTimeout"))),
-      sessions_(io_, descriptors_, wakes_, hosts_, patience(file.settings()), message_target(file.settings()),
+      sessions_(sockets_, wakes_, hosts_, patience(file.settings()), message_target(file.settings()),
                 head_reader(file.settings()), most_sessions(file), *this),
-      discovery_(io_, descriptors_, wakes_, file.discovery(), setup::names(file.settings(), "failureDomains"),
-                 hosts_, *this) {
+      discovery_(sockets_, wakes_, file.discovery(), setup::names(file.settings(), "failureDomains"), hosts_,
+                 *this) {
   sessions_.serve(file.settings(), file.seed());
   if (const auto known = file.known(); known && !discovery_.take(*known)) {
     setup::bad("configuration: known is not a list of hosts");
@@ -87,7 +94,7 @@
   const Tcp::endpoint at = door_.local_endpoint();
   log_line("serving at %s:%u", at.address().to_string().c_str(), at.port());
   wait_for_clients();
-  io_.run();
+  sockets_.io().run();
 }
 
 void Node::wait_for_clients() {
@@ -99,8 +106,8 @@
 void Node::accept() {
   for (int i = 0; i < kAcceptsInARow; ++i) {
     std::error_code ec;
-    if (!descriptors_.room(1)) ec = asio::error::no_descriptors;
-    Tcp::socket socket(io_);
+    if (!sockets_.room(1)) ec = asio::error::no_descriptors;
+    Tcp::socket socket(sockets_.io());
     if (!ec) door_.accept(socket, ec);
     if (ec == asio::error::would_block) break;
     if (ec == asio::error::connection_aborted || ec == asio::error::interrupted) continue;
@@ -118,7 +125,7 @@
   if (due == accept_again) return accept();
   if (wakes_.now() >= gone_by_) {
     log_line("left");
-    return io_.stop();
+    return sockets_.io().stop();
   }
   wakes_.after(20ms, *this, left);
 }
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -26,15 +26,14 @@
   void accept();
   void leave();
 
-  asio::io_context io_{1};
-  Descriptors descriptors_;
-  Wakes wakes_{io_};
+  Sockets sockets_;
+  Wakes wakes_{sockets_.io()};
   Hosts hosts_;
   Micros longest_dial_;
   Sessions sessions_;
   Discovery discovery_;
-  Tcp::acceptor door_{io_};
-  asio::signal_set signals_{io_};
+  Tcp::acceptor door_{sockets_.io()};
+  asio::signal_set signals_{sockets_.io()};
   Micros gone_by_{0};
 };
 
--- a/src/net/probes.h
+++ b/src/net/probes.h
@@ -19,8 +19,8 @@
    protected:
     ~Told() = default;
   };
-  Probes(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, Micros answer_within, Told& told)
-      : io_(io), descriptors_(descriptors), wakes_(wakes), answer_within_(answer_within), told_(told) {}
+  Probes(Sockets& sockets, Wakes& wakes, Micros answer_within, Told& told)
+      : sockets_(sockets), wakes_(wakes), answer_within_(answer_within), told_(told) {}
 
   // Answered by one call of probed(), in a later turn.
   void ask(HostId host, const Tcp::endpoint* at);
@@ -29,7 +29,7 @@
  private:
   class Probe final : StreamEvents, Woken {
    public:
-    explicit Probe(Probes& probes) : probes_(probes), stream_(probes.io_, probes.descriptors_) {}
+    explicit Probe(Probes& probes) : probes_(probes), stream_(probes.sockets_) {}
     void ask(HostId host, const Tcp::endpoint* at);
     void drop();
 
@@ -49,8 +49,7 @@
     bool asking_ = false, kept_ = false;  // kept: the connection has answered before
   };
 
-  asio::io_context& io_;
-  Descriptors& descriptors_;
+  Sockets& sockets_;
   Wakes& wakes_;
   Micros answer_within_;
   Told& told_;
--- a/src/net/sessions.cpp
+++ b/src/net/sessions.cpp
@@ -8,10 +8,9 @@
 
 using namespace std::chrono_literals;
 
-Sessions::Sessions(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, Hosts& hosts,
-                   Patience patience, Micros message_target, HeadReader heads, std::size_t most, Told& told)
-    : io_(io),
-      descriptors_(descriptors),
+Sessions::Sessions(Sockets& sockets, Wakes& wakes, Hosts& hosts, Patience patience, Micros message_target,
+                   HeadReader heads, std::size_t most, Told& told)
+    : sockets_(sockets),
       wakes_(wakes),
       hosts_(hosts),
       patience_(patience),
@@ -19,7 +18,7 @@
       heads_(std::move(heads)),
       most_(most),
       told_(told),
-      probes_(io, descriptors, wakes, patience.probe, *this) {}
+      probes_(sockets, wakes, patience.probe, *this) {}
 
 void Sessions::serve(const setup::Values& settings, std::uint64_t seed) {
   balancer_ = setup::balancer_for(settings, *this, seed);
@@ -62,7 +61,7 @@
 
 void Sessions::probe(HostId host) {
   const Hosts::Host* h = hosts_.find(host);
-  probes_.ask(host, h && descriptors_.room(kSpare / 2) ? &h->at : nullptr);
+  probes_.ask(host, h && sockets_.room(kSpare / 2) ? &h->at : nullptr);
 }
 
 void Sessions::probed(HostId host, bool answered, const LoadReport& report) {
--- a/src/net/sessions.h
+++ b/src/net/sessions.h
@@ -27,8 +27,8 @@
     ~Told() = default;
   };
   // `message_target` is zero where delays of messages are not the module's to know.
-  Sessions(asio::io_context& io, Descriptors& descriptors, Wakes& wakes, Hosts& hosts, Patience patience,
-           Micros message_target, HeadReader heads, std::size_t most, Told& told);
+  Sessions(Sockets& sockets, Wakes& wakes, Hosts& hosts, Patience patience, Micros message_target,
+           HeadReader heads, std::size_t most, Told& told);
 
   void serve(const setup::Values& settings, std::uint64_t seed);  // makes the balancer
   Balancer& balancer_now();                                       // with the time said
@@ -62,7 +62,7 @@
   void move_next(std::uint64_t);
 
   Link* find(SessId sess) { return links_.find(SlabKey::unpacked(sess.value)); }
-  bool has_room() const { return count_ <= most_ && descriptors_.room(kSpare); }
+  bool has_room() const { return count_ <= most_ && sockets_.room(kSpare); }
   void again(SlabKey key, Micros in) { wakes_.after(in, dial_again_, key.packed()); }
   void leave_soon() { wakes_.after(Micros{0}, move_next_, 0); }
   bool delay_counts(HostId host, Micros delay);
@@ -70,8 +70,7 @@
 
   static constexpr std::size_t kSpare = 16;  // descriptors kept for refusing, for probes and for the list
 
-  asio::io_context& io_;
-  Descriptors& descriptors_;
+  Sockets& sockets_;
   Wakes& wakes_;
   Hosts& hosts_;
   Patience patience_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,36 +1,50 @@
 #include "net/stream.h"
 
+#include <netinet/tcp.h>
+
+#include <asio/bind_allocator.hpp>
+
 namespace flintweir::net {
 
 void Stream::adopt(Tcp::socket socket, StreamEvents& events) {
   close();
   socket_.emplace(std::move(socket));
-  descriptors_.took();
+  sockets_.took();
   events_ = &events;
   std::error_code ignored;
   socket_->non_blocking(true, ignored);
   socket_->set_option(Tcp::no_delay(true), ignored);
+  // A client's machine that is gone says nothing: without this its place would be held for good.
+  socket_->set_option(asio::socket_base::keep_alive(true), ignored);
+  for (const auto& [option, value] : {std::pair(TCP_KEEPIDLE, 30), {TCP_KEEPINTVL, 10}, {TCP_KEEPCNT, 3}}) {
+    setsockopt(socket_->native_handle(), IPPROTO_TCP, option, &value, sizeof value);
+  }
+}
+
+template <class Handler>
+auto Stream::kept(Handler handler) {
+  return asio::bind_allocator(HandlerAllocator<void>(sockets_.memory()), std::move(handler));
 }
 
 bool Stream::connect(const Tcp::endpoint& to, StreamEvents& events) {
   close();
-  Tcp::socket socket(io_);
+  Tcp::socket socket(sockets_.io());
   std::error_code ec;
   socket.open(to.protocol(), ec);
   if (ec) return false;
   adopt(std::move(socket), events);
-  socket_->async_connect(to, [this, use = use_](std::error_code failed) {
-    if (use == use_) events_->connected(*this, failed);
-  });
+  socket_->async_connect(to, kept([this, use = use_](std::error_code failed) {
+                           if (use == use_) events_->connected(*this, failed);
+                         }));
   return true;
 }
 
 template <bool is_read>
 void Stream::wait() {
   socket_->async_wait(is_read ? Tcp::socket::wait_read : Tcp::socket::wait_write,
-                      [this, use = use_](std::error_code ec) {
+                      kept([this, use = use_](std::error_code ec) {
                         if (use == use_) ready(is_read, ec);
-                      });
+                      }));
 }
 
 void Stream::want_read() {
@@ -89,7 +103,7 @@
     std::error_code ignored;
     socket_->close(ignored);
     socket_.reset();
-    descriptors_.gave();
+    sockets_.gave();
   }
   reading_ = writing_ = at_end_ = shut_ = false;
   in_.clear();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -3,13 +3,13 @@
 // pending operation.
 #pragma once
 
-#include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
 #include <optional>
 #include <span>
 
 #include "net/line_buffer.h"
+#include "net/sockets.h"
 
 namespace flintweir::net {
 
@@ -28,22 +28,10 @@
   ~StreamEvents() = default;
 };
 
-// Sockets open in this process, against the limit.
-class Descriptors {
- public:
-  explicit Descriptors(std::size_t limit) : limit_(limit) {}
-  bool room(std::size_t spare) const { return used_ + spare < limit_; }
-  void took() { ++used_; }
-  void gave() { --used_; }
-
- private:
-  std::size_t used_ = 0, limit_;
-};
-
 // Lives at a place that outlives all callbacks; a callback of an earlier use of the place is dropped.
 class Stream {
  public:
-  Stream(asio::io_context& io, Descriptors& descriptors) : io_(io), descriptors_(descriptors) {}
+  explicit Stream(Sockets& sockets) : sockets_(sockets) {}
   ~Stream() { close(); }
   Stream(const Stream&) = delete;
   Stream& operator=(const Stream&) = delete;
@@ -68,12 +56,13 @@
 
  private:
   void ready(bool reading, std::error_code ec);
+  template <class Handler>
+  auto kept(Handler handler);  // with memory that is used again
   template <bool reading>
   void wait();
   void read();
 
-  asio::io_context& io_;
-  Descriptors& descriptors_;
+  Sockets& sockets_;
   std::optional<Tcp::socket> socket_;
   StreamEvents* events_ = nullptr;
   std::uint64_t use_ = 0;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,6 +1,7 @@
 // The parts of the node that need no other process.
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <random>
 #include <string>
 #include <vector>
@@ -8,6 +9,7 @@
 #include "net/heads.h"
 #include "net/hosts.h"
 #include "net/line_buffer.h"
+#include "net/sockets.h"
 #include "net/wakes.h"
 
 namespace flintweir::net {
@@ -98,6 +100,28 @@
   }
 }
 
+// As many blocks as were out at a time, however often they come and go.
+TEST(HandlerMemory, IsUsedAgain) {
+  std::mt19937_64 chance(5);
+  HandlerMemory memory;
+  std::vector<std::pair<void*, std::size_t>> out;
+  std::size_t most = 0;
+  for (int i = 0; i < 5000; ++i) {
+    const std::size_t size = 1 + chance() % 400;
+    if (out.size() < 40 && (out.empty() || chance() % 2)) {
+      out.emplace_back(memory.take(size), size);
+      std::memset(out.back().first, i, size);
+    } else {
+      std::swap(out[chance() % out.size()], out.back());
+      memory.give(out.back().first, out.back().second);
+      out.pop_back();
+    }
+    most = std::max(most, out.size());
+    EXPECT_LE(memory.blocks(), most);
+  }
+  for (const auto& [block, size] : out) memory.give(block, size);
+}
+
 struct Recorder final : Woken {
   std::vector<std::uint64_t> seen;
   void woken(std::uint64_t token) override { seen.push_back(token); }
