Keep slow clients, first lines in place, and the module out of its own calls

Found by reading the relay, the buffers and the probes against the protocol: - relay.cpp, woken: while a client lags its host is not read, so that answers seemed missing and after 4 s the client was moved though its host answers. - client_conn.cpp, look_for_head: after a PING the first line lay past the buffer's start and could shift under a dial when more came in behind it. It is brought to the front first. - probes.cpp and http_get.cpp, broken: without a descriptor the failure came back from within the module's own call. - relay.cpp, broken: what a host said before its reset went to the client only where it was no farewell.

--- a/src/net/client_conn.cpp
+++ b/src/net/client_conn.cpp
@@ -24,13 +24,14 @@
 
 void ClientConn::look_for_head() {
   while (const auto line = stream_.in().line()) {
-    const std::string_view text = without_end(*line);
     if (line->size() > kLongestLine) return fail();
-    if (text != "PING") {
+    if (without_end(*line) != "PING") {
       phase_ = Phase::waiting;
       ++token_;
-      head_ = *line;
-      return owner_.head_came(text);
+      // Dials send the line from where it lies: it must not move when more comes in behind it.
+      stream_.in().to_front();
+      head_ = stream_.in().held().substr(0, line->size());
+      return owner_.head_came(without_end(head_));
     }
     if (!owner_.taking() || !stream_.write("PONG\r\n")) return fail();
     pinged_ = true;
--- a/src/net/http_get.cpp
+++ b/src/net/http_get.cpp
@@ -90,7 +90,8 @@
   // A kept connection may have ended while it was idle: asked again on a new one, once.
   if (std::exchange(kept_, false)) {
     sent_ = 0;
-    if (stream_.connect(at_, *this)) return;
+    if (!stream_.connect(at_, *this)) wakes_.after(Micros{0}, *this, token_);
+    return;
   }
   fail("the connection broke");
 }
--- a/src/net/line_buffer.h
+++ b/src/net/line_buffer.h
@@ -28,13 +28,15 @@
   // Free space to read into; what is held moves to the front where there is none behind it.
   std::pair<char*, std::size_t> room() {
     if (begin_ == end_) begin_ = end_ = 0;
-    if (end_ == bytes_.size() && begin_ > 0) {
-      std::memmove(bytes_.data(), bytes_.data() + begin_, end_ - begin_);
-      end_ -= begin_;
-      begin_ = 0;
-    }
+    if (end_ == bytes_.size() && begin_ > 0) to_front();
     return {bytes_.data() + end_, bytes_.size() - end_};
   }
+  // From here on what is held stays in its place until some of it is dropped.
+  void to_front() {
+    std::memmove(bytes_.data(), bytes_.data() + begin_, end_ - begin_);
+    end_ -= begin_;
+    begin_ = 0;
+  }
   void came(std::size_t n) { end_ += n; }
   void drop(std::size_t n) { begin_ += n; }
 
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -12,6 +12,28 @@
 
 constexpr Micros kHolderAgain = 250ms;  // between dials to the host that holds a connection already
 
+const char* code_of(Ending how) {
+  switch (how) {
+    case Ending::finished:
+      return "dial-finished";
+    case Ending::erred:
+      return "dial-erred";
+    case Ending::turned_away:
+      return "dial-turned-away";
+    case Ending::timed_out:
+      return "dial-timed-out";
+    case Ending::unconnected:
+      return "dial-unconnected";
+    case Ending::broken:
+      return "dial-broken";
+    case Ending::cancelled:
+      return "dial-cancelled";
+    case Ending::unsent:
+      return "dial-unsent";
+  }
+  return "dial-unknown";
+}
+
 }  // namespace
 
 Link::Link(Sessions& s)
@@ -70,7 +92,7 @@
 
 void Link::answer(std::string_view line, Reason reason) {
   answered_ = true;
-  log_end(reason);
+  log_end(net::code_of(reason));
   client_.answer(line);
 }
 
@@ -97,7 +119,7 @@
 
 void Link::client_failed(Reason reason) {
   answered_ = true;
-  log_end(reason);
+  log_end(net::code_of(reason));
 }
 
 void Link::client_closed() { sessions_.free(key_); }
@@ -114,6 +136,7 @@
 }
 
 void Link::dial_ended(Ending how) {
+  log_end(code_of(how));
   if (!inherited_) {
     sessions_.balancer_now();
     return handle_.ended(dial_no(), how, false);
@@ -137,17 +160,17 @@
 
 void Link::relay_over(Ending how, Reason why) {
   open_ = false;
-  log_end(why);
+  log_end(net::code_of(why));
   sessions_.balancer_now();
   handle_.ended(inherited_ ? DialNo{0} : dial_no(), how, true);
 }
 
 void Link::relay_closed() { sessions_.free(key_); }
 
-void Link::log_end(Reason reason) {
+void Link::log_end(const char* code) {
   const auto ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(sessions_.wakes_.now() - began_).count();
-  log_line("end %s client=%016llx host=%s listener=%u dials=%u ms=%lld", code_of(reason),
+  log_line("end %s client=%016llx host=%s listener=%u dials=%u ms=%lld", code,
            static_cast<unsigned long long>(taken_.client.value_or(ClientKey{}).value),
            sessions_.hosts_.name(at_), taken_.listener.value, dials_, static_cast<long long>(ms));
 }
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -36,7 +36,7 @@
   void relay_over(Ending how, Reason why) override;
   void relay_closed() override;
   DialNo dial_no() const { return {dials_ > 0 ? dials_ - 1 : 0}; }
-  void log_end(Reason reason);
+  void log_end(const char* code);  // one line for each connection that ends
 
   Sessions& sessions_;
   ClientConn client_;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -123,19 +123,15 @@
 
 void Node::woken(std::uint64_t due) {
   if (due == accept_again) return accept();
-  if (wakes_.now() >= gone_by_) {
-    log_line("left");
-    return sockets_.io().stop();
-  }
-  wakes_.after(20ms, *this, left);
+  log_line("left");
+  sockets_.io().stop();
 }
 
 // Clients are moved over half the longest dial timeout; those that still come are answered until it is over.
 void Node::leave() {
   log_line("leaving: moving all sessions");
-  gone_by_ = wakes_.now() + longest_dial_ + 200ms;
   sessions_.leave(longest_dial_ / 2);
-  wakes_.after(0us, *this, left);
+  wakes_.after(longest_dial_ + 200ms, *this, left);
 }
 
 }  // namespace flintweir::net
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -34,7 +34,6 @@
   Discovery discovery_;
   Tcp::acceptor door_{sockets_.io()};
   asio::signal_set signals_{sockets_.io()};
-  Micros gone_by_{0};
 };
 
 }  // namespace flintweir::net
--- a/src/net/probes.cpp
+++ b/src/net/probes.cpp
@@ -71,7 +71,11 @@
   stream_.close();
   if (!asking_) return;
   // A kept connection may have been closed by the host while it was idle: that says nothing of the host.
-  if (std::exchange(kept_, false) && stream_.connect(at_, *this)) return;
+  // The module may be in the middle of asking: it is told in a later turn.
+  if (std::exchange(kept_, false)) {
+    if (!stream_.connect(at_, *this)) probes_.wakes_.after(Micros{0}, *this, token_);
+    return;
+  }
   end(false, {});
 }
 
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -133,11 +133,12 @@
     return close();
   }
   over(host_ending(), host_reason());
+  client_->write(host_->in().held());
   if (!bye_ && !sent_away_) {
-    client_->write(host_->in().held());
     client_->abort();
     return close();
   }
+  seen_ = 0;
   host_->close();
   client_->end_sending();
   client_->want_read();
@@ -162,6 +163,8 @@
   }
   // A silent host sends no reset, and TCP notices nothing: the client is sent to another.
   if (t != token(Due::silence) || over_ || asked_at_ == Micros{0}) return;
+  // While the client lags its host is not read, and may well have answered.
+  if (!host_->in().empty()) asked_at_ = wakes_.now();
   const Micros silent = wakes_.now() - asked_at_;
   if (silent >= kSilence) return move(Reason::host_silent);
   wakes_.after(kSilence - silent, *this, token(Due::silence));
--- a/src/net/sessions.cpp
+++ b/src/net/sessions.cpp
@@ -65,6 +65,7 @@
 }
 
 void Sessions::probed(HostId host, bool answered, const LoadReport& report) {
+  if (!answered) log_line("end probe-failed host=%s", hosts_.name(host));
   balancer_now().probed(host, answered, report);
 }
 
--- a/src/net/sessions.h
+++ b/src/net/sessions.h
@@ -36,7 +36,6 @@
   void host_gone(HostId host) { probes_.forget(host); }
   // From now on nothing new is taken, and open sessions are moved, evenly over so long.
   void leave(Micros over);
-  bool empty() const { return count_ == 0; }
 
   void dial(SessId sess, HostId host, Micros limit) override;
   void refuse(SessId sess, Micros stay_away) override;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -352,7 +352,7 @@
 }
 
 TEST_F(Node, TakesFirstLinesHoweverTheyCome) {
-  start(1);
+  start(4);
   Peer front = Peer::to(port);
   front.say("PING\r\nPING\r\n");
   EXPECT_EQ(front.line(), "PONG");
@@ -365,13 +365,20 @@
   host.say("P r1\r");
   host.say("\n");
   EXPECT_EQ(slow.line(), "UP r1");
-  // Words said before the acceptance go on after the first line.
+  // Words said before the acceptance go on after the first line, however many; a dial still sends that line.
   Peer hasty = Peer::to(port);
-  hasty.say("OPEN 2 2 c=chat,d=2000\r\nhello\r\n");
+  std::string words(1022, 'w');
+  hasty.say("PING\r\nOPEN 2 2 c=chat,d=2000\r\n");
+  EXPECT_EQ(hasty.line(), "PONG");
+  for (int i = 0; i < 20; ++i) hasty.say(words + "\r\n");
+  Peer declined = dialled().second;
+  EXPECT_EQ(declined.line().substr(0, 19), "OPEN 2 2 c=chat,d=4");
+  declined.say("BUSY\r\n");
   Peer host2 = dialled().second;
-  host2.line();
+  EXPECT_EQ(host2.line().substr(0, 17), "OPEN 2 2 c=chat,d");
   host2.say("UP r2\r\n");
-  EXPECT_EQ(host2.line(), "hello");
+  EXPECT_EQ(hasty.line(), "UP r2");
+  for (int i = 0; i < 20; ++i) ASSERT_EQ(host2.line(), words) << i;
   // What is malformed is answered and costs only its own connection.
   for (const std::string& bad :
        {std::string("GET / HTTP/1.1\r\n"), std::string("OPEN 3 2 c=none,d=5\r\n"), std::string(5000, 'x'),
@@ -464,6 +471,8 @@
 TEST_F(Node, ReadsNoFasterThanTheOtherSideDoes) {
   start(1);
   auto [client, host] = accepted();
+  client.say("a question\r\n");  // that is answered, though the client does not read it yet
+  EXPECT_EQ(host.line(), "a question");
   std::string line(1022, 'z');
   line += "\r\n";
   std::size_t sent = 0, got = 0;
@@ -474,6 +483,7 @@
     sent += n;
     ASSERT_LT(sent, 64u << 20) << "the node takes without bound";
   }
+  EXPECT_EQ(program->logged("end ", 5s), "") << "a slow client is no silent host";
   for (; got + line.size() <= sent; got += line.size()) ASSERT_EQ(client.line(), line.substr(0, 1022)) << got;
   host.say(std::string_view(line).substr(sent % line.size()));
   host.say("BYE\r\n");
@@ -545,6 +555,47 @@
   EXPECT_EQ(dialled().second.line(), "STATS");
 }
 
+// Late answers mean work piled up at a host, whatever load it reports: it gets nothing new for a while.
+TEST_F(Node, TellsTheModuleOfLateAnswers) {
+  start(2, true);
+  std::vector<Peer> probes;
+  // Answers probes for so long, or until a host is dialled.
+  const auto next = [&](Steady::duration within) -> std::pair<std::size_t, Peer> {
+    for (const auto until = Steady::now() + within; Steady::now() < until; readable(-1, 1ms)) {
+      for (Peer& p : probes) {
+        if (readable(p.fd(), 0ms) && p.line() == "STATS") p.say("PONG util=0.3,x0=0.3\r\n");
+      }
+      for (std::size_t i = 0; i < hosts.size(); ++i) {
+        if (!hosts[i].knocked(0ms)) continue;
+        Peer peer = hosts[i].take();
+        const std::string line = peer.line();
+        if (line != "STATS") return {i, std::move(peer)};
+        peer.say("PONG util=0.3,x0=0.3\r\n");
+        probes.push_back(std::move(peer));
+      }
+    }
+    return {hosts.size(), Peer()};
+  };
+  while (probes.size() < 2) next(10ms);
+  Peer client = open();
+  auto [late, host] = next(kPatience);
+  ASSERT_LT(late, hosts.size());
+  host.say("UP r1\r\n");
+  EXPECT_EQ(client.line(), "UP r1");
+  client.say("quick?\r\n");
+  EXPECT_EQ(next(1300ms).first, hosts.size());
+  host.say("no\r\n");
+  EXPECT_EQ(client.line(), "no");
+  std::vector<Peer> kept;
+  for (int i = 0; i < 4; ++i) {
+    kept.push_back(open());
+    auto [at, peer] = next(kPatience);
+    EXPECT_EQ(at, 1 - late);
+    peer.say("UP r\r\n");
+    kept.push_back(std::move(peer));
+  }
+}
+
 TEST_F(Node, HandsOnAConnectionThatWasOpenBefore) {
   start(2);
   Peer client = open("chat", 5000, ",at=s-1");
