--- a/src/net/client_conn.cpp
+++ b/src/net/client_conn.cpp
@@ -33,8 +33,8 @@
       head_ = stream_.in().held().substr(0, line->size());
       return owner_.head_came(without_end(head_));
     }
-    if (!owner_.taking() || !stream_.write("PONG\r\n")) return fail();
     pinged_ = true;
+    if (!owner_.taking() || !stream_.write("PONG\r\n")) return fail();
     stream_.in().drop(line->size());
     wakes_.after(first_line_within_, *this, ++token_);
   }
@@ -43,7 +43,8 @@
 }
 
 void ClientConn::fail() {
-  owner_.client_failed(pinged_ && stream_.in().empty() ? Reason::checked : Reason::bad_line);
+  const bool check_only = pinged_ && (stream_.in().empty() || !owner_.taking());
+  owner_.client_failed(check_only ? Reason::checked : Reason::bad_line);
   if (stream_.at_end()) return close();
   answer("ERR\r\n");
 }
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -625,6 +625,10 @@
   half.say("OPEN 99 1 c=chat");
   program->signal(SIGTERM);
   EXPECT_FALSE(program->logged("leaving").empty());
+  Peer front = Peer::to(port);
+  front.say("PING\r\n");
+  EXPECT_EQ(front.line(), "ERR");  // no PONG: fronts are to send nobody here
+  EXPECT_FALSE(program->logged("end checked").empty());
   EXPECT_EQ(open().line(), "BUSY 500");
   half.say(",d=2000\r\n");
   EXPECT_EQ(half.line(), "BUSY 500");
