Use the slab for probes, read keys in one place, and forget hosts a whole list leaves out

Found on rereading the node: - Probes kept a pool of its own beside the slab; "hexadecimal, or else a hash" stood in heads.cpp and node_file.cpp, and the rule for telling clients when to come back in deployment.cpp and node.cpp: each is one piece now. - Link's flag for a move repeated the relay's, and the ending and the reason of a host's end were worked out apart. - The two tables of log codes stand together; Discovery fails in one place. Two behaviours were wrong and change: discovery.cpp, take, left the probe connection of a host that a whole list no longer names open (tested now); link.cpp, host_accepted, began a second chain of moves for a session accepted while the node leaves, which hastened all the others: it is moved by itself.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -42,12 +42,15 @@
   } else {
     return ask();
   }
-  watching_ = false;
-  told_.balancer_now().list_failed();
+  failed();
 }
 
 void Discovery::http_failed(const char* why) {
   log_line("discovery: %s", why);
+  failed();
+}
+
+void Discovery::failed() {
   watching_ = false;
   told_.balancer_now().list_failed();
 }
@@ -100,7 +103,7 @@
     told_.host_gone(id);
   });
   balancer.list_ends();
-  if (whole) hosts_.list_ends();
+  if (whole) hosts_.list_ends([this](HostId id) { told_.host_gone(id); });
   version_ = version;
   return true;
 }
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -31,6 +31,7 @@
   void http_answered(unsigned status, std::string& body) override;
   void http_failed(const char* why) override;
   void ask();
+  void failed();
   // Calls entry(id, name, endpoint, zone, cell, standing, share, started) for each target; false: malformed.
   template <class Entry>
   bool each_target(const simdjson::dom::array& targets, Entry entry) const;
--- a/src/net/heads.cpp
+++ b/src/net/heads.cpp
@@ -18,13 +18,6 @@
   return first;
 }
 
-// Keys and groups are numbers in hexadecimal; any other text still names one thing.
-std::uint64_t key_of(std::string_view text) {
-  std::uint64_t key;
-  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), key, 16);
-  return ec == std::errc{} && end == text.data() + text.size() ? key : setup::id_of(text);
-}
-
 }  // namespace
 
 std::optional<double> number(std::string_view text) {
@@ -39,7 +32,7 @@
   if (cut(line, ' ') != "OPEN") return false;
   const std::string_view id = cut(line, ' '), key = cut(line, ' ');
   if (id.empty() || key.empty()) return false;
-  taken.client = ClientKey{key_of(key)};
+  taken.client = ClientKey{setup::key_of(key)};
   bool listed = false;
   while (!line.empty()) {
     std::string_view value = cut(line, ',');
@@ -53,9 +46,9 @@
       time_left = value;
     } else if (name == "g" && !value.empty()) {
       if (groups_)
-        taken.group = GroupId{key_of(value)};
+        taken.group = GroupId{setup::key_of(value)};
       else
-        taken.client = ClientKey{key_of(value)};
+        taken.client = ClientKey{setup::key_of(value)};
     } else if (name == "r") {
       taken.repeat = value == "1";
     } else if (name == "again") {
--- a/src/net/hosts.h
+++ b/src/net/hosts.h
@@ -39,8 +39,12 @@
     host.listed = true;
   }
   void gone(HostId id) { hosts_.erase(id.value); }
-  void list_ends() {
-    std::erase_if(hosts_, [](const auto& entry) { return !entry.second.listed; });
+  template <class Gone>
+  void list_ends(Gone gone) {
+    std::erase_if(hosts_, [&](const auto& entry) {
+      if (!entry.second.listed) gone(HostId{entry.first});
+      return !entry.second.listed;
+    });
   }
 
  private:
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -10,32 +10,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr Micros kHolderAgain = 250ms;  // between dials to the host that holds a connection already
-
+constexpr Micros kHolderAgain = 250ms;   // between dials to the host that holds a connection already
 constexpr Micros kFrontNotices = 500ms;  // new connections go on coming for up to 0.4 s
 
-const char* code_of(Ending how) {
-  switch (how) {
-    case Ending::finished:
-      return "dial-finished";
-    case Ending::erred:
-      return "dial-erred";
-    case Ending::turned_away:
-      return "dial-turned-away";
-    case Ending::timed_out:
-      return "dial-timed-out";
-    case Ending::unconnected:
-      return "dial-unconnected";
-    case Ending::broken:
-      return "dial-broken";
-    case Ending::cancelled:
-      return "dial-cancelled";
-    case Ending::unsent:
-      return "dial-unsent";
-  }
-  return "dial-unknown";
-}
-
 }  // namespace
 
 Link::Link(Sessions& s)
@@ -51,7 +28,7 @@
   time_left_ = {};
   at_ = HostId{};
   dials_ = 0;
-  inherited_ = answered_ = open_ = moving_ = false;
+  inherited_ = answered_ = open_ = false;
   began_ = sessions_.wakes_.now();
   client_.begin(std::move(socket));
 }
@@ -98,34 +75,30 @@
 
 void Link::answer(std::string_view line, Reason reason) {
   answered_ = true;
-  log_end(net::code_of(reason));
+  log_end(code_of(reason));
   client_.answer(line);
 }
 
 void Link::move(Reason why) {
-  if (!movable()) return;
-  moving_ = true;
-  relay_.move(why);
+  if (open_) relay_.move(why);
 }
 
 void Link::client_left() {
   if (answered_) return;
+  const bool dialling = host_.out();
+  host_.give_up();
   if (handle_.live()) {
     sessions_.balancer_now();
     handle_.left();
-    if (host_.out()) {
-      host_.give_up();
-      handle_.ended(dial_no(), Ending::cancelled, true);
-    }
+    if (dialling) handle_.ended(dial_no(), Ending::cancelled, true);
   }
-  host_.give_up();
   // It may have ended only its sending; then this is its one final answer.
   answer("ERR\r\n", Reason::left);
 }
 
 void Link::client_failed(Reason reason) {
   answered_ = true;
-  log_end(net::code_of(reason));
+  log_end(code_of(reason));
 }
 
 void Link::client_closed() { sessions_.free(key_); }
@@ -137,8 +110,8 @@
     handle_ = balancer.inherit(SessId{key_.packed()}, taken_, at_);
   else
     handle_.accepted(dial_no());
-  if (sessions_.leaving_) sessions_.leave_soon();
   relay_.start(client_.accepted(), host_.accepted());
+  if (sessions_.leaving_) move(Reason::restarting);  // too late for its turn among the others
 }
 
 void Link::dial_ended(Ending how) {
@@ -166,9 +139,9 @@
 
 void Link::relay_over(Ending how, Reason why) {
   open_ = false;
-  log_end(net::code_of(why));
+  log_end(code_of(why));
   sessions_.balancer_now();
-  handle_.ended(inherited_ ? DialNo{0} : dial_no(), how, true);
+  handle_.ended(dial_no(), how, true);
 }
 
 void Link::relay_closed() { sessions_.free(key_); }
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -19,7 +19,7 @@
   void dial(HostId host, Micros within);
   void answer(std::string_view line, Reason reason);
   void move(Reason why);
-  bool movable() const { return open_ && !moving_; }
+  bool movable() const { return open_ && !relay_.moving(); }
   void dial_holder();
 
  private:
@@ -35,7 +35,8 @@
   void message_took(Micros delay) override;
   void relay_over(Ending how, Reason why) override;
   void relay_closed() override;
-  DialNo dial_no() const { return {dials_ > 0 ? dials_ - 1 : 0}; }
+  // The module knows only one dial of a connection that was open before.
+  DialNo dial_no() const { return {inherited_ ? 0 : dials_ - 1}; }
   void log_end(const char* code);  // one line for each connection that ends
 
   Sessions& sessions_;
@@ -49,7 +50,7 @@
   HostId at_;
   Micros began_{0};
   std::uint32_t dials_ = 0;
-  bool inherited_ = false, answered_ = false, open_ = false, moving_ = false;
+  bool inherited_ = false, answered_ = false, open_ = false;
 };
 
 }  // namespace flintweir::net
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -60,4 +60,26 @@
   return "unknown";
 }
 
+const char* code_of(Ending how) {
+  switch (how) {
+    case Ending::finished:
+      return "dial-finished";
+    case Ending::erred:
+      return "dial-erred";
+    case Ending::turned_away:
+      return "dial-turned-away";
+    case Ending::timed_out:
+      return "dial-timed-out";
+    case Ending::unconnected:
+      return "dial-unconnected";
+    case Ending::broken:
+      return "dial-broken";
+    case Ending::cancelled:
+      return "dial-cancelled";
+    case Ending::unsent:
+      return "dial-unsent";
+  }
+  return "dial-unknown";
+}
+
 }  // namespace flintweir::net
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -1,6 +1,8 @@
 // The one place that writes log lines.
 #pragma once
 
+#include "balance.h"
+
 namespace flintweir::net {
 
 // One line to standard error, printf style. Past a burst, lines of a second too many are dropped and counted.
@@ -24,5 +26,6 @@
   restarting,      // moved or refused since this node is about to leave
 };
 const char* code_of(Reason reason);
+const char* code_of(Ending how);  // of a dial that was not accepted
 
 }  // namespace flintweir::net
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -44,9 +44,9 @@
 Patience patience(const setup::Values& settings) {
   const std::vector<Micros> targets = listener_times(settings, "handshakeTarget");
   const Micros target = *std::min_element(targets.begin(), targets.end());
-  const setup::Values ceilings(settings, "ceilings");
-  return {ceilings.time("connectTimeout", target / 4), 4 * longest(listener_times(settings, "dialTimeout")),
-          target / 2, ceilings.yes("retryAfter") ? ceilings.time("maxRetryAfter") : 0us};
+  return {setup::Values(settings, "ceilings").time("connectTimeout", target / 4),
+          4 * longest(listener_times(settings, "dialTimeout")), target / 2,
+          setup::longest_stay_away(settings)};
 }
 
 std::size_t socket_limit(const NodeFile& file) {
--- a/src/net/node_file.cpp
+++ b/src/net/node_file.cpp
@@ -1,6 +1,5 @@
 #include "net/node_file.h"
 
-#include <charconv>
 #include <cstdlib>
 
 #include "net/hosts.h"
@@ -29,13 +28,7 @@
   return *at;
 }
 
-std::uint64_t NodeFile::seed() const {
-  const std::string_view text = whole_.text("seed", "");
-  std::uint64_t seed;
-  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
-  return ec == std::errc{} && end == text.data() + text.size() ? seed : setup::id_of(text);
-}
-
+std::uint64_t NodeFile::seed() const { return setup::key_of(whole_.text("seed", "")); }
 std::size_t NodeFile::sockets() const { return setup::Values(whole_, "limits").number("sockets", 1024); }
 std::size_t NodeFile::memory_mb() const { return setup::Values(whole_, "limits").number("memory_mb", 192); }
 
--- a/src/net/probes.cpp
+++ b/src/net/probes.cpp
@@ -5,20 +5,16 @@
 namespace flintweir::net {
 
 void Probes::ask(HostId host, const Tcp::endpoint* at) {
-  const auto [it, fresh] = by_host_.try_emplace(host.value, nullptr);
-  if (fresh) {
-    if (free_.empty()) free_.push_back(&probes_.emplace_back(*this));
-    it->second = free_.back();
-    free_.pop_back();
-  }
-  it->second->ask(host, at);
+  const auto [it, fresh] = by_host_.try_emplace(host.value);
+  if (fresh) it->second = probes_.lend(*this);
+  probes_.find(it->second)->ask(host, at);
 }
 
 void Probes::forget(HostId host) {
   const auto it = by_host_.find(host.value);
   if (it == by_host_.end()) return;
-  it->second->drop();
-  free_.push_back(it->second);
+  probes_.find(it->second)->drop();
+  probes_.drop(it->second);
   by_host_.erase(it);
 }
 
--- a/src/net/probes.h
+++ b/src/net/probes.h
@@ -1,12 +1,12 @@
 // Asks hosts for their load, over one kept connection a host.
 #pragma once
 
-#include <deque>
 #include <unordered_map>
 
 #include "balance.h"
 #include "net/hosts.h"
 #include "net/wakes.h"
+#include "slab.h"
 
 namespace flintweir::net {
 
@@ -53,9 +53,8 @@
   Wakes& wakes_;
   Micros answer_within_;
   Told& told_;
-  std::deque<Probe> probes_;
-  std::vector<Probe*> free_;
-  std::unordered_map<std::uint64_t, Probe*> by_host_;
+  Slab<Probe> probes_;
+  std::unordered_map<std::uint64_t, SlabKey> by_host_;
 };
 
 }  // namespace flintweir::net
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -79,17 +79,17 @@
       owner_.message_took(wakes_.now() - std::exchange(asked_at_, Micros{0}));
     }
   }
-  if (host_->at_end()) over(host_ending(), host_reason());
+  if (host_->at_end()) host_over();
   // A line past the longest allowed can't be passed on whole: its client is moved.
   if (!host_->at_end() && host_->in().held().size() - seen_ > kLongestLine) move(Reason::host_garbled);
   down_stream();
 }
 
-Ending Relay::host_ending() const {
-  return bye_ ? Ending::finished : sent_away_ ? Ending::cancelled : Ending::broken;
-}
-Reason Relay::host_reason() const {
-  return bye_ ? Reason::host_ended : sent_away_ ? Reason::host_moved : Reason::host_broke;
+// What the host said last tells how it meant the end.
+void Relay::host_over() {
+  if (bye_) return over(Ending::finished, Reason::host_ended);
+  if (sent_away_) return over(Ending::cancelled, Reason::host_moved);
+  over(Ending::broken, Reason::host_broke);
 }
 
 // Only whole lines go on to the client, so that MOVE can be said between two of them at any time.
@@ -132,7 +132,7 @@
     host_->abort();
     return close();
   }
-  over(host_ending(), host_reason());
+  host_over();
   client_->write(host_->in().held());
   if (!bye_ && !sent_away_) {
     client_->abort();
--- a/src/net/relay.h
+++ b/src/net/relay.h
@@ -26,6 +26,7 @@
   void start(Stream& client, Stream& host);
   // Tells the client to come again and closes both sides, in a later turn. Harmless once over.
   void move(Reason why);
+  bool moving() const { return moving_; }
 
  private:
   enum class Due : std::uint64_t { move, stuck, silence, linger };
@@ -40,10 +41,9 @@
   void down_stream();
   void say_move();
   void linger();
+  void host_over();
   void over(Ending how, Reason why);
   void close();
-  Ending host_ending() const;
-  Reason host_reason() const;
 
   Wakes& wakes_;
   RelayOwner& owner_;
--- a/src/net/sessions.cpp
+++ b/src/net/sessions.cpp
@@ -102,7 +102,7 @@
 void Sessions::leave(Micros over) {
   leaving_ = true;
   leave_by_ = wakes_.now() + over;
-  leave_soon();
+  move_next(0);
 }
 
 // Guards against all clients of a node coming back in the same moment: that is a storm for the others.
--- a/src/net/sessions.h
+++ b/src/net/sessions.h
@@ -65,7 +65,6 @@
   Link* find(SessId sess) { return links_.find(SlabKey::unpacked(sess.value)); }
   bool has_room() const { return count_ <= most_ && sockets_.room(kSpare); }
   void again(SlabKey key, Micros in) { wakes_.after(in, dial_again_, key.packed()); }
-  void leave_soon() { wakes_.after(Micros{0}, move_next_, 0); }
   bool delay_counts(HostId host, Micros delay);
   void free(SlabKey key);
 
--- a/src/setup/deployment.cpp
+++ b/src/setup/deployment.cpp
@@ -1,5 +1,7 @@
 #include "setup/deployment.h"
 
+#include <charconv>
+
 namespace flintweir::setup {
 namespace {
 
@@ -31,8 +33,7 @@
   return make_balancer(
       outlet, seed, static_cast<unsigned>(settings.real("balancers", 1)),
       ZoneId{static_cast<std::uint32_t>(settings.real("myZone", 0))}, std::move(listeners),
-      DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)),
-                 ceilings.yes("retryAfter") ? ceilings.time("maxRetryAfter") : Micros{0}},
+      DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)), longest_stay_away(settings)},
       ColdRule{rules.time("cold"), rules.real("coldShare", 1), rules.real("overloadFactor", 1),
                rules.time("tipAfter")},
       ListRule{settings.text("discovery", "") == "on_request", rules.time("askEvery")},
@@ -71,4 +72,15 @@
   return h;
 }
 
+std::uint64_t key_of(std::string_view text) {
+  std::uint64_t key;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), key, 16);
+  return ec == std::errc{} && end == text.data() + text.size() ? key : id_of(text);
+}
+
+Micros longest_stay_away(const Values& settings) {
+  const Values ceilings(settings, "ceilings");
+  return ceilings.yes("retryAfter") ? ceilings.time("maxRetryAfter") : Micros{0};
+}
+
 }  // namespace flintweir::setup
--- a/src/setup/deployment.h
+++ b/src/setup/deployment.h
@@ -26,4 +26,10 @@
 // A host's or client's id out of its name, the same at every node.
 std::uint64_t id_of(std::string_view name);
 
+// A key as it is written: a number in hexadecimal; any other text still names one thing.
+std::uint64_t key_of(std::string_view text);
+
+// Zero where clients cannot be told when to come back.
+Micros longest_stay_away(const Values& settings);
+
 }  // namespace flintweir::setup
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -555,7 +555,16 @@
   EXPECT_EQ(next.line(), "STATS");
   next.say("ERR\r\n");
   EXPECT_EQ(next.line(), "(end)");
-  EXPECT_EQ(dialled().second.line(), "STATS");
+  Peer kept = dialled().second;
+  EXPECT_EQ(kept.line(), "STATS");
+  kept.say("PONG x0=0.1\r\n");
+  // It ends with the host's place on a whole list.
+  Peer watch = discovery.take();
+  asked(watch);
+  tell(watch, list(2, true, ""));
+  std::string last = kept.line();
+  while (last == "STATS") last = kept.line();
+  EXPECT_EQ(last, "(end)");
 }
 
 // Late answers mean work piled up at a host, whatever load it reports: it gets nothing new for a while.
