Follow discovery to its new address on SIGHUP instead of ending

Checked: nothing handled the signal (src/main.cpp serve, Node::run took only SIGTERM and SIGINT), and NodeFile::discovery let EDGE_DISCOVERY of the start go before the file.

Now the file is read again as at a start; its discovery wins, the watch ends at the old address and begins with a whole list at the new one, and what the old one told is no base for changes. A file that could not be started with changes nothing and leaves one line. A SIGHUP before the node is ready waits for it. A version older than what is known now asks for a whole list, where it failed again and again.

Tests: FollowsDiscoveryToItsNewAddressOnReload, HearsOfAReloadAskedForBeforeItIsReady; both fail without the change.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,7 +16,7 @@
 constexpr const char* kHelp =
     "usage: flintweir COMMAND [--config FILE]\n"
     "\n"
-    "  serve      run a node until SIGTERM\n"
+    "  serve      run a node until SIGTERM; SIGHUP reads the configuration again\n"
     "  check      read a configuration as serve would, and say whether it is right\n"
     "  version    print the version\n"
     "  help       print this\n"
@@ -36,11 +36,20 @@
   setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+// Guards against a reload that is asked for before the node can hear of it: that would end the program.
+void hold_reloads(bool hold) {
+  sigset_t reload;
+  sigemptyset(&reload);
+  sigaddset(&reload, SIGHUP);
+  sigprocmask(hold ? SIG_BLOCK : SIG_UNBLOCK, &reload, nullptr);
+}
+
 int serve(const std::string& config) {
   std::signal(SIGPIPE, SIG_IGN);
   raise_descriptor_limit();
   const flintweir::net::NodeFile file(config);
   flintweir::net::Node node(file);
+  hold_reloads(false);  // one that came meanwhile is heard now
   node.run();
   return 0;
 }
@@ -55,6 +64,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  hold_reloads(true);
   const char* given = std::getenv("EDGE_CONFIG");
   std::string config = given ? given : "";
   const option options[] = {{"config", required_argument, nullptr, 'c'},
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -26,9 +26,17 @@
   if (!std::exchange(watching_, true)) ask();
 }
 
+void Discovery::turn_to(const Tcp::endpoint& at) {
+  get_.turn_to(at);
+  version_.reset();
+  watching_ = true;
+  ask();
+}
+
 // Without a pause after the last answer, so that it stays one watch.
 void Discovery::ask() {
-  get_.get("/api/targets?since=" + std::to_string(version_) +
+  if (!version_) return get_.get("/api/targets", kSlack);
+  get_.get("/api/targets?since=" + std::to_string(*version_) +
                "&timeout_ms=" + std::to_string(std::chrono::milliseconds(kWait / 1ms).count()),
            kWait + kSlack);
 }
@@ -91,7 +99,8 @@
   if (list.get(o) || o["rev"].get(version) || o["all"].get(whole) || o["targets"].get(targets)) return false;
   // Read through once before anything is told: half a list would take hosts for gone that are not.
   if (!each_target(targets, [](auto&&...) {})) return false;
-  if (!whole && version < version_) return false;  // older than what is known
+  // Older than what is known, or changes to a list that this service never gave.
+  if (!whole && (!version_ || version < *version_)) return version_.reset(), false;
   Balancer& balancer = told_.balancer_now();
   if (whole) hosts_.list_begins();
   balancer.list_begins(whole);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -26,6 +26,8 @@
   // Takes a list in discovery's form; false, with nothing changed, where it is malformed.
   bool take(const simdjson::dom::element& list);
   void watch();
+  // Asks there from now on, at once and for a whole list: its versions have nothing to do with those so far.
+  void turn_to(const Tcp::endpoint& at);
 
  private:
   void http_answered(unsigned status, std::string& body) override;
@@ -41,7 +43,7 @@
   Hosts& hosts_;
   Told& told_;
   simdjson::dom::parser parser_;
-  std::uint64_t version_ = 0;
+  std::optional<std::uint64_t> version_;  // of the list that changes are asked for; none: a whole one is
   bool watching_ = false;
 };
 
--- a/src/net/http_get.cpp
+++ b/src/net/http_get.cpp
@@ -10,10 +10,8 @@
 }  // namespace
 
 HttpGet::HttpGet(Sockets& sockets, Wakes& wakes, const Tcp::endpoint& at, Told& told)
-    : stream_(sockets), wakes_(wakes), at_(at), told_(told) {
-  std::ostringstream name;
-  name << at;
-  host_ = name.str();
+    : stream_(sockets), wakes_(wakes), told_(told) {
+  turn_to(at);
   http_parser_settings_init(&callbacks_);
   callbacks_.on_body = [](http_parser* p, const char* bytes, std::size_t n) {
     std::string& body = static_cast<HttpGet*>(p->data)->body_;
@@ -28,6 +26,16 @@
   };
 }
 
+void HttpGet::turn_to(const Tcp::endpoint& at) {
+  at_ = at;
+  std::ostringstream name;
+  name << at;
+  host_ = name.str();
+  asking_ = false;
+  ++token_;
+  stream_.close();
+}
+
 void HttpGet::get(std::string_view path, Micros within) {
   request_ = "GET ";
   request_.append(path)
--- a/src/net/http_get.h
+++ b/src/net/http_get.h
@@ -24,6 +24,8 @@
 
   // One call on Told ends it, in a later turn.
   void get(std::string_view path, Micros within);
+  // From now on asks there; a call that is out ends without a word.
+  void turn_to(const Tcp::endpoint& at);
 
  private:
   void connected(Stream&, std::error_code failed) override;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -66,7 +66,8 @@
 }  // namespace
 
 Node::Node(const NodeFile& file, bool listening)
-    : sockets_(socket_limit(file)),
+    : path_(file.path()),
+      sockets_(socket_limit(file)),
       longest_dial_(longest(listener_times(file.settings(), "dialTimeout"))),
       sessions_(sockets_, wakes_, hosts_, patience(file.settings()), message_target(file.settings()),
                 head_reader(file.settings()), most_sessions(file), *this),
@@ -79,6 +80,7 @@
   sessions_.balancer_now();
   const Tcp::endpoint at = file.listen();
   if (!listening) return;
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) signals_.add(signal);
   door_.open(at.protocol());
   door_.set_option(Tcp::acceptor::reuse_address(true));
   door_.bind(at);
@@ -87,17 +89,36 @@
 }
 
 void Node::run() {
-  signals_.add(SIGTERM);
-  signals_.add(SIGINT);
-  signals_.async_wait([this](std::error_code ec, int) {
-    if (!ec) leave();
-  });
+  wait_for_signals();
   const Tcp::endpoint at = door_.local_endpoint();
   log_line("serving at %s:%u", at.address().to_string().c_str(), at.port());
   wait_for_clients();
   sockets_.io().run();
 }
 
+void Node::wait_for_signals() {
+  signals_.async_wait([this](std::error_code ec, int signal) {
+    if (ec) return;
+    if (signal != SIGHUP) return leave();
+    reload();
+    wait_for_signals();
+  });
+}
+
+// Takes the new address of discovery; all else holds until the next start. The file is read as at a start,
+// so that one which could not be started with changes nothing.
+void Node::reload() {
+  try {
+    const NodeFile file(path_);
+    check(file);
+    const Tcp::endpoint at = file.discovery_of_file();
+    log_line("reload: discovery at %s:%u", at.address().to_string().c_str(), at.port());
+    discovery_.turn_to(at);
+  } catch (const std::exception& e) {
+    log_line("reload: %s; nothing is changed", e.what());
+  }
+}
+
 void Node::wait_for_clients() {
   door_.async_wait(Tcp::acceptor::wait_read, [this](std::error_code ec) {
     if (!ec) accept();
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -24,8 +24,11 @@
   void woken(std::uint64_t due) override;
   void wait_for_clients();
   void accept();
+  void wait_for_signals();
+  void reload();
   void leave();
 
+  std::string path_;  // of the configuration
   Sockets sockets_;
   Wakes wakes_{sockets_.io()};
   Hosts hosts_;
--- a/src/net/node_file.cpp
+++ b/src/net/node_file.cpp
@@ -18,10 +18,10 @@
 
 }  // namespace
 
-NodeFile::NodeFile(const std::string& path) : whole_(load(parser_, path), "configuration") {}
+NodeFile::NodeFile(const std::string& path) : path_(path), whole_(load(parser_, path), "configuration") {}
 
 Tcp::endpoint NodeFile::address(const char* key, const char* variable) const {
-  const char* given = std::getenv(variable);
+  const char* given = variable ? std::getenv(variable) : nullptr;
   const std::string text(given && *given ? std::string_view(given) : whole_.text(key, ""));
   const auto at = endpoint_of(text);
   if (!at) setup::bad("configuration: " + std::string(key) + " '" + text + "' is not an address with a port");
--- a/src/net/node_file.h
+++ b/src/net/node_file.h
@@ -16,6 +16,8 @@
   explicit NodeFile(const std::string& path);  // throws setup::BadInput
   Tcp::endpoint listen() const { return address("listen", "EDGE_LISTEN"); }
   Tcp::endpoint discovery() const { return address("discovery", "EDGE_DISCOVERY"); }
+  Tcp::endpoint discovery_of_file() const { return address("discovery"); }  // whatever the variable says
+  const std::string& path() const { return path_; }
   std::uint64_t seed() const;
   std::size_t sockets() const;
   std::size_t memory_mb() const;
@@ -23,8 +25,9 @@
   std::optional<simdjson::dom::element> known() const;
 
  private:
-  Tcp::endpoint address(const char* key, const char* variable) const;
+  Tcp::endpoint address(const char* key, const char* variable = nullptr) const;
 
+  std::string path_;
   simdjson::dom::parser parser_;
   setup::Values whole_;
 };
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -168,11 +169,13 @@
 // The program, from its start to its end.
 class Program {
  public:
-  Program(const std::string& config, std::vector<std::string> words) {
+  // `discovery` is what EDGE_DISCOVERY says. A reload is asked for before the program begins where told.
+  Program(const std::string& config, std::vector<std::string> words, const std::string& discovery = "",
+          bool reload_first = false) {
     char path[] = "/tmp/flintweir_test_XXXXXX";
     ::close(mkstemp(path));
     path_ = path;
-    std::ofstream(path_) << config;
+    rewrite(config);
     int pipes[2];
     EXPECT_EQ(pipe(pipes), 0);
     pid_ = fork();
@@ -183,6 +186,13 @@
       setenv("EDGE_CONFIG", path, 1);
       unsetenv("EDGE_LISTEN");
       unsetenv("EDGE_DISCOVERY");
+      if (!discovery.empty()) setenv("EDGE_DISCOVERY", discovery.c_str(), 1);
+      if (reload_first) {  // waits until the program is ready for it, or ends it
+        sigset_t all;
+        sigfillset(&all);
+        sigprocmask(SIG_BLOCK, &all, nullptr);
+        raise(SIGHUP);
+      }
       std::vector<char*> args{const_cast<char*>(FLINTWEIR_PROGRAM)};
       for (std::string& w : words) args.push_back(w.data());
       args.push_back(nullptr);
@@ -228,6 +238,7 @@
     return -1000;
   }
   void signal(int number) const { kill(pid_, number); }
+  void rewrite(const std::string& config) const { std::ofstream(path_) << config; }
   bool running() { return waitpid(pid_, nullptr, WNOHANG) == 0; }
 
  private:
@@ -244,18 +255,21 @@
 // A node among stand-ins.
 class Node : public testing::Test {
  protected:
-  void start(std::size_t count, bool probes = false, int sockets = 1000, bool stay_away = false) {
+  void start(std::size_t count, bool probes = false, int sockets = 1000, bool stay_away = false,
+             bool reload_first = false) {
     std::string targets;
     for (std::size_t i = 0; i < count; ++i) {
       hosts.emplace_back();
       if (i > 0) targets += ',';
       targets += target(name(i), hosts[i].port());
     }
-    program = std::make_unique<Program>(
-        R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" + std::to_string(discovery.port()) +
-            R"(","seed":"8c1f","limits":{"cores":1.0,"memory_mb":192,"sockets":)" + std::to_string(sockets) +
-            R"(},"known":)" + list(1, true, targets) + R"(,"settings":)" + settings(probes, stay_away) + '}',
-        std::vector<std::string>{"serve"});
+    config = [=](int at) {
+      return R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" + std::to_string(at) +
+             R"(","seed":"8c1f","limits":{"cores":1.0,"memory_mb":192,"sockets":)" + std::to_string(sockets) +
+             R"(},"known":)" + list(1, true, targets) + R"(,"settings":)" + settings(probes, stay_away) + '}';
+    };
+    program = std::make_unique<Program>(config(1), std::vector<std::string>{"serve"},
+                                        "127.0.0.1:" + std::to_string(discovery.port()), reload_first);
     const std::string line = program->logged("serving at ");
     ASSERT_FALSE(line.empty()) << "the program does not serve";
     port = std::stoi(line.substr(line.rfind(':') + 1));
@@ -300,6 +314,7 @@
   std::vector<Door> hosts;
   Door discovery;
   std::unique_ptr<Program> program;
+  std::function<std::string(int)> config;  // with discovery at a port
   int port = 0, ids = 0;
 };
 
@@ -543,6 +558,52 @@
   accepted();
 }
 
+TEST_F(Node, FollowsDiscoveryToItsNewAddressOnReload) {
+  start(2);
+  auto [client, host] = accepted();
+  Peer old = discovery.take();
+  asked(old);
+  // A file that could not be started with changes nothing.
+  for (const std::string& wrong : {std::string("{"), std::string("[]"), config(70000)}) {
+    program->rewrite(wrong);
+    program->signal(SIGHUP);
+    EXPECT_NE(program->logged("reload: ").find("nothing is changed"), std::string::npos) << wrong;
+  }
+  tell(old, list(40, true, target("s-0", hosts[0].port())));
+  EXPECT_EQ(asked(old), "GET /api/targets?since=40&timeout_ms=20000 HTTP/1.1");
+  // The file goes before the variable of the start; repeats are harmless.
+  Door next;
+  program->rewrite(config(next.port()));
+  for (int i = 0; i < 3; ++i) {
+    program->signal(SIGHUP);
+    EXPECT_FALSE(program->logged("reload: discovery at 127.0.0.1:" + std::to_string(next.port())).empty());
+  }
+  EXPECT_EQ(old.line(), "(end)");
+  Peer watch;
+  while (next.knocked(watch.fd() < 0 ? kPatience : 200ms)) watch = next.take();
+  EXPECT_EQ(asked(watch), "GET /api/targets HTTP/1.1");
+  // The old service's list is no ground for changes that the new one tells.
+  tell(watch, list(41, false, target("s-0", hosts[0].port(), "DELETED")));
+  EXPECT_FALSE(program->logged("malformed or stale").empty());
+  EXPECT_EQ(asked(watch), "GET /api/targets HTTP/1.1");
+  tell(watch, list(3, true, target("s-1", hosts[1].port())));  // its versions may be lower
+  EXPECT_EQ(asked(watch), "GET /api/targets?since=3&timeout_ms=20000 HTTP/1.1");
+  for (int i = 0; i < 3; ++i) {
+    Peer another = open();
+    EXPECT_EQ(dialled().first, 1u);
+  }
+  EXPECT_FALSE(discovery.knocked(0ms));
+  client.say("still there?\r\n");
+  EXPECT_EQ(host.line(), "still there?");
+}
+
+// Guards against the end that SIGHUP brings to a program that does not expect it yet.
+TEST_F(Node, HearsOfAReloadAskedForBeforeItIsReady) {
+  start(1, false, 1000, false, true);
+  EXPECT_FALSE(program->logged("reload: discovery at 127.0.0.1:1").empty());
+  accepted();
+}
+
 TEST_F(Node, KeepsOneConnectionForProbes) {
   start(1, true);
   Peer probe = dialled().second;
