Bound what idle clients hold, read first lines strictly, and refuse ids in use

Traced the first lines that hosts answered ERR: all were either `d=` with nothing behind it or the id of a connection already open, and each such line set up to three sound hosts aside, until most looked ill. 958 of the lines that failed were empty: connections that say nothing, held 12 s.

Ruled out: CPU (0.03 of a core at most), memory (6 of 48 MB), second commands behind a first line (none seen; turned away all the same).

Now connections that ask for nothing share an eighth of the descriptors, the first to come going first; a first line is due in 2 s; a line is read at once when its connection is taken, so that floods don't push out usual clients; what comes after an answer is drained within bounds of bytes and time; an id is refused while its connection lasts and for the next 4096 that end, which also keeps ids in use at other nodes from hosts after their first try.

--- a/src/net/client_conn.cpp
+++ b/src/net/client_conn.cpp
@@ -7,15 +7,17 @@
   phase_ = Phase::head;
   pinged_ = false;
   head_ = {};
+  lobby_.enter(*this);
   wakes_.after(first_line_within_, *this, ++token_);
-  stream_.want_read();
+  stream_.read();  // under a flood of others its line has long come
 }
 
 void ClientConn::came(Stream&) {
   if (phase_ == Phase::head) look_for_head();
   if (phase_ == Phase::lingering) {
+    drained_ += stream_.in().held().size();
     stream_.in().clear();
-    if (stream_.at_end()) return close();
+    if (stream_.at_end() || drained_ > kMostDrained) return close();
   }
   // A client that ends its sending before it is accepted has nothing to say on the connection it asked for.
   if (phase_ == Phase::waiting && stream_.at_end()) return owner_.client_left();
@@ -24,14 +26,18 @@
 
 void ClientConn::look_for_head() {
   while (const auto line = stream_.in().line()) {
-    if (line->size() > kLongestLine) return fail();
-    if (without_end(*line) != "PING") {
+    if (line->size() > kLongestLine || !line->ends_with("\r\n")) return fail();
+    if (*line != "PING\r\n") {
+      // A client waits for its answer. Guards against commands by the hundred, of which a host can't use two.
+      const std::string_view next = stream_.in().held().substr(line->size());
+      if (next.starts_with("OPEN ") || next.starts_with("PING")) return fail();
       phase_ = Phase::waiting;
       ++token_;
+      lobby_.leave(*this);
       // Dials send the line from where it lies: it must not move when more comes in behind it.
       stream_.in().to_front();
       head_ = stream_.in().held().substr(0, line->size());
-      return owner_.head_came(without_end(head_));
+      return owner_.head_came(head_.substr(0, head_.size() - 2));
     }
     pinged_ = true;
     if (!owner_.taking() || !stream_.write("PONG\r\n")) return fail();
@@ -55,7 +61,10 @@
   // Closing with bytes unread would reset the connection and might take the answer with it.
   stream_.in().clear();
   phase_ = Phase::lingering;
-  wakes_.after(stream_.at_end() || owner_.crowded() ? Micros{0} : kLinger, *this, ++token_);
+  drained_ = 0;
+  drained_until_ = wakes_.now() + kDrain;
+  lobby_.enter(*this);
+  wakes_.after(stream_.at_end() ? Micros{0} : kLinger, *this, ++token_);
   stream_.want_read();
 }
 
@@ -75,12 +84,23 @@
 void ClientConn::woken(std::uint64_t token) {
   if (token != token_) return;
   if (phase_ == Phase::head) return fail();
-  if (phase_ == Phase::lingering) close();
+  if (phase_ != Phase::lingering) return;
+  if (std::exchange(drained_, 0) == 0 || wakes_.now() >= drained_until_) return close();
+  wakes_.after(kLinger, *this, token_);
+}
+
+void ClientConn::show_out() {
+  if (phase_ == Phase::head) {
+    owner_.client_failed(pinged_ ? Reason::checked : Reason::crowded_out);
+    stream_.write("BUSY\r\n");
+  }
+  close();
 }
 
 void ClientConn::close() {
   phase_ = Phase::idle;
   ++token_;
+  lobby_.leave(*this);
   stream_.close();
   owner_.client_closed();
 }
--- a/src/net/client_conn.h
+++ b/src/net/client_conn.h
@@ -1,6 +1,7 @@
 // A client's connection up to its session's acceptance: the first line, the answer, the end.
 #pragma once
 
+#include "net/lobby.h"
 #include "net/log.h"
 #include "net/stream.h"
 #include "net/wakes.h"
@@ -9,8 +10,7 @@
 
 class ClientOwner {
  public:
-  virtual bool taking() const = 0;   // whether fronts are told that this node takes clients
-  virtual bool crowded() const = 0;  // no descriptor is to be held longer than it must
+  virtual bool taking() const = 0;  // whether fronts are told that this node takes clients
   virtual void head_came(std::string_view line) = 0;
   virtual void client_left() = 0;                 // after its first line, before any answer
   virtual void client_closed() = 0;               // all is over, the place may be used again
@@ -20,10 +20,14 @@
   ~ClientOwner() = default;
 };
 
-class ClientConn final : StreamEvents, Woken {
+class ClientConn final : StreamEvents, Woken, Guest {
  public:
-  ClientConn(Sockets& sockets, Wakes& wakes, Micros first_line_within, ClientOwner& owner)
-      : stream_(sockets), wakes_(wakes), first_line_within_(first_line_within), owner_(owner) {}
+  ClientConn(Sockets& sockets, Wakes& wakes, Lobby& lobby, Micros first_line_within, ClientOwner& owner)
+      : stream_(sockets),
+        wakes_(wakes),
+        lobby_(lobby),
+        first_line_within_(first_line_within),
+        owner_(owner) {}
 
   void begin(Tcp::socket socket);
   std::string_view head() const { return head_; }  // where it lies in the buffer
@@ -36,20 +40,28 @@
   void came(Stream&) override;
   void broken(Stream&) override;
   void woken(std::uint64_t token) override;
+  void show_out() override;
   void look_for_head();
   void fail();
   void close();
 
   Stream stream_;
   Wakes& wakes_;
+  Lobby& lobby_;
   Micros first_line_within_;
   ClientOwner& owner_;
   Phase phase_ = Phase::idle;
   std::uint64_t token_ = 0;
   bool pinged_ = false;
+  std::size_t drained_ = 0;  // bytes that came after the answer
+  Micros drained_until_{0};  // the latest that more may come
   std::string_view head_;
 };
 
 inline constexpr Micros kLinger = std::chrono::seconds(1);  // for the other side to end as well
+// A client that goes on sending after its answer is read for so long and so much: it may look for the answer
+// only when it has sent all it has.
+inline constexpr Micros kDrain = 5 * kLinger;
+inline constexpr std::size_t kMostDrained = 64u << 20;
 
 }  // namespace flintweir::net
--- a/src/net/heads.cpp
+++ b/src/net/heads.cpp
@@ -18,6 +18,15 @@
   return first;
 }
 
+bool printable(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) { return c >= ' ' && c <= '~'; });
+}
+
+// An id or a key: names and values have an equals sign.
+bool is_word(std::string_view text) { return !text.empty() && text.find('=') == text.npos; }
+
+constexpr std::int64_t kMostMillis = 1'000'000'000'000;  // so that it can be told in microseconds
+
 }  // namespace
 
 std::optional<double> number(std::string_view text) {
@@ -27,47 +36,61 @@
   return out;
 }
 
-bool HeadReader::open(std::string_view line, Micros now, Taken& taken, std::string_view& at,
+// Whatever a host might not read is turned away here: passed on, it would cost that host's good name.
+bool HeadReader::open(std::string_view line, Micros now, Taken& taken, GivenId& given, std::string_view& at,
                       std::string_view& time_left) const {
-  if (cut(line, ' ') != "OPEN") return false;
+  constexpr double kMost = 1e9;
+  if (!printable(line) || cut(line, ' ') != "OPEN") return false;
   const std::string_view id = cut(line, ' '), key = cut(line, ' ');
-  if (id.empty() || key.empty()) return false;
+  if (!is_word(id) || !is_word(key) || line.find(' ') != line.npos || line.ends_with(',')) return false;
+  given = GivenId{setup::id_of(id)};
   taken.client = ClientKey{setup::key_of(key)};
-  bool listed = false;
-  while (!line.empty()) {
+  unsigned seen = 0;
+  const auto once = [&](unsigned bit) { return !(std::exchange(seen, seen | bit) & bit); };
+  const auto flag = [](std::string_view value, bool& out) {
+    out = value == "1";
+    return out || value == "0";
+  };
+  std::int64_t millis = -1;
+  do {
     std::string_view value = cut(line, ',');
     const std::string_view name = cut(value, '=');
+    if (name.empty() || value.empty()) return false;
     if (name == "c") {
       const auto found = std::find(listeners_.begin(), listeners_.end(), value);
-      if (found == listeners_.end()) return false;
+      if (found == listeners_.end() || !once(1)) return false;
       taken.listener.value = static_cast<std::uint32_t>(found - listeners_.begin());
-      listed = true;
     } else if (name == "d") {
+      const auto [end, ec] = std::from_chars(value.data(), value.data() + value.size(), millis);
+      if (ec != std::errc{} || end != value.data() + value.size() || millis < 0 || !once(2)) return false;
       time_left = value;
-    } else if (name == "g" && !value.empty()) {
+    } else if (name == "g") {
+      if (!once(4)) return false;
       if (groups_)
         taken.group = GroupId{setup::key_of(value)};
       else
         taken.client = ClientKey{setup::key_of(value)};
     } else if (name == "r") {
-      taken.repeat = value == "1";
+      if (!flag(value, taken.repeat)) return false;
     } else if (name == "again") {
-      taken.returned = value == "1";
+      if (!flag(value, taken.returned)) return false;
     } else if (name == "at") {
+      if (!once(8)) return false;
       at = value;
-    } else if (name == "h") {
-      taken.usual_load = number(value);
-    } else if (name == "billing") {
-      taken.tenant.value = static_cast<std::uint32_t>(std::clamp(number(value).value_or(0), 0.0, 1e9));
+    } else if (name == "h" || name == "billing") {
+      const auto n = number(value);
+      if (!n || *n < 0 || *n > kMost) return false;
+      if (name == "h")
+        taken.usual_load = *n;
+      else
+        taken.tenant.value = static_cast<std::uint32_t>(*n);
     }
-  }
-  if (!listed) return false;
+  } while (!line.empty());
+  if (!(seen & 1)) return false;
   const Micros most = dial_timeouts_[taken.listener.value];
-  if (time_left.empty()) return taken.valid_until = now + most, true;
-  std::int64_t millis;
-  const auto [end, ec] = std::from_chars(time_left.data(), time_left.data() + time_left.size(), millis);
-  if (ec != std::errc{} || end != time_left.data() + time_left.size() || millis < 0) return false;
-  taken.valid_until = now + std::chrono::milliseconds(std::min<std::int64_t>(millis, 86'400'000));
+  const Micros wait = seen & 2 ? Micros(std::chrono::milliseconds(std::min(millis, kMostMillis))) : most;
+  // One that is open already may be long in coming; nobody else waits longer than the listener has it.
+  taken.valid_until = now + (at.empty() ? std::min(wait, most) : wait);
   return true;
 }
 
--- a/src/net/heads.h
+++ b/src/net/heads.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "balance.h"
+#include "net/open_ids.h"
 
 namespace flintweir::net {
 
@@ -16,9 +17,10 @@
   HeadReader(std::vector<std::string> listeners, std::vector<Micros> dial_timeouts, bool groups)
       : listeners_(std::move(listeners)), dial_timeouts_(std::move(dial_timeouts)), groups_(groups) {}
 
-  // Decodes `line` (without its end) into `taken`; `at` is the host that holds the connection already, if
-  // any, and `time_left` the digits within the line that tell how long the client waits. False: malformed.
-  bool open(std::string_view line, Micros now, Taken& taken, std::string_view& at,
+  // Decodes `line` (without its end) into `taken` and `id`; `at` is the host that holds the connection
+  // already, if any, and `time_left` the digits within the line that tell how long the client waits. False:
+  // malformed, as a host would find it.
+  bool open(std::string_view line, Micros now, Taken& taken, GivenId& id, std::string_view& at,
             std::string_view& time_left) const;
 
  private:
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -17,7 +17,7 @@
 
 Link::Link(Sessions& s)
     : sessions_(s),
-      client_(s.sockets_, s.wakes_, s.patience_.first_line, *this),
+      client_(s.sockets_, s.wakes_, s.lobby_, s.patience_.first_line, *this),
       host_(s.sockets_, s.wakes_, s.patience_.connect, *this),
       relay_(s.wakes_, *this) {}
 
@@ -35,12 +35,11 @@
 
 bool Link::taking() const { return !sessions_.leaving_; }
 
-bool Link::crowded() const { return !sessions_.has_room(); }
-
 void Link::head_came(std::string_view line) {
   began_ = sessions_.wakes_.now();
   std::string_view at;
-  if (!sessions_.heads_.open(line, began_, taken_, at, time_left_))
+  GivenId id;
+  if (!sessions_.heads_.open(line, began_, taken_, id, at, time_left_))
     return answer("ERR\r\n", Reason::bad_line);
   // Refused before the module hears of it: nothing has been dialled.
   if (sessions_.leaving_) {
@@ -49,6 +48,8 @@
     return sessions_.busy(*this, away, Reason::restarting);
   }
   if (!sessions_.has_room()) return answer("BUSY\r\n", Reason::no_descriptors);
+  if (!sessions_.ids_.claim(id)) return answer("ERR\r\n", Reason::id_in_use);
+  id_ = id;
   if (!at.empty()) {
     inherited_ = true;
     at_ = HostId{setup::id_of(at)};
@@ -101,7 +102,12 @@
   log_end(code_of(reason));
 }
 
-void Link::client_closed() { sessions_.free(key_); }
+void Link::client_closed() { free(); }
+
+void Link::free() {
+  if (id_) sessions_.ids_.retire(*std::exchange(id_, std::nullopt));
+  sessions_.free(key_);
+}
 
 void Link::host_accepted() {
   open_ = answered_ = true;
@@ -144,7 +150,7 @@
   handle_.ended(dial_no(), how, true);
 }
 
-void Link::relay_closed() { sessions_.free(key_); }
+void Link::relay_closed() { free(); }
 
 void Link::log_end(const char* code) {
   const auto ms =
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -4,6 +4,7 @@
 #include "balance.h"
 #include "net/client_conn.h"
 #include "net/host_conn.h"
+#include "net/open_ids.h"
 #include "net/relay.h"
 
 namespace flintweir::net {
@@ -24,7 +25,6 @@
 
  private:
   bool taking() const override;
-  bool crowded() const override;
   void head_came(std::string_view line) override;
   void client_left() override;
   void client_closed() override;
@@ -37,6 +37,7 @@
   void relay_closed() override;
   // The module knows only one dial of a connection that was open before.
   DialNo dial_no() const { return {inherited_ ? 0 : dials_ - 1}; }
+  void free();
   void log_end(const char* code);  // one line for each connection that ends
 
   Sessions& sessions_;
@@ -45,6 +46,7 @@
   Relay relay_;
   SlabKey key_;
   Sess handle_;
+  std::optional<GivenId> id_;  // while it is claimed
   Taken taken_{};
   std::string_view time_left_;
   HostId at_;
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -32,6 +32,10 @@
       return "checked";
     case Reason::bad_line:
       return "bad-line";
+    case Reason::id_in_use:
+      return "id-in-use";
+    case Reason::crowded_out:
+      return "crowded-out";
     case Reason::refused:
       return "refused";
     case Reason::torn_down:
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -12,6 +12,8 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kOwnDescriptors = 16;  // standard streams, the event queue, the door
+constexpr std::size_t kIdleShare = 8;  // that part of the descriptors is for clients that ask for nothing
+constexpr Micros kFirstLine = 2s;      // a client that says nothing hears of it within 3 s
 constexpr int kAcceptsInARow = 8;  // so that those taken get their hosts before the next take the descriptors
 
 std::vector<Micros> listener_times(const setup::Values& settings, std::string_view key) {
@@ -45,7 +47,7 @@
   const std::vector<Micros> targets = listener_times(settings, "handshakeTarget");
   const Micros target = *std::min_element(targets.begin(), targets.end());
   return {setup::Values(settings, "ceilings").time("connectTimeout", target / 4),
-          4 * longest(listener_times(settings, "dialTimeout")), target / 2,
+          std::min(longest(listener_times(settings, "dialTimeout")), kFirstLine), target / 2,
           setup::longest_stay_away(settings)};
 }
 
@@ -70,7 +72,7 @@
       sockets_(socket_limit(file)),
       longest_dial_(longest(listener_times(file.settings(), "dialTimeout"))),
       sessions_(sockets_, wakes_, hosts_, patience(file.settings()), message_target(file.settings()),
-                head_reader(file.settings()), most_sessions(file), *this),
+                head_reader(file.settings()), most_sessions(file), socket_limit(file) / kIdleShare, *this),
       discovery_(sockets_, wakes_, file.discovery(), setup::names(file.settings(), "failureDomains"), hosts_,
                  *this) {
   sessions_.serve(file.settings(), file.seed());
@@ -128,7 +130,7 @@
 void Node::accept() {
   for (int i = 0; i < kAcceptsInARow; ++i) {
     std::error_code ec;
-    if (!sockets_.room(1)) ec = asio::error::no_descriptors;
+    if (!sockets_.room(1) && !sessions_.make_room()) ec = asio::error::no_descriptors;
     Tcp::socket socket(sockets_.io());
     if (!ec) door_.accept(socket, ec);
     if (ec == asio::error::would_block) break;
--- /dev/null
+++ b/src/net/open_ids.h
@@ -0,0 +1,50 @@
+// The ids that clients give their connections.
+#pragma once
+
+#include <cstdint>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "ids.h"
+
+namespace flintweir::net {
+
+using GivenId = Id<struct GivenIdTag, std::uint64_t>;  // as a client's first line says
+
+// Ids are new with every connection. Guards against one that comes again, while its connection lasts or
+// after: hosts answer that with an error for which they are not to blame.
+class OpenIds {
+ public:
+  explicit OpenIds(std::size_t kept) : kept_(kept) { ids_.reserve(2 * kept); }
+
+  bool claim(GivenId id) {  // false: it is in use, or was lately
+    if (spare_.empty()) return ids_.insert(id).second;
+    Set::node_type& place = spare_.back();
+    place.value() = id;
+    if (auto done = ids_.insert(std::move(place)); !done.inserted) {
+      place = std::move(done.node);
+      return false;
+    }
+    spare_.pop_back();
+    return true;
+  }
+  // Its connection is over: it is forgotten when so many others are over as well.
+  void retire(GivenId id) {
+    if (retired_.size() < kept_) return retired_.push_back(id);
+    if (auto place = ids_.extract(std::exchange(retired_[next_++ % kept_], id)); !place.empty())
+      spare_.push_back(std::move(place));
+  }
+
+ private:
+  struct Hash {
+    std::size_t operator()(GivenId id) const { return id.value; }
+  };
+  using Set = std::unordered_set<GivenId, Hash>;
+  std::size_t kept_, next_ = 0;
+  Set ids_;
+  std::vector<Set::node_type> spare_;
+  std::vector<GivenId> retired_;
+};
+
+}  // namespace flintweir::net
--- a/src/net/sessions.cpp
+++ b/src/net/sessions.cpp
@@ -9,7 +9,7 @@
 using namespace std::chrono_literals;
 
 Sessions::Sessions(Sockets& sockets, Wakes& wakes, Hosts& hosts, Patience patience, Micros message_target,
-                   HeadReader heads, std::size_t most, Told& told)
+                   HeadReader heads, std::size_t most, std::size_t most_idle, Told& told)
     : sockets_(sockets),
       wakes_(wakes),
       hosts_(hosts),
@@ -17,6 +17,7 @@
       message_target_(message_target),
       heads_(std::move(heads)),
       most_(most),
+      lobby_(most_idle),
       told_(told),
       probes_(sockets, wakes, patience.probe, *this) {}
 
--- a/src/net/sessions.h
+++ b/src/net/sessions.h
@@ -29,11 +29,13 @@
   };
   // `message_target` is zero where delays of messages are not the module's to know.
   Sessions(Sockets& sockets, Wakes& wakes, Hosts& hosts, Patience patience, Micros message_target,
-           HeadReader heads, std::size_t most, Told& told);
+           HeadReader heads, std::size_t most, std::size_t most_idle, Told& told);
 
   void serve(const setup::Values& settings, std::uint64_t seed);  // makes the balancer
   Balancer& balancer_now();                                       // with the time said
   void take(Tcp::socket socket);
+  // Ends a connection that asks for nothing, for one that may; false: there is none.
+  bool make_room() { return lobby_.show_out_first(); }
   void host_gone(HostId host) { probes_.forget(host); }
   // From now on nothing new is taken, and open sessions are moved, evenly over so long.
   void leave(Micros over);
@@ -68,7 +70,8 @@
   bool delay_counts(HostId host, Micros delay);
   void free(SlabKey key);
 
-  static constexpr std::size_t kSpare = 16;  // descriptors kept for refusing, for probes and for the list
+  static constexpr std::size_t kIdsKept = 4096;  // of connections that are over
+  static constexpr std::size_t kSpare = 16;      // descriptors kept for refusing, for probes and for the list
 
   Sockets& sockets_;
   Wakes& wakes_;
@@ -77,6 +80,8 @@
   Micros message_target_;
   HeadReader heads_;
   std::size_t most_, count_ = 0;
+  Lobby lobby_;  // outlives the connections in it
+  OpenIds ids_{kIdsKept};
   Told& told_;
   Probes probes_;
   Waker module_wakes_{*this, &Sessions::wake_module}, dial_again_{*this, &Sessions::dial_again},
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -46,6 +46,7 @@
   LineBuffer& in() { return in_; }
 
   void want_read();
+  void read();  // what is there at once, else when it comes
   void want_write();
   // What the kernel took of it; nothing where the connection is broken.
   std::optional<std::size_t> write(std::span<const asio::const_buffer> parts);
@@ -60,7 +61,6 @@
   auto kept(Handler handler);  // with memory that is used again
   template <bool reading>
   void wait();
-  void read();
 
   Sockets& sockets_;
   std::optional<Tcp::socket> socket_;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,6 +1,7 @@
 // The parts of the node that need no other process.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstring>
 #include <random>
 #include <string>
@@ -9,6 +10,7 @@
 #include "net/heads.h"
 #include "net/hosts.h"
 #include "net/line_buffer.h"
+#include "net/open_ids.h"
 #include "net/sockets.h"
 #include "net/wakes.h"
 
@@ -21,8 +23,9 @@
   const HeadReader reader({"chat", "pay"}, {2s, 3s}, true);
   const std::string line = "OPEN 9b 7f c=pay,d=1500,g=5c,again=1,h=2.5,new=x";
   Taken taken{};
+  GivenId id;
   std::string_view at, time_left;
-  ASSERT_TRUE(reader.open(line, 10s, taken, at, time_left));
+  ASSERT_TRUE(reader.open(line, 10s, taken, id, at, time_left));
   EXPECT_EQ(taken.listener, ListenerId{1});
   EXPECT_EQ(taken.client, ClientKey{0x7f});
   EXPECT_EQ(taken.group, GroupId{0x5c});
@@ -32,20 +35,34 @@
   EXPECT_FALSE(taken.repeat);
   EXPECT_EQ(time_left.data(), line.data() + line.find("1500"));
   EXPECT_TRUE(at.empty());
+  // Who waits longer than dials may take is answered in their time, but for a connection that is open
+  // already.
+  ASSERT_TRUE(reader.open("OPEN 9b 7f c=pay,d=4294967", 10s, taken, id, at, time_left));
+  EXPECT_EQ(taken.valid_until, 13s);
+  ASSERT_TRUE(reader.open("OPEN 9b 7f c=pay,d=4294967,at=s-1", 10s, taken, id, at, time_left));
+  EXPECT_EQ(taken.valid_until, 10s + 4294967ms);
 }
 
 class BadHead : public testing::TestWithParam<const char*> {};
 TEST_P(BadHead, IsMalformed) {
   const HeadReader reader({"chat"}, {2s}, false);
   Taken taken{};
+  GivenId id;
   std::string_view at, time_left;
-  EXPECT_FALSE(reader.open(GetParam(), 0s, taken, at, time_left));
+  EXPECT_FALSE(reader.open(GetParam(), 0s, taken, id, at, time_left));
 }
-INSTANTIATE_TEST_SUITE_P(Lines, BadHead,
-                         testing::Values("", "OPEN", "OPEN 1", "OPEN 1 2", "OPEN 1 2 c=other,d=5",
-                                         "GET / HTTP/1.1", "open 1 2 c=chat", "OPEN 1 2 c=chat,d=-5",
-                                         "OPEN 1 2 c=chat,d=5x", "OPEN 1 2 d=5", "OPEN  2 c=chat",
-                                         "OPEN 1 2 c=chat,d=99999999999999999999"));
+INSTANTIATE_TEST_SUITE_P(
+    Lines, BadHead,
+    testing::Values("", "OPEN", "OPEN 1", "OPEN 1 2", "OPEN 1 2 c=other,d=5", "GET / HTTP/1.1",
+                    "open 1 2 c=chat", "OPEN 1 2 c=chat,d=-5", "OPEN 1 2 c=chat,d=5x", "OPEN 1 2 d=5",
+                    "OPEN  2 c=chat", "OPEN 1 2 c=chat,d=99999999999999999999", "OPEN 1 2 c=chat,d=",
+                    "OPEN 1 2 c=chat,d=1e3", "OPEN 1 2 c=chat,d=+5", "OPEN 1 2 c=chat,d=5,d=6",
+                    "OPEN 1 2 c=chat,c=chat", "OPEN 1 2 c=chat,", "OPEN 1 2 c=chat,,d=5", "OPEN 1 2 c=chat,d",
+                    "OPEN 1 2 c=chat,=5", "OPEN 1 2 c=chat,g=", "OPEN 1 2 c=chat,h=-1",
+                    "OPEN 1 2 c=chat,h=nan", "OPEN 1 2 c=chat,h=inf", "OPEN 1 2 c=chat,h=1e99",
+                    "OPEN 1 2 c=chat,r=2", "OPEN 1 2 c=chat,at=", "OPEN 1 c=chat,d=5", "OPEN 1 2 c=chat d=5",
+                    "OPEN 1 2 c=chat,d=5\r", "OPEN 1 2 c=chat,x=\x7f", "OPEN 1 2 c=chat,x=\xff",
+                    "OPEN 1 2  c=chat"));
 
 // Whatever comes, decoding stays within the line and a decoded time lies where it says.
 TEST(Heads, AnyBytesAreSafe) {
@@ -57,8 +74,9 @@
     std::string line = i % 2 ? "OPEN 1 2 c=chat," : "";
     for (int n = static_cast<int>(chance() % 9); n > 0; --n) line += parts[chance() % std::size(parts)];
     Taken taken{};
+    GivenId id;
     std::string_view at, time_left, rest;
-    if (reader.open(line, 1s, taken, at, time_left)) {
+    if (reader.open(line, 1s, taken, id, at, time_left)) {
       EXPECT_GE(taken.valid_until, 1s) << line;
       EXPECT_TRUE(time_left.empty() || time_left.data() >= line.data());
     }
@@ -167,5 +185,25 @@
   EXPECT_EQ(seen.seen, (std::vector<std::uint64_t>{100, 1, 100, 100, 100, 2, 3}));
 }
 
+// An id is refused while its connection lasts and for so many that end after it, whatever order they end in.
+TEST(OpenIds, RefuseAnIdInUseOrLatelySo) {
+  std::mt19937_64 chance(3);
+  constexpr std::size_t kKept = 16;
+  OpenIds ids(kKept);
+  std::vector<std::uint64_t> open, over;  // over: the latest last
+  for (int i = 0; i < 5000; ++i) {
+    const std::uint64_t id = chance() % 60;
+    const bool in_use = std::find(open.begin(), open.end(), id) != open.end();
+    const auto recent = over.end() - static_cast<std::ptrdiff_t>(std::min(over.size(), kKept));
+    ASSERT_EQ(ids.claim(GivenId{id}), !in_use && std::find(recent, over.end(), id) == over.end()) << i;
+    if (!in_use && std::find(recent, over.end(), id) == over.end()) open.push_back(id);
+    if (open.size() < 8) continue;
+    std::swap(open[chance() % open.size()], open.back());
+    over.push_back(open.back());
+    ids.retire(GivenId{open.back()});
+    open.pop_back();
+  }
+}
+
 }  // namespace
 }  // namespace flintweir::net
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -398,16 +398,66 @@
   // What is malformed is answered and costs only its own connection.
   for (const std::string& bad :
        {std::string("GET / HTTP/1.1\r\n"), std::string("OPEN 3 2 c=none,d=5\r\n"), std::string(5000, 'x'),
-        "OPEN 4 2 c=chat," + std::string(4200, 'y') + "\r\n", std::string("\0\xff\n", 3)}) {
+        "OPEN 4 2 c=chat," + std::string(4200, 'y') + "\r\n", std::string("\0\xff\n", 3),
+        std::string("OPEN 5 2 c=chat,d=50\n"), std::string("OPEN 6 2 c=chat,d=50\r\r\n"),
+        std::string("OPEN 7 2 c=chat,d=50\r\nOPEN 8 2 c=chat,d=50\r\n"), std::string("\r\n")}) {
     Peer client = Peer::to(port);
     client.say(bad);
-    EXPECT_EQ(client.line(), "ERR");
+    EXPECT_EQ(client.line(), "ERR") << bad;
     EXPECT_FALSE(program->logged("end bad-line").empty());
   }
   host.say("still here\r\n");
   EXPECT_EQ(slow.line(), "still here");
 }
 
+// Hosts answer a second use of an id with an error, which would set a sound host aside.
+TEST_F(Node, TurnsAwayTheIdOfAnotherConnection) {
+  start(1);
+  auto [client, host] = accepted();
+  const std::string used = std::to_string(ids--);
+  EXPECT_EQ(open().line(), "ERR");
+  EXPECT_FALSE(program->logged("end id-in-use").empty());
+  EXPECT_FALSE(hosts[0].knocked(0ms));
+  client.close();
+  EXPECT_FALSE(program->logged("end client-ended").empty());
+  ids = std::stoi(used) - 1;
+  EXPECT_EQ(open().line(), "ERR");  // ids are new with every connection
+  accepted();
+}
+
+// They hold descriptors and say nothing, or stay when they are answered: usual clients are served all the
+// same.
+TEST_F(Node, ServesWhileHundredsOfConnectionsAskForNothing) {
+  start(1, false, 128);
+  std::vector<Peer> silent, rude;
+  std::vector<std::pair<Peer, Peer>> usual;
+  const auto began = Steady::now();
+  for (int i = 0; i < 100; ++i) {
+    for (int n = 0; n < 3; ++n) silent.push_back(Peer::to(port));
+    rude.push_back(Peer::to(port));
+    rude.back().say("what?\r\n");
+    if (i % 10 == 9) usual.push_back(accepted());
+  }
+  for (Peer& r : rude) EXPECT_EQ(r.line(), "ERR");
+  for (Peer& s : silent) {  // a word or an end, each within 3 s
+    const std::string word = s.line(began + 3s - Steady::now());
+    EXPECT_TRUE(word == "BUSY" || word == "ERR") << word;
+  }
+  EXPECT_FALSE(program->logged("end crowded-out").empty());
+}
+
+// The answer must not be lost to a reset while the client still sends, nor may it send for ever.
+TEST_F(Node, AnswersAClientThatSendsFarTooMuch) {
+  start(1);
+  Peer client = Peer::to(port);
+  const std::string much(1u << 20, 'k');
+  for (int i = 0; i < 30; ++i) client.say(much);
+  client.end_sending();
+  EXPECT_EQ(client.line(), "ERR");
+  EXPECT_EQ(client.line(), "(end)");
+  accepted();
+}
+
 TEST_F(Node, KnowsWhetherADialMayHaveRun) {
   start(16);  // those that fail are passed over for a while
   // Never ran: a turned-away and an unconnected dial of a once-only session go on to another host.
