Give sessions a weight where reports have come and show nothing, as after all nodes restart

Ruled out: the rotation, failed probes (the host had answered 0.05 s before), the cold budget.

Now the cap of that ratio stands in for it where reports have come, none shows load, and most of what is held here is newer.

A load that a host tells as negative is no longer believed (relay.cpp). Tests: ARestartDoesNotFillOneHost, which fails without the change.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -305,10 +305,8 @@
     if (how == Ending::timed_out) patience_ = std::min(2 * patience_, kMostPatience);
     const bool proven = how == Ending::turned_away || how == Ending::unconnected || how == Ending::unsent;
     if (!proven) s->ran(h ? h->zone : ZoneId{}, h ? h->cell : CellId{});
-    if (over || s->state == State::over)
-      sessions_.drop(key);
-    else
-      place(key, *s);
+    if (over || s->state == State::over) return sessions_.drop(key);
+    place(key, *s);
   }
 
   void left(SlabKey key) override {
@@ -354,9 +352,8 @@
     sessions_.each([&](SlabKey key, const Session& s) {
       if (s.state == State::held && s.host == id) held_.push_back(key);
     });
-    for (const SlabKey key : held_) {
+    for (const SlabKey key : held_)
       if (Session* s = sessions_.find(key)) place(key, *s);
-    }
   }
 
   void list_begins(bool whole) override {
@@ -383,9 +380,8 @@
   void list_ends() override {
     list_wait_ = kProbeEvery;
     if (!std::exchange(listing_whole_, false)) return;
-    for (Host& h : hosts_) {
+    for (Host& h : hosts_)
       if (!h.listed) h.standing = Standing::gone;
-    }
     hosts_.drop_if([](const Host& h) { return h.standing == Standing::gone && !h.own && !h.dialing; });
   }
 
@@ -446,7 +442,7 @@
 
   // The mean load of the hosts in use, for new ones and for comparison.
   void take_means() {
-    double load = 0, known = 0, own = 0, all = 0, own_load = 0, carried = 0, warm = 0, groups = 0;
+    double load = 0, known = 0, own = 0, all = 0, own_load = 0, carried = 0, warm = 0, groups = 0, seen = 0;
     for (const Host& h : hosts_) {
       if (!h.usable()) continue;
       all += 1;
@@ -457,6 +453,7 @@
       known += 1;
       load += load_of(h);
       carried += h.forecast.raw() * h.share;
+      seen += h.own_load - h.sent.at(now_);
       if (!guard_.cold(now_, h.started)) warm += h.forecast.raw() * h.share;
     }
     // This node's part of what warm hosts take a second when full, by load and size.
@@ -469,8 +466,11 @@
     mean_session_ = own_load / own;
     // A node with few sessions, as after a restart, must not take each for a good part of a host.
     // While sessions are refused every node has some waiting, and all fill a gap that shows at the same time.
-    const double alone = std::min(carried / (nodes_ * own_load), kLightAt / mean_session_);
-    per_load_ = std::min((full() ? nodes_ : 1) * alone, 2 * kLightAt / mean_session_);
+    // Guards against reports that show nothing yet, as when all nodes restart: nothing would seem to weigh.
+    const double most = kLightAt / mean_session_;
+    const bool shown = known < 1 || carried > 0 || seen > own_load / 2;
+    const double alone = shown ? std::min(carried / (nodes_ * own_load), most) : most;
+    per_load_ = std::min((full() ? nodes_ : 1) * alone, 2 * most);
   }
 
   void set_aside(Host& h) {
@@ -624,9 +624,8 @@
   // While sessions are refused, one that costs far more than usual takes the place of several.
   void let_go_heavy() {
     if (!full()) return;
-    for (Host& h : hosts_) {
+    for (Host& h : hosts_)
       if (h.usable() && load_of(h) >= kFullAt - kLightAt) move_off(h, h.own_load * kLightAt, Leaving::heavy);
-    }
   }
 
   void give_up(SlabKey key, Session& s, const Dials& dials) {
@@ -651,9 +650,8 @@
       out_.probe(h.id);
     }
     // A host on its way out is the heaviest there can be: own connections leave it, a part at each beat.
-    for (Host& h : hosts_) {
+    for (Host& h : hosts_)
       if (h.standing == Standing::draining && h.own) move_off(h, h.own_load / kBeatsPerProbe, Leaving::drain);
-    }
     if (++beats_ % kBeatsPerProbe == 0) {
       even_out();
       let_go_heavy();
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -74,7 +74,7 @@
     bye_ = says == Says::bye;
     sent_away_ = sent_away_ || says == Says::move;
     if (says == Says::load) {
-      if (const auto load = number(rest)) owner_.load_is(*load);
+      if (const auto load = number(rest); load && *load >= 0) owner_.load_is(*load);
     } else if (says != Says::up && asked_at_ != Micros{0}) {
       owner_.message_took(wakes_.now() - std::exchange(asked_at_, Micros{0}));
     }
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -98,6 +98,22 @@
   EXPECT_GE(w.refused, 1u);
 }
 
+// All nodes have restarted, and hosts report nothing: a group's home must not get all that come at once.
+TEST(Overload, ARestartDoesNotFillOneHost) {
+  Three w(6);
+  w.restart();
+  for (const HostId h : {a, b, c}) w.report(h, 0);
+  std::map<HostId, int> sent;
+  for (int i = 0; i < 30; ++i) {
+    const SessId id = w.arrive(0, GroupId{7});
+    if (w.clients.at(id).dials.empty()) continue;
+    ++sent[w.placed(id)];
+    if (i % 3 == 0) w.accept(id);
+  }
+  EXPECT_EQ(sent.size(), 3u);
+  for (const auto& [host, count] : sent) EXPECT_LE(count, 15) << host.value;
+}
+
 TEST(Overload, NotedDelayCountsWhateverTheReportSays) {
   Three w;
   const auto there = w.settle_at(b);
