--- a/src/net/lobby.h
+++ b/src/net/lobby.h
@@ -26,9 +26,6 @@
 class Lobby {
  public:
   explicit Lobby(std::size_t most) : most_(most) {}
-  ~Lobby() {
-    while (size_ > 0) leave(*door_.after_);
-  }
   void enter(Guest& guest) {
     leave(guest);
     guest.before_ = door_.before_;
