Move clients off a leaving node only once fronts have stopped sending there

Fronts go on sending for 0.2 to 0.4 s after SIGTERM, clients come again 83 ms after MOVE at the earliest, and each refusal costs one of their few tries. At fault: Sessions::leave moved the first client at once. Ruled out: the other node's refusals, which come a second later.

Now the first is moved after 0.5 s, and all within half a dial timeout from then. Test: MovesAllAndAnswersThoseStillComingBeforeItLeaves, which fails without the change.

--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -10,8 +10,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr Micros kHolderAgain = 250ms;   // between dials to the host that holds a connection already
-constexpr Micros kFrontNotices = 500ms;  // new connections go on coming for up to 0.4 s
+constexpr Micros kHolderAgain = 250ms;  // between dials to the host that holds a connection already
 
 }  // namespace
 
@@ -44,7 +43,7 @@
   // Refused before the module hears of it: nothing has been dialled.
   if (sessions_.leaving_) {
     // Where clients can be told so, they come back when fronts know that this node is away.
-    const Micros away = std::min<Micros>(kFrontNotices, sessions_.patience_.longest_stay_away);
+    const Micros away = std::min<Micros>(Sessions::kFrontNotices, sessions_.patience_.longest_stay_away);
     return sessions_.busy(*this, away, Reason::restarting);
   }
   if (!sessions_.has_room()) return answer("BUSY\r\n", Reason::no_descriptors);
@@ -117,7 +116,8 @@
   else
     handle_.accepted(dial_no());
   relay_.start(client_.accepted(), host_.accepted());
-  if (sessions_.leaving_) move(Reason::restarting);  // too late for its turn among the others
+  // Too late for its turn among the others.
+  if (sessions_.leaving_ && sessions_.wakes_.now() >= sessions_.move_from_) move(Reason::restarting);
 }
 
 void Link::dial_ended(Ending how) {
--- a/src/net/sessions.cpp
+++ b/src/net/sessions.cpp
@@ -102,8 +102,10 @@
 
 void Sessions::leave(Micros over) {
   leaving_ = true;
-  leave_by_ = wakes_.now() + over;
-  move_next(0);
+  // Guards against clients that are told to come again while fronts still send them here, to be refused.
+  move_from_ = wakes_.now() + kFrontNotices;
+  leave_by_ = move_from_ + over;
+  wakes_.after(kFrontNotices, move_next_, 0);
 }
 
 // Guards against all clients of a node coming back in the same moment: that is a storm for the others.
--- a/src/net/sessions.h
+++ b/src/net/sessions.h
@@ -37,7 +37,7 @@
   // Ends a connection that asks for nothing, for one that may; false: there is none.
   bool make_room() { return lobby_.show_out_first(); }
   void host_gone(HostId host) { probes_.forget(host); }
-  // From now on nothing new is taken, and open sessions are moved, evenly over so long.
+  // From now on nothing new is taken; once fronts have noticed, open sessions are moved, evenly over so long.
   void leave(Micros over);
 
   void dial(SessId sess, HostId host, Micros limit) override;
@@ -70,6 +70,8 @@
   bool delay_counts(HostId host, Micros delay);
   void free(SlabKey key);
 
+  static constexpr Micros kFrontNotices =
+      std::chrono::milliseconds(500);            // they go on sending for up to 0.4 s
   static constexpr std::size_t kIdsKept = 4096;  // of connections that are over
   static constexpr std::size_t kSpare = 16;      // descriptors kept for refusing, for probes and for the list
 
@@ -89,7 +91,7 @@
   Slab<Link> links_;
   std::unique_ptr<Balancer> balancer_;
   bool leaving_ = false;
-  Micros leave_by_{0};
+  Micros move_from_{0}, leave_by_{0};
 };
 
 }  // namespace flintweir::net
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -750,6 +750,8 @@
   EXPECT_EQ(front.line(), "ERR");  // no PONG: fronts are to send nobody here
   EXPECT_FALSE(program->logged("end checked").empty());
   EXPECT_EQ(open().line(), "BUSY 500");
+  // Nobody is moved while fronts may still send it back here.
+  EXPECT_EQ(open_ones[0].first.line(300ms), "(nothing)");
   half.say(",d=2000\r\n");
   EXPECT_EQ(half.line(), "BUSY 500");
   waited.say("UP late\r\n");
