--- a/src/net/client_conn.cpp
+++ b/src/net/client_conn.cpp
@@ -61,7 +61,7 @@
   // Closing with bytes unread would reset the connection and might take the answer with it.
   stream_.in().clear();
   phase_ = Phase::lingering;
-  drained_ = 0;
+  drained_ = drained_seen_ = 0;
   drained_until_ = wakes_.now() + kDrain;
   lobby_.enter(*this);
   wakes_.after(stream_.at_end() ? Micros{0} : kLinger, *this, ++token_);
@@ -85,7 +85,7 @@
   if (token != token_) return;
   if (phase_ == Phase::head) return fail();
   if (phase_ != Phase::lingering) return;
-  if (std::exchange(drained_, 0) == 0 || wakes_.now() >= drained_until_) return close();
+  if (std::exchange(drained_seen_, drained_) == drained_ || wakes_.now() >= drained_until_) return close();
   wakes_.after(kLinger, *this, token_);
 }
 
--- a/src/net/client_conn.h
+++ b/src/net/client_conn.h
@@ -53,8 +53,8 @@
   Phase phase_ = Phase::idle;
   std::uint64_t token_ = 0;
   bool pinged_ = false;
-  std::size_t drained_ = 0;  // bytes that came after the answer
-  Micros drained_until_{0};  // the latest that more may come
+  std::size_t drained_ = 0, drained_seen_ = 0;  // bytes that came after the answer, now and when last looked
+  Micros drained_until_{0};                     // the latest that more may come
   std::string_view head_;
 };
 
