End a call for the list in one place, and say fully when an id counts as in use

HttpGet::turn_to and HttpGet::fail dropped the call that is out with the same three lines; both now call drop(). The comment on id_in_use left out ids of connections that ended lately.

--- a/src/net/http_get.cpp
+++ b/src/net/http_get.cpp
@@ -31,6 +31,10 @@
   std::ostringstream name;
   name << at;
   host_ = name.str();
+  drop();
+}
+
+void HttpGet::drop() {
   asking_ = false;
   ++token_;
   stream_.close();
@@ -109,9 +113,7 @@
 }
 
 void HttpGet::fail(const char* why) {
-  asking_ = false;
-  ++token_;
-  stream_.close();
+  drop();
   told_.http_failed(why);
 }
 
--- a/src/net/http_get.h
+++ b/src/net/http_get.h
@@ -34,6 +34,7 @@
   void broken(Stream&) override;
   void woken(std::uint64_t token) override;
   void send();
+  void drop();  // the call that is out, with its connection
   void fail(const char* why);
 
   Stream stream_;
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -12,7 +12,7 @@
 enum class Reason {
   checked,         // a front's PING connection went away
   bad_line,        // its first line is malformed, over-long or did not come in time
-  id_in_use,       // its first line gives the id of a connection that is still here
+  id_in_use,       // its first line gives the id of a connection that is here or was lately
   crowded_out,     // it had said nothing when too many others did the same
   refused,         // BUSY: no host was found
   torn_down,       // a failure that may have had an effect
