Put sockets and the clock behind one interface at the level of system calls

The lab is to run the node's own code on a virtual network and clock, so the node may not know the kernel. Three places for the seam were weighed: the linker (no cost, but one world for each program and no way to play real and virtual side by side), Stream (its partial writes and buffers would have to be written again, and so would not be tested), and system calls. The last is taken: net::Network, with KernelNetwork as the only file that includes Asio. Addresses are a type of the project's own, written and read in one place. Signals moved to the command line.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,7 +7,9 @@
 #include <exception>
 #include <string>
 
+#include "net/kernel_network.h"
 #include "net/node.h"
+#include "net/nowhere.h"
 
 namespace {
 
@@ -44,19 +46,32 @@
   sigprocmask(hold ? SIG_BLOCK : SIG_UNBLOCK, &reload, nullptr);
 }
 
+flintweir::net::NodeFile node_file(const std::string& path) {
+  const auto given = [](const char* variable) {
+    const char* value = std::getenv(variable);
+    return std::string(value ? value : "");
+  };
+  return flintweir::net::NodeFile(path, given("EDGE_LISTEN"), given("EDGE_DISCOVERY"));
+}
+
 int serve(const std::string& config) {
   std::signal(SIGPIPE, SIG_IGN);
   raise_descriptor_limit();
-  const flintweir::net::NodeFile file(config);
-  flintweir::net::Node node(file);
+  flintweir::net::KernelNetwork network;
+  flintweir::net::Node node(network, node_file(config));
+  node.serve();
+  network.hear_signals({SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
+    if (signal != SIGHUP) return node.leave();
+    node.reload([&] { return node_file(config); });
+  });
   hold_reloads(false);  // one that came meanwhile is heard now
-  node.run();
+  network.run();
   return 0;
 }
 
 int check(const std::string& config) {
-  const flintweir::net::NodeFile file(config);
-  flintweir::net::Node::check(file);
+  flintweir::net::Nowhere nowhere;
+  const flintweir::net::Node node(nowhere, node_file(config));
   std::printf("%s: ok\n", config.c_str());
   return 0;
 }
--- /dev/null
+++ b/src/net/address.cpp
@@ -0,0 +1,32 @@
+#include "net/address.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+
+namespace flintweir::net {
+
+std::optional<Address> address_of(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == text.npos) return std::nullopt;
+  const std::string_view digits = text.substr(colon + 1);
+  std::string_view host = text.substr(0, colon);
+  if (host.size() > 1 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
+  Address out;
+  const auto [end, bad_port] = std::from_chars(digits.data(), digits.data() + digits.size(), out.port);
+  if (bad_port != std::errc{} || end != digits.data() + digits.size()) return std::nullopt;
+  const std::string ended(host);
+  if (inet_pton(AF_INET, ended.c_str(), out.bytes.data()) == 1) return out;
+  out.v6 = true;
+  if (inet_pton(AF_INET6, ended.c_str(), out.bytes.data()) == 1) return out;
+  return std::nullopt;
+}
+
+std::string to_text(const Address& address) {
+  char host[INET6_ADDRSTRLEN] = "";
+  inet_ntop(address.v6 ? AF_INET6 : AF_INET, address.bytes.data(), host, sizeof host);
+  const std::string port = ':' + std::to_string(address.port);
+  return address.v6 ? '[' + std::string(host) + ']' + port : host + port;
+}
+
+}  // namespace flintweir::net
--- a/src/net/client_conn.cpp
+++ b/src/net/client_conn.cpp
@@ -2,8 +2,8 @@
 
 namespace flintweir::net {
 
-void ClientConn::begin(Tcp::socket socket) {
-  stream_.adopt(std::move(socket), *this);
+void ClientConn::begin(SocketKey socket) {
+  stream_.adopt(socket, *this);
   phase_ = Phase::head;
   pinged_ = false;
   head_ = {};
--- a/src/net/client_conn.h
+++ b/src/net/client_conn.h
@@ -29,7 +29,7 @@
         first_line_within_(first_line_within),
         owner_(owner) {}
 
-  void begin(Tcp::socket socket);
+  void begin(SocketKey socket);
   std::string_view head() const { return head_; }  // where it lies in the buffer
   // The final answer; the connection is closed once the client has had time to read it.
   void answer(std::string_view line);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -26,7 +26,7 @@
   if (!std::exchange(watching_, true)) ask();
 }
 
-void Discovery::turn_to(const Tcp::endpoint& at) {
+void Discovery::turn_to(const Address& at) {
   get_.turn_to(at);
   version_.reset();
   watching_ = true;
@@ -71,8 +71,8 @@
     if (e.get(o) || o["uid"].get(uid) || uid.empty() || o["state"].get(state)) return false;
     const auto standing = standing_of(state);
     if (!standing) return false;
-    std::optional<Tcp::endpoint> at;
-    if (!o["endpoint"].get(address)) at = endpoint_of(address);
+    std::optional<Address> at;
+    if (!o["endpoint"].get(address)) at = address_of(address);
     if (!at && standing != Standing::gone) return false;
     std::size_t zone_no = zones_.size();
     if (!o["az"].get(zone)) {
@@ -84,9 +84,9 @@
     if (o["capacity_hint"].get(share)) share = 1;
     if (o["boot_ms"].get(boot_ms)) boot_ms = 0;
     if (!(boot_ms >= 0 && boot_ms < 1e15)) return false;
-    entry(HostId{setup::id_of(uid)}, uid, at.value_or(Tcp::endpoint()),
-          ZoneId{static_cast<std::uint32_t>(zone_no)}, CellId{static_cast<std::uint32_t>(cell)}, *standing,
-          share, Micros{static_cast<std::int64_t>(boot_ms * 1000)});
+    entry(HostId{setup::id_of(uid)}, uid, at.value_or(Address()), ZoneId{static_cast<std::uint32_t>(zone_no)},
+          CellId{static_cast<std::uint32_t>(cell)}, *standing, share,
+          Micros{static_cast<std::int64_t>(boot_ms * 1000)});
   }
   return true;
 }
@@ -104,8 +104,8 @@
   Balancer& balancer = told_.balancer_now();
   if (whole) hosts_.list_begins();
   balancer.list_begins(whole);
-  each_target(targets, [&](HostId id, std::string_view name, const Tcp::endpoint& at, ZoneId zone,
-                           CellId cell, Standing standing, double share, Micros started) {
+  each_target(targets, [&](HostId id, std::string_view name, const Address& at, ZoneId zone, CellId cell,
+                           Standing standing, double share, Micros started) {
     balancer.listed(id, zone, cell, standing, share, started);
     if (standing != Standing::gone) return hosts_.listed(id, name, at);
     hosts_.gone(id);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -19,15 +19,15 @@
    protected:
     ~Told() = default;
   };
-  Discovery(Sockets& sockets, Wakes& wakes, const Tcp::endpoint& at, std::vector<std::string> zones,
-            Hosts& hosts, Told& told)
+  Discovery(Sockets& sockets, Wakes& wakes, const Address& at, std::vector<std::string> zones, Hosts& hosts,
+            Told& told)
       : get_(sockets, wakes, at, *this), zones_(std::move(zones)), hosts_(hosts), told_(told) {}
 
   // Takes a list in discovery's form; false, with nothing changed, where it is malformed.
   bool take(const simdjson::dom::element& list);
   void watch();
   // Asks there from now on, at once and for a whole list: its versions have nothing to do with those so far.
-  void turn_to(const Tcp::endpoint& at);
+  void turn_to(const Address& at);
 
  private:
   void http_answered(unsigned status, std::string& body) override;
--- a/src/net/host_conn.cpp
+++ b/src/net/host_conn.cpp
@@ -6,8 +6,7 @@
 
 namespace flintweir::net {
 
-void HostConn::dial(const Tcp::endpoint& to, std::string_view head, std::string_view time_left,
-                    Micros within) {
+void HostConn::dial(const Address& to, std::string_view head, std::string_view time_left, Micros within) {
   head_ = head;
   time_left_ = time_left;
   until_ = wakes_.now() + within;
@@ -37,7 +36,7 @@
   return stream_;
 }
 
-void HostConn::connected(Stream&, std::error_code failed) {
+void HostConn::connected(Stream&, bool failed) {
   if (failed) return end(Ending::unconnected);
   phase_ = Phase::sending;
   if (!time_left_.empty()) {
@@ -57,13 +56,13 @@
   const std::string_view after =
       time_left_.empty() ? std::string_view{} : head_.substr(before + time_left_.size());
   const std::array<std::string_view, 3> texts{head_.substr(0, before), {digits_.data(), digits_size_}, after};
-  std::array<asio::const_buffer, 3> parts;
+  std::array<std::string_view, 3> parts;
   std::size_t skip = sent_, all = 0;
   for (std::size_t i = 0; i < texts.size(); ++i) {
     const std::size_t skipped = std::min(skip, texts[i].size());
     skip -= skipped;
     all += texts[i].size();
-    parts[i] = asio::const_buffer(texts[i].data() + skipped, texts[i].size() - skipped);
+    parts[i] = texts[i].substr(skipped);
   }
   const auto n = stream_.write(parts);
   if (!n) return broken(stream_);
--- a/src/net/host_conn.h
+++ b/src/net/host_conn.h
@@ -25,7 +25,7 @@
 
   // `head` is sent on, but for the digits `time_left` within it, which become the time that this dial has.
   // Both must stay in place until it ends. The end comes in a later turn, never from within.
-  void dial(const Tcp::endpoint& to, std::string_view head, std::string_view time_left, Micros within);
+  void dial(const Address& to, std::string_view head, std::string_view time_left, Micros within);
   void fail();     // as a dial that can't be made; ends in a later turn, too
   void give_up();  // without a call on the owner
   bool out() const { return phase_ != Phase::idle && phase_ != Phase::given; }
@@ -34,7 +34,7 @@
  private:
   enum class Phase { idle, failed, connecting, sending, sent, given };
   enum class Due : std::uint64_t { connect, limit };
-  void connected(Stream&, std::error_code) override;
+  void connected(Stream&, bool) override;
   void came(Stream&) override;
   void writable(Stream&) override { send(); }
   void broken(Stream&) override;
--- a/src/net/hosts.h
+++ b/src/net/hosts.h
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "ids.h"
-#include "net/stream.h"
+#include "net/address.h"
 
 namespace flintweir::net {
 
@@ -14,7 +14,7 @@
  public:
   struct Host {
     std::string name;
-    Tcp::endpoint at;
+    Address at;
     bool listed = true;
     bool late = false;  // its messages are
     Micros late_told{0};
@@ -32,7 +32,7 @@
   void list_begins() {
     for (auto& [id, host] : hosts_) host.listed = false;
   }
-  void listed(HostId id, std::string_view name, const Tcp::endpoint& at) {
+  void listed(HostId id, std::string_view name, const Address& at) {
     Host& host = hosts_[id.value];
     if (host.name != name) host.name = name;
     host.at = at;
@@ -51,7 +51,4 @@
   std::unordered_map<std::uint64_t, Host> hosts_;
 };
 
-// An address as `a.b.c.d:port` or `[v6]:port`; there are no names to look up.
-std::optional<Tcp::endpoint> endpoint_of(std::string_view text);
-
 }  // namespace flintweir::net
--- a/src/net/http_get.cpp
+++ b/src/net/http_get.cpp
@@ -1,7 +1,5 @@
 #include "net/http_get.h"
 
-#include <sstream>
-
 namespace flintweir::net {
 namespace {
 
@@ -9,7 +7,7 @@
 
 }  // namespace
 
-HttpGet::HttpGet(Sockets& sockets, Wakes& wakes, const Tcp::endpoint& at, Told& told)
+HttpGet::HttpGet(Sockets& sockets, Wakes& wakes, const Address& at, Told& told)
     : stream_(sockets), wakes_(wakes), told_(told) {
   turn_to(at);
   http_parser_settings_init(&callbacks_);
@@ -26,11 +24,9 @@
   };
 }
 
-void HttpGet::turn_to(const Tcp::endpoint& at) {
+void HttpGet::turn_to(const Address& at) {
   at_ = at;
-  std::ostringstream name;
-  name << at;
-  host_ = name.str();
+  host_ = to_text(at);
   drop();
 }
 
@@ -58,7 +54,7 @@
   if (!stream_.connect(at_, *this)) wakes_.after(Micros{0}, *this, token_);
 }
 
-void HttpGet::connected(Stream&, std::error_code failed) {
+void HttpGet::connected(Stream&, bool failed) {
   if (failed) return fail("no connection");
   stream_.want_read();
   send();
--- a/src/net/http_get.h
+++ b/src/net/http_get.h
@@ -20,15 +20,15 @@
    protected:
     ~Told() = default;
   };
-  HttpGet(Sockets& sockets, Wakes& wakes, const Tcp::endpoint& at, Told& told);
+  HttpGet(Sockets& sockets, Wakes& wakes, const Address& at, Told& told);
 
   // One call on Told ends it, in a later turn.
   void get(std::string_view path, Micros within);
   // From now on asks there; a call that is out ends without a word.
-  void turn_to(const Tcp::endpoint& at);
+  void turn_to(const Address& at);
 
  private:
-  void connected(Stream&, std::error_code failed) override;
+  void connected(Stream&, bool failed) override;
   void came(Stream&) override;
   void writable(Stream&) override { send(); }
   void broken(Stream&) override;
@@ -39,7 +39,7 @@
 
   Stream stream_;
   Wakes& wakes_;
-  Tcp::endpoint at_;
+  Address at_;
   std::string host_;
   Told& told_;
   http_parser parser_{};
--- /dev/null
+++ b/src/net/kernel_network.cpp
@@ -0,0 +1,186 @@
+#include "net/kernel_network.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <array>
+#include <asio/bind_allocator.hpp>
+
+namespace flintweir::net {
+namespace {
+
+using Tcp = asio::ip::tcp;
+
+Tcp::endpoint endpoint(const Address& a) {
+  if (a.v6) return {asio::ip::address_v6(a.bytes), a.port};
+  return {asio::ip::address_v4({a.bytes[0], a.bytes[1], a.bytes[2], a.bytes[3]}), a.port};
+}
+
+Address address(const Tcp::endpoint& e) {
+  Address out;
+  out.port = e.port();
+  out.v6 = e.address().is_v6();
+  if (out.v6) {
+    out.bytes = e.address().to_v6().to_bytes();
+  } else {
+    const auto four = e.address().to_v4().to_bytes();
+    std::copy(four.begin(), four.end(), out.bytes.begin());
+  }
+  return out;
+}
+
+bool not_now(std::error_code ec) { return ec == asio::error::would_block || ec == asio::error::interrupted; }
+
+}  // namespace
+
+KernelNetwork::~KernelNetwork() { io_.stop(); }
+
+void KernelNetwork::hear_signals(std::initializer_list<int> numbers, std::function<void(int)> heard) {
+  heard_ = std::move(heard);
+  for (const int number : numbers) signals_.add(number);
+  next_signal();
+}
+
+void KernelNetwork::next_signal() {
+  signals_.async_wait([this](std::error_code ec, int number) {
+    if (ec) return;
+    heard_(number);
+    next_signal();
+  });
+}
+
+Micros KernelNetwork::now() const {
+  return std::chrono::duration_cast<Micros>(zero_ + (std::chrono::steady_clock::now() - began_));
+}
+
+void KernelNetwork::ring(Micros at, Alarm& whom) {
+  timer_.expires_after(std::max(at - now(), Micros{0}));
+  timer_.async_wait([&whom](std::error_code ec) {
+    if (!ec) whom.rang();  // else it was set anew
+  });
+}
+
+Address KernelNetwork::listen(const Address& at) {
+  const Tcp::endpoint here = endpoint(at);
+  door_.open(here.protocol());
+  door_.set_option(Tcp::acceptor::reuse_address(true));
+  door_.bind(here);
+  door_.listen(4096);
+  door_.non_blocking(true);
+  return address(door_.local_endpoint());
+}
+
+void KernelNetwork::wait_accept(DoorEvents& whom) {
+  door_.async_wait(Tcp::acceptor::wait_read, [&whom](std::error_code ec) {
+    if (!ec) whom.knocked();
+  });
+}
+
+Accepted KernelNetwork::accept() {
+  std::error_code ec;
+  Tcp::socket socket(io_);
+  door_.accept(socket, ec);
+  if (!ec) return {adopt(std::move(socket), nullptr)};
+  if (ec == asio::error::would_block) return {{}, Io::later};
+  if (ec == asio::error::connection_aborted || ec == asio::error::interrupted) return {{}, Io::ended};
+  why_ = ec.message();
+  return {{}, Io::broken, why_.c_str()};
+}
+
+SocketKey KernelNetwork::adopt(Tcp::socket socket, SocketEvents* whom) {
+  std::error_code ignored;
+  socket.non_blocking(true, ignored);
+  socket.set_option(Tcp::no_delay(true), ignored);
+  // A client's machine that is gone says nothing: without this its place would be held for good.
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  for (const auto& [option, value] : {std::pair(TCP_KEEPIDLE, 30), {TCP_KEEPINTVL, 10}, {TCP_KEEPCNT, 3}}) {
+    setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value, sizeof value);
+  }
+  const SocketKey key = sockets_.lend(io_);
+  Entry& entry = *sockets_.find(key);
+  entry.socket = std::move(socket);
+  entry.whom = whom;
+  return key;
+}
+
+template <class Handler>
+auto KernelNetwork::kept(Handler handler) {
+  return asio::bind_allocator(HandlerAllocator<void>(memory_), std::move(handler));
+}
+
+SocketKey KernelNetwork::connect(const Address& to, SocketEvents& whom) {
+  const Tcp::endpoint there = endpoint(to);
+  Tcp::socket socket(io_);
+  std::error_code ec;
+  socket.open(there.protocol(), ec);
+  if (ec) return {};
+  const SocketKey key = adopt(std::move(socket), &whom);
+  sockets_.find(key)->socket.async_connect(there, kept([this, key](std::error_code failed) {
+                                             if (Entry* e = sockets_.find(key))
+                                               e->whom->connected(bool(failed));
+                                           }));
+  return key;
+}
+
+void KernelNetwork::tell(SocketKey socket, SocketEvents& whom) {
+  if (Entry* e = sockets_.find(socket)) e->whom = &whom;
+}
+
+template <bool is_read>
+void KernelNetwork::wait(SocketKey key) {
+  Entry* const e = sockets_.find(key);
+  if (!e) return;
+  e->socket.async_wait(is_read ? Tcp::socket::wait_read : Tcp::socket::wait_write,
+                       kept([this, key](std::error_code ec) {
+                         Entry* const here = sockets_.find(key);
+                         if (!here) return;
+                         if constexpr (is_read)
+                           here->whom->readable(bool(ec));
+                         else
+                           here->whom->writable(bool(ec));
+                       }));
+}
+
+Passed KernelNetwork::read(SocketKey socket, char* to, std::size_t size) {
+  Entry* const e = sockets_.find(socket);
+  if (!e) return {0, Io::broken};
+  std::error_code ec;
+  const std::size_t n = e->socket.read_some(asio::buffer(to, size), ec);
+  if (not_now(ec)) return {0, Io::later};
+  if (ec && ec != asio::error::eof) return {0, Io::broken};
+  return {n, ec ? Io::ended : Io::done};
+}
+
+Passed KernelNetwork::write(SocketKey socket, std::span<const std::string_view> parts) {
+  Entry* const e = sockets_.find(socket);
+  if (!e) return {0, Io::broken};
+  std::error_code ec;
+  std::size_t n;
+  if (parts.size() == 1) {
+    n = e->socket.write_some(asio::buffer(parts[0]), ec);
+  } else {
+    std::array<asio::const_buffer, 4> buffers;
+    const std::size_t count = std::min(parts.size(), buffers.size());
+    for (std::size_t i = 0; i < count; ++i) buffers[i] = asio::buffer(parts[i]);
+    n = e->socket.write_some(std::span(buffers.data(), count), ec);
+  }
+  if (not_now(ec)) return {0, Io::later};
+  if (ec) return {0, Io::broken};
+  return {n, Io::done};
+}
+
+void KernelNetwork::end_sending(SocketKey socket) {
+  std::error_code ignored;
+  if (Entry* e = sockets_.find(socket)) e->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
+void KernelNetwork::close(SocketKey socket, bool reset) {
+  Entry* const e = sockets_.find(socket);
+  if (!e) return;
+  std::error_code ignored;
+  if (reset) e->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  e->socket.close(ignored);
+  sockets_.drop(socket);
+}
+
+}  // namespace flintweir::net
--- /dev/null
+++ b/src/net/kernel_network.h
@@ -0,0 +1,71 @@
+// The kernel's sockets and clock behind Network, on one event loop (standalone Asio). Nothing else includes
+// Asio. Reads and writes are plain non-blocking calls made when a socket is ready, so that it is always
+// known exactly what the kernel has taken.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <optional>
+
+#include "net/handler_memory.h"
+#include "net/network.h"
+
+namespace flintweir::net {
+
+class KernelNetwork final : public Network {
+ public:
+  KernelNetwork() = default;
+  ~KernelNetwork() override;
+
+  void run() { io_.run(); }  // until stop()
+  // Runs what is ready within so long; for a caller with a loop of its own.
+  void run_for(Micros within) { io_.run_for(within); }
+  // Calls heard(number) for each of these signals from now on.
+  void hear_signals(std::initializer_list<int> numbers, std::function<void(int)> heard);
+
+  Micros now() const override;
+  void ring(Micros at, Alarm& whom) override;
+  Address listen(const Address& at) override;
+  void wait_accept(DoorEvents& whom) override;
+  Accepted accept() override;
+  SocketKey connect(const Address& to, SocketEvents& whom) override;
+  void tell(SocketKey socket, SocketEvents& whom) override;
+  void wait_read(SocketKey socket) override { wait<true>(socket); }
+  void wait_write(SocketKey socket) override { wait<false>(socket); }
+  Passed read(SocketKey socket, char* to, std::size_t size) override;
+  Passed write(SocketKey socket, std::span<const std::string_view> parts) override;
+  void end_sending(SocketKey socket) override;
+  void close(SocketKey socket, bool reset) override;
+  void stop() override { io_.stop(); }
+
+ private:
+  using Tcp = asio::ip::tcp;
+  struct Entry {
+    explicit Entry(asio::io_context& io) : socket(io) {}
+    Tcp::socket socket;
+    SocketEvents* whom = nullptr;
+  };
+  template <class Handler>
+  auto kept(Handler handler);  // with memory that is used again
+  template <bool reading>
+  void wait(SocketKey key);
+  SocketKey adopt(Tcp::socket socket, SocketEvents* whom);
+  void next_signal();
+
+  HandlerMemory memory_;  // outlives what is pending in the loop
+  asio::io_context io_{1};
+  std::chrono::system_clock::duration zero_ = std::chrono::system_clock::now().time_since_epoch();
+  std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
+  asio::steady_timer timer_{io_};
+  Tcp::acceptor door_{io_};
+  asio::signal_set signals_{io_};
+  std::function<void(int)> heard_;
+  Slab<Entry> sockets_;
+  std::string why_;
+};
+
+}  // namespace flintweir::net
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -20,7 +20,7 @@
       host_(s.sockets_, s.wakes_, s.patience_.connect, *this),
       relay_(s.wakes_, *this) {}
 
-void Link::begin(SlabKey key, Tcp::socket socket) {
+void Link::begin(SlabKey key, SocketKey socket) {
   key_ = key;
   handle_ = Sess();
   taken_ = Taken{};
@@ -29,7 +29,7 @@
   dials_ = 0;
   inherited_ = answered_ = open_ = false;
   began_ = sessions_.wakes_.now();
-  client_.begin(std::move(socket));
+  client_.begin(socket);
 }
 
 bool Link::taking() const { return !sessions_.leaving_; }
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -15,7 +15,7 @@
  public:
   explicit Link(Sessions& sessions);
 
-  void begin(SlabKey key, Tcp::socket socket);
+  void begin(SlabKey key, SocketKey socket);
   // What the module does.
   void dial(HostId host, Micros within);
   void answer(std::string_view line, Reason reason);
--- /dev/null
+++ b/src/net/network.h
@@ -0,0 +1,85 @@
+// The outside of a node at the level of system calls: sockets, the clock and one alarm. KernelNetwork gives
+// the kernel's; the lab gives a virtual one, so that the same node runs in both. Calls never block. What is
+// heard comes in a later turn, never from within a call.
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <string_view>
+
+#include "ids.h"
+#include "net/address.h"
+#include "slab.h"
+
+namespace flintweir::net {
+
+// Names one socket for as long as it is open; a key that is over is never another's.
+using SocketKey = SlabKey;
+
+class SocketEvents {
+ public:
+  virtual void connected(bool failed) = 0;
+  virtual void readable(bool broken) = 0;  // once for each wait_read()
+  virtual void writable(bool broken) = 0;  // once for each wait_write()
+
+ protected:
+  ~SocketEvents() = default;
+};
+
+class DoorEvents {
+ public:
+  virtual void knocked() = 0;  // once for each wait_accept()
+
+ protected:
+  ~DoorEvents() = default;
+};
+
+class Alarm {
+ public:
+  virtual void rang() = 0;
+
+ protected:
+  ~Alarm() = default;
+};
+
+enum class Io { done, later, ended, broken };
+
+struct Passed {
+  std::size_t bytes = 0;
+  Io how = Io::done;
+};
+
+struct Accepted {
+  SocketKey socket;
+  Io how = Io::done;     // later: nobody waits; ended: whoever knocked has gone again; broken: see why
+  const char* why = "";  // static text, or good until the next call
+};
+
+class Network {
+ public:
+  virtual ~Network() = default;
+
+  // Steady time that starts as Unix time, so that it never steps and is comparable with hosts' start times.
+  virtual Micros now() const = 0;
+  // One alarm for each network: a later call takes the place of an earlier one.
+  virtual void ring(Micros at, Alarm& whom) = 0;
+
+  // Listens at an address and tells where (port 0 takes a free one). Throws std::system_error.
+  virtual Address listen(const Address& at) = 0;
+  virtual void wait_accept(DoorEvents& whom) = 0;
+  virtual Accepted accept() = 0;
+
+  // Begins to connect; a key that is not live (turn 0) where no descriptor is left.
+  virtual SocketKey connect(const Address& to, SocketEvents& whom) = 0;
+  virtual void tell(SocketKey socket, SocketEvents& whom) = 0;  // whom an accepted socket's events go to
+  virtual void wait_read(SocketKey socket) = 0;
+  virtual void wait_write(SocketKey socket) = 0;
+  virtual Passed read(SocketKey socket, char* to, std::size_t size) = 0;
+  virtual Passed write(SocketKey socket, std::span<const std::string_view> parts) = 0;  // gathered
+  virtual void end_sending(SocketKey socket) = 0;
+  virtual void close(SocketKey socket, bool reset) = 0;
+
+  virtual void stop() = 0;  // ends the loop that calls all this
+};
+
+}  // namespace flintweir::net
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -1,9 +1,9 @@
 #include "net/node.h"
 
 #include <algorithm>
-#include <csignal>
 
 #include "net/log.h"
+#include "net/nowhere.h"
 #include "setup/deployment.h"
 
 namespace flintweir::net {
@@ -67,9 +67,10 @@
 
 }  // namespace
 
-Node::Node(const NodeFile& file, bool listening)
-    : path_(file.path()),
-      sockets_(socket_limit(file)),
+Node::Node(Network& network, const NodeFile& file)
+    : network_(network),
+      listen_(file.listen()),
+      sockets_(network, socket_limit(file)),
       longest_dial_(longest(listener_times(file.settings(), "dialTimeout"))),
       sessions_(sockets_, wakes_, hosts_, patience(file.settings()), message_target(file.settings()),
                 head_reader(file.settings()), most_sessions(file), socket_limit(file) / kIdleShare, *this),
@@ -80,78 +81,49 @@
     setup::bad("configuration: known is not a list of hosts");
   }
   sessions_.balancer_now();
-  const Tcp::endpoint at = file.listen();
-  if (!listening) return;
-  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) signals_.add(signal);
-  door_.open(at.protocol());
-  door_.set_option(Tcp::acceptor::reuse_address(true));
-  door_.bind(at);
-  door_.listen(4096);
-  door_.non_blocking(true);
 }
 
-void Node::run() {
-  wait_for_signals();
-  const Tcp::endpoint at = door_.local_endpoint();
-  log_line("serving at %s:%u", at.address().to_string().c_str(), at.port());
-  wait_for_clients();
-  sockets_.io().run();
+void Node::serve() {
+  log_line("serving at %s", to_text(network_.listen(listen_)).c_str());
+  network_.wait_accept(*this);
 }
 
-void Node::wait_for_signals() {
-  signals_.async_wait([this](std::error_code ec, int signal) {
-    if (ec) return;
-    if (signal != SIGHUP) return leave();
-    reload();
-    wait_for_signals();
-  });
-}
-
-// Takes the new address of discovery; all else holds until the next start. The file is read as at a start,
-// so that one which could not be started with changes nothing.
-void Node::reload() {
+void Node::reload(const std::function<NodeFile()>& read) {
   try {
-    const NodeFile file(path_);
-    check(file);
-    const Tcp::endpoint at = file.discovery_of_file();
-    log_line("reload: discovery at %s:%u", at.address().to_string().c_str(), at.port());
+    const NodeFile file = read();
+    Nowhere nowhere;
+    const Node as_at_a_start(nowhere, file);
+    const Address at = file.discovery_of_file();
+    log_line("reload: discovery at %s", to_text(at).c_str());
     discovery_.turn_to(at);
   } catch (const std::exception& e) {
     log_line("reload: %s; nothing is changed", e.what());
   }
 }
 
-void Node::wait_for_clients() {
-  door_.async_wait(Tcp::acceptor::wait_read, [this](std::error_code ec) {
-    if (!ec) accept();
-  });
-}
-
 void Node::accept() {
   for (int i = 0; i < kAcceptsInARow; ++i) {
-    std::error_code ec;
-    if (!sockets_.room(1) && !sessions_.make_room()) ec = asio::error::no_descriptors;
-    Tcp::socket socket(sockets_.io());
-    if (!ec) door_.accept(socket, ec);
-    if (ec == asio::error::would_block) break;
-    if (ec == asio::error::connection_aborted || ec == asio::error::interrupted) continue;
-    if (ec) {
+    const bool room = sockets_.room(1) || sessions_.make_room();
+    const Accepted next = room ? network_.accept() : Accepted{{}, Io::broken, "too many open sockets"};
+    if (next.how == Io::later) break;
+    if (next.how == Io::ended) continue;
+    if (next.how == Io::broken) {
       // Those that wait are taken as soon as others have gone.
-      log_line("accept: %s", ec.message().c_str());
+      log_line("accept: %s", next.why);
       return wakes_.after(10ms, *this, accept_again);
     }
-    sessions_.take(std::move(socket));
+    sessions_.take(next.socket);
   }
-  wait_for_clients();
+  network_.wait_accept(*this);
 }
 
 void Node::woken(std::uint64_t due) {
   if (due == accept_again) return accept();
   log_line("left");
-  sockets_.io().stop();
+  network_.stop();
 }
 
-// Clients are moved over half the longest dial timeout; those that still come are answered until it is over.
+// They are moved over half the longest dial timeout; those that still come are answered until it is over.
 void Node::leave() {
   log_line("leaving: moving all sessions");
   sessions_.leave(longest_dial_ / 2);
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -1,7 +1,7 @@
 // One node: its parts put together, the door for clients, and the way out.
 #pragma once
 
-#include <asio/signal_set.hpp>
+#include <functional>
 
 #include "net/discovery.h"
 #include "net/node_file.h"
@@ -9,34 +9,35 @@
 
 namespace flintweir::net {
 
-class Node final : Sessions::Told, Discovery::Told, Woken {
+class Node final : Sessions::Told, Discovery::Told, Woken, DoorEvents {
  public:
-  explicit Node(const NodeFile& file) : Node(file, true) {}       // throws setup::BadInput, std::system_error
-  void run();                                                     // until it is told to leave and has left
-  static void check(const NodeFile& file) { Node(file, false); }  // all but listening
+  // Reads all of the file and makes the parts, but serves nobody. Throws setup::BadInput.
+  Node(Network& network, const NodeFile& file);
+  // From now on takes clients, on the network's loop. Throws std::system_error where it can't listen.
+  void serve();
+  // Takes the new address of discovery; all else holds until the next start. What `read` throws, and a file
+  // that could not be started with, changes nothing.
+  void reload(const std::function<NodeFile()>& read);
+  // Moves all clients, answers those that still come, then stops the network.
+  void leave();
 
  private:
-  Node(const NodeFile& file, bool listening);
   enum Due : std::uint64_t { accept_again, left };
   void watch_list() override { discovery_.watch(); }
   Balancer& balancer_now() override { return sessions_.balancer_now(); }
   void host_gone(HostId host) override { sessions_.host_gone(host); }
   void woken(std::uint64_t due) override;
-  void wait_for_clients();
+  void knocked() override { accept(); }
   void accept();
-  void wait_for_signals();
-  void reload();
-  void leave();
 
-  std::string path_;  // of the configuration
+  Network& network_;
+  Address listen_;
   Sockets sockets_;
-  Wakes wakes_{sockets_.io()};
+  Wakes wakes_{network_};
   Hosts hosts_;
   Micros longest_dial_;
   Sessions sessions_;
   Discovery discovery_;
-  Tcp::acceptor door_{sockets_.io()};
-  asio::signal_set signals_{sockets_.io()};
 };
 
 }  // namespace flintweir::net
--- a/src/net/node_file.cpp
+++ b/src/net/node_file.cpp
@@ -1,8 +1,5 @@
 #include "net/node_file.h"
 
-#include <cstdlib>
-
-#include "net/hosts.h"
 #include "setup/deployment.h"
 
 namespace flintweir::net {
@@ -18,12 +15,25 @@
 
 }  // namespace
 
-NodeFile::NodeFile(const std::string& path) : path_(path), whole_(load(parser_, path), "configuration") {}
-
-Tcp::endpoint NodeFile::address(const char* key, const char* variable) const {
-  const char* given = variable ? std::getenv(variable) : nullptr;
-  const std::string text(given && *given ? std::string_view(given) : whole_.text(key, ""));
-  const auto at = endpoint_of(text);
+NodeFile::NodeFile(const std::string& path, std::string listen, std::string discovery)
+    : listen_(std::move(listen)),
+      discovery_(std::move(discovery)),
+      whole_(load(parser_, path), "configuration") {}
+
+NodeFile::NodeFile(std::string_view text)
+    : whole_(
+          [&] {
+            simdjson::dom::element e;
+            if (const auto error = parser_.parse(text.data(), text.size()).get(e)) {
+              setup::bad(std::string("configuration: ") + simdjson::error_message(error));
+            }
+            return e;
+          }(),
+          "configuration") {}
+
+Address NodeFile::address(const char* key, const std::string& given) const {
+  const std::string text = given.empty() ? std::string(whole_.text(key, "")) : given;
+  const auto at = address_of(text);
   if (!at) setup::bad("configuration: " + std::string(key) + " '" + text + "' is not an address with a port");
   return *at;
 }
--- a/src/net/node_file.h
+++ b/src/net/node_file.h
@@ -5,7 +5,7 @@
 
 #include <string>
 
-#include "net/stream.h"
+#include "net/address.h"
 #include "setup/values.h"
 
 namespace flintweir::net {
@@ -13,11 +13,13 @@
 // Reads the file, and keeps it: settings and the known list are looked at in place.
 class NodeFile {
  public:
-  explicit NodeFile(const std::string& path);  // throws setup::BadInput
-  Tcp::endpoint listen() const { return address("listen", "EDGE_LISTEN"); }
-  Tcp::endpoint discovery() const { return address("discovery", "EDGE_DISCOVERY"); }
-  Tcp::endpoint discovery_of_file() const { return address("discovery"); }  // whatever the variable says
-  const std::string& path() const { return path_; }
+  // An address given here goes before the file's; empty: none is. Throws setup::BadInput.
+  explicit NodeFile(const std::string& path, std::string listen = "", std::string discovery = "");
+  // The same of a file's text.
+  static NodeFile of_text(std::string_view text) { return NodeFile(text); }
+  Address listen() const { return address("listen", listen_); }
+  Address discovery() const { return address("discovery", discovery_); }
+  Address discovery_of_file() const { return address("discovery", ""); }  // whatever was given
   std::uint64_t seed() const;
   std::size_t sockets() const;
   std::size_t memory_mb() const;
@@ -25,9 +27,10 @@
   std::optional<simdjson::dom::element> known() const;
 
  private:
-  Tcp::endpoint address(const char* key, const char* variable = nullptr) const;
+  explicit NodeFile(std::string_view text);
+  Address address(const char* key, const std::string& given) const;
 
-  std::string path_;
+  std::string listen_, discovery_;
   simdjson::dom::parser parser_;
   setup::Values whole_;
 };
--- a/src/net/probes.cpp
+++ b/src/net/probes.cpp
@@ -4,7 +4,7 @@
 
 namespace flintweir::net {
 
-void Probes::ask(HostId host, const Tcp::endpoint* at) {
+void Probes::ask(HostId host, const Address* at) {
   const auto [it, fresh] = by_host_.try_emplace(host.value);
   if (fresh) it->second = probes_.lend(*this);
   probes_.find(it->second)->ask(host, at);
@@ -24,7 +24,7 @@
   stream_.close();
 }
 
-void Probes::Probe::ask(HostId host, const Tcp::endpoint* at) {
+void Probes::Probe::ask(HostId host, const Address* at) {
   if (std::exchange(asking_, true)) return;  // the answer under way serves both
   host_ = host;
   // A host may come back at a new address.
@@ -39,7 +39,7 @@
   probes_.wakes_.after(probes_.answer_within_, *this, token_);
 }
 
-void Probes::Probe::connected(Stream&, std::error_code failed) { failed ? broken(stream_) : send(); }
+void Probes::Probe::connected(Stream&, bool failed) { failed ? broken(stream_) : send(); }
 
 void Probes::Probe::send() {
   if (!stream_.write("STATS\r\n")) return broken(stream_);
--- a/src/net/probes.h
+++ b/src/net/probes.h
@@ -5,6 +5,7 @@
 
 #include "balance.h"
 #include "net/hosts.h"
+#include "net/stream.h"
 #include "net/wakes.h"
 #include "slab.h"
 
@@ -23,18 +24,18 @@
       : sockets_(sockets), wakes_(wakes), answer_within_(answer_within), told_(told) {}
 
   // Answered by one call of probed(), in a later turn.
-  void ask(HostId host, const Tcp::endpoint* at);
+  void ask(HostId host, const Address* at);
   void forget(HostId host);
 
  private:
   class Probe final : StreamEvents, Woken {
    public:
     explicit Probe(Probes& probes) : probes_(probes), stream_(probes.sockets_) {}
-    void ask(HostId host, const Tcp::endpoint* at);
+    void ask(HostId host, const Address* at);
     void drop();
 
    private:
-    void connected(Stream&, std::error_code failed) override;
+    void connected(Stream&, bool failed) override;
     void came(Stream&) override;
     void broken(Stream&) override;
     void woken(std::uint64_t token) override;
@@ -44,7 +45,7 @@
     Probes& probes_;
     Stream stream_;
     HostId host_;
-    Tcp::endpoint at_;
+    Address at_;
     std::uint64_t token_ = 0;
     bool asking_ = false, kept_ = false;  // kept: the connection has answered before
   };
--- a/src/net/sessions.cpp
+++ b/src/net/sessions.cpp
@@ -30,10 +30,10 @@
   return *balancer_;
 }
 
-void Sessions::take(Tcp::socket socket) {
+void Sessions::take(SocketKey socket) {
   const SlabKey key = links_.lend(*this);
   ++count_;
-  links_.find(key)->begin(key, std::move(socket));
+  links_.find(key)->begin(key, socket);
 }
 
 void Sessions::free(SlabKey key) {
--- a/src/net/sessions.h
+++ b/src/net/sessions.h
@@ -33,7 +33,7 @@
 
   void serve(const setup::Values& settings, std::uint64_t seed);  // makes the balancer
   Balancer& balancer_now();                                       // with the time said
-  void take(Tcp::socket socket);
+  void take(SocketKey socket);
   // Ends a connection that asks for nothing, for one that may; false: there is none.
   bool make_room() { return lobby_.show_out_first(); }
   void host_gone(HostId host) { probes_.forget(host); }
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,118 +1,82 @@
 #include "net/stream.h"
 
-#include <netinet/tcp.h>
-
-#include <asio/bind_allocator.hpp>
+#include <utility>
 
 namespace flintweir::net {
 
-void Stream::adopt(Tcp::socket socket, StreamEvents& events) {
+void Stream::adopt(SocketKey socket, StreamEvents& events) {
   close();
-  socket_.emplace(std::move(socket));
+  socket_ = socket;
   sockets_.took();
   events_ = &events;
-  std::error_code ignored;
-  socket_->non_blocking(true, ignored);
-  socket_->set_option(Tcp::no_delay(true), ignored);
-  // A client's machine that is gone says nothing: without this its place would be held for good.
-  socket_->set_option(asio::socket_base::keep_alive(true), ignored);
-  for (const auto& [option, value] : {std::pair(TCP_KEEPIDLE, 30), {TCP_KEEPINTVL, 10}, {TCP_KEEPCNT, 3}}) {
-    setsockopt(socket_->native_handle(), IPPROTO_TCP, option, &value, sizeof value);
-  }
-}
-
-template <class Handler>
-auto Stream::kept(Handler handler) {
-  return asio::bind_allocator(HandlerAllocator<void>(sockets_.memory()), std::move(handler));
+  sockets_.network().tell(socket, *this);
 }
 
-bool Stream::connect(const Tcp::endpoint& to, StreamEvents& events) {
+bool Stream::connect(const Address& to, StreamEvents& events) {
   close();
-  Tcp::socket socket(sockets_.io());
-  std::error_code ec;
-  socket.open(to.protocol(), ec);
-  if (ec) return false;
-  adopt(std::move(socket), events);
-  socket_->async_connect(to, kept([this, use = use_](std::error_code failed) {
-                           if (use == use_) events_->connected(*this, failed);
-                         }));
+  const SocketKey socket = sockets_.network().connect(to, *this);
+  if (socket.turn == 0) return false;
+  socket_ = socket;
+  sockets_.took();
+  events_ = &events;
   return true;
 }
 
-template <bool is_read>
-void Stream::wait() {
-  socket_->async_wait(is_read ? Tcp::socket::wait_read : Tcp::socket::wait_write,
-                      kept([this, use = use_](std::error_code ec) {
-                        if (use == use_) ready(is_read, ec);
-                      }));
-}
-
 void Stream::want_read() {
-  if (!socket_ || reading_ || at_end_ || in_.full()) return;
+  if (!open() || reading_ || at_end_ || in_.full()) return;
   reading_ = true;
-  wait<true>();
+  sockets_.network().wait_read(socket_);
 }
 
 void Stream::want_write() {
-  if (!socket_ || writing_) return;
+  if (!open() || writing_) return;
   writing_ = true;
-  wait<false>();
+  sockets_.network().wait_write(socket_);
+}
+
+void Stream::readable(bool broken) {
+  reading_ = false;
+  if (broken) return events_->broken(*this);
+  read();
 }
 
-void Stream::ready(bool is_read, std::error_code ec) {
-  (is_read ? reading_ : writing_) = false;
-  if (ec) return events_->broken(*this);
-  if (is_read) return read();
+void Stream::writable(bool broken) {
+  writing_ = false;
+  if (broken) return events_->broken(*this);
   events_->writable(*this);
 }
 
 void Stream::read() {
   const auto [to, size] = in_.room();
-  std::error_code ec;
-  const std::size_t n = socket_->read_some(asio::buffer(to, size), ec);
-  if (ec == asio::error::would_block || ec == asio::error::interrupted) return want_read();
-  if (ec && ec != asio::error::eof) return events_->broken(*this);
-  if (ec) at_end_ = true;
-  in_.came(n);
+  const Passed got = sockets_.network().read(socket_, to, size);
+  if (got.how == Io::later) return want_read();
+  if (got.how == Io::broken) return events_->broken(*this);
+  if (got.how == Io::ended) at_end_ = true;
+  in_.came(got.bytes);
   events_->came(*this);
 }
 
-std::optional<std::size_t> Stream::write(std::span<const asio::const_buffer> parts) {
-  if (!socket_ || shut_) return std::nullopt;
-  std::error_code ec;
-  const std::size_t n = socket_->write_some(parts, ec);
-  if (ec == asio::error::would_block || ec == asio::error::interrupted) return 0;
-  if (ec) return std::nullopt;
-  return n;
+std::optional<std::size_t> Stream::write(std::span<const std::string_view> parts) {
+  if (!open() || shut_) return std::nullopt;
+  const Passed taken = sockets_.network().write(socket_, parts);
+  if (taken.how == Io::broken) return std::nullopt;
+  return taken.bytes;
 }
 
-std::optional<std::size_t> Stream::write(std::string_view text) {
-  const asio::const_buffer part(text.data(), text.size());
-  return write(std::span(&part, 1));
-}
+std::optional<std::size_t> Stream::write(std::string_view text) { return write(std::span(&text, 1)); }
 
 void Stream::end_sending() {
-  if (!socket_ || std::exchange(shut_, true)) return;
-  std::error_code ignored;
-  socket_->shutdown(Tcp::socket::shutdown_send, ignored);
+  if (!open() || std::exchange(shut_, true)) return;
+  sockets_.network().end_sending(socket_);
 }
 
-void Stream::close() {
-  ++use_;
-  if (socket_) {
-    std::error_code ignored;
-    socket_->close(ignored);
-    socket_.reset();
+void Stream::close(bool reset) {
+  if (open()) {
+    sockets_.network().close(std::exchange(socket_, {}), reset);
     sockets_.gave();
   }
   reading_ = writing_ = at_end_ = shut_ = false;
   in_.clear();
 }
 
-void Stream::abort() {
-  std::error_code ignored;
-  if (socket_) socket_->set_option(asio::socket_base::linger(true, 0), ignored);
-  close();
-}
-
 }  // namespace flintweir::net
--- a/src/net/wakes.cpp
+++ b/src/net/wakes.cpp
@@ -4,8 +4,6 @@
 
 namespace flintweir::net {
 
-Wakes::Wakes(asio::io_context& io) : timer_(io) { heap_.reserve(4096); }
-
 void Wakes::after(Micros in, Woken& whom, std::uint64_t token) {
   heap_.push_back({now() + std::max(in, Micros{0}), order_++, &whom, token});
   std::push_heap(heap_.begin(), heap_.end());
@@ -15,13 +13,10 @@
 void Wakes::arm() {
   if (heap_.empty() || heap_.front().at >= armed_) return;
   armed_ = heap_.front().at;
-  timer_.expires_after(std::max(armed_ - now(), Micros{0}));
-  timer_.async_wait([this](std::error_code ec) {
-    if (!ec) run();  // else it was armed anew for something earlier
-  });
+  network_.ring(armed_, *this);
 }
 
-void Wakes::run() {
+void Wakes::rang() {
   armed_ = Micros::max();
   running_ = true;
   // What the woken add for now waits for the next turn, so that sockets get theirs in between.
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -7,11 +7,11 @@
 #include <string>
 #include <vector>
 
+#include "net/address.h"
 #include "net/heads.h"
-#include "net/hosts.h"
+#include "net/kernel_network.h"
 #include "net/line_buffer.h"
 #include "net/open_ids.h"
-#include "net/sockets.h"
 #include "net/wakes.h"
 
 namespace flintweir::net {
@@ -95,10 +95,10 @@
 }
 
 TEST(Hosts, AddressesAreNumbers) {
-  EXPECT_EQ(endpoint_of("127.0.0.1:81")->port(), 81);
-  EXPECT_TRUE(endpoint_of("[::1]:81"));
+  EXPECT_EQ(address_of("127.0.0.1:81")->port, 81);
+  EXPECT_TRUE(address_of("[::1]:81"));
   for (const char* bad : {"", "127.0.0.1", "localhost:81", "127.0.0.1:", "127.0.0.1:99999", "127.0.0.1:8x"})
-    EXPECT_FALSE(endpoint_of(bad)) << bad;
+    EXPECT_FALSE(address_of(bad)) << bad;
 }
 
 // What goes in comes out in the same order, whatever the sizes, and no more is held than there is room for.
@@ -164,8 +164,8 @@
 };
 
 TEST(Wakes, ComeInTheirOrderAndNeverFromWithin) {
-  asio::io_context io;
-  Wakes wakes(io);
+  KernelNetwork network;
+  Wakes wakes(network);
   Recorder seen;
   struct Again final : Woken {
     Wakes& wakes;
@@ -181,7 +181,7 @@
   wakes.after(0us, again, 0);
   wakes.after(0us, seen, 1);
   wakes.after(10ms, seen, 2);
-  io.run();
+  network.run();
   EXPECT_EQ(seen.seen, (std::vector<std::uint64_t>{100, 1, 100, 100, 100, 2, 3}));
 }
 
