--- /dev/null
+++ b/apps/flintweir_lab.cpp
@@ -0,0 +1,371 @@
+// The lab's command line: experiments, their runs, comparisons and reports.
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "lab/bad_file.h"
+#include "lab/builtin.h"
+#include "lab/report.h"
+#include "lab/results.h"
+#include "lab/runner.h"
+
+namespace {
+
+using namespace flintweir::lab;
+namespace fs = std::filesystem;
+
+struct Seeds {
+  std::uint64_t first = 1, last = 1;
+};
+
+Seeds seeds_of(const std::string& text) {
+  Seeds out;
+  char extra;
+  unsigned long long a, b;
+  if (std::sscanf(text.c_str(), "%llu..%llu%c", &a, &b, &extra) == 2 && a <= b) return {a, b};
+  if (std::sscanf(text.c_str(), "%llu%c", &a, &extra) == 1) return {a, a};
+  throw BadFile("--seeds: '" + text + "' is neither a number nor a range such as 1..20");
+}
+
+Experiment read(const std::string& file, const std::string& variant) {
+  if (file.empty()) return Experiment::of_text(kBuiltinDay, "built-in day", variant);
+  if (!fs::exists(file)) throw BadFile(file + ":0: file: is not there");
+  return Experiment::of_file(file, variant);
+}
+
+// Where the program lies: beside this one, unless it is named.
+std::vector<std::string> program_of(const std::string& given) {
+  if (given.empty()) return {(fs::read_symlink("/proc/self/exe").parent_path() / "flintweir").string()};
+  std::istringstream words(given);
+  return {std::istream_iterator<std::string>(words), {}};
+}
+
+class Progress {
+ public:
+  Progress(std::string title, std::uint64_t all) : title_(std::move(title)), all_(all) {}
+  void show(const RunSet& set) {
+    const auto now = std::chrono::steady_clock::now();
+    if (!isatty(2) || (now - shown_ < std::chrono::milliseconds(200) && set.runs < all_)) return;
+    shown_ = now;
+    const double took = std::chrono::duration<double>(now - began_).count();
+    std::fprintf(stderr, "\r%s: %llu of %llu runs, %llu broken rules, %.0f s a second \033[K%s", title_.c_str(),
+                 static_cast<unsigned long long>(set.runs), static_cast<unsigned long long>(all_),
+                 static_cast<unsigned long long>(set.violations()), set.virtual_seconds() / std::max(took, 0.001),
+                 set.runs == all_ ? "\n" : "");
+  }
+
+ private:
+  std::string title_;
+  std::uint64_t all_;
+  std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now(), shown_{};
+};
+
+struct RunWays {
+  unsigned jobs = 1;
+  bool real = false, until_broken = false, keep_logs = false;
+  std::vector<std::string> program;
+  fs::path out;
+};
+
+void write(const fs::path& path, const std::string& text) {
+  std::ofstream file(path, std::ios::trunc);
+  file << text;
+  file.close();
+  if (!file) throw std::runtime_error("can't write " + path.string());
+}
+
+std::string file_name(const RunSet& set) {
+  std::string out = set.experiment + "-" + set.title;
+  std::replace_if(out.begin(), out.end(), [](char c) { return !std::isalnum(static_cast<unsigned char>(c)); }, '-');
+  return out;
+}
+
+RunSet run_set(const Experiment& e, const std::string& title, Seeds seeds, const RunWays& ways) {
+  RunSet set(e, title, seeds.first, seeds.last);
+  Progress progress(e.name + ", " + title, seeds.last - seeds.first + 1);
+  const bool keep = ways.keep_logs && !ways.out.empty();
+  const auto run = [&](std::uint64_t seed) {
+    if (!ways.real) return run_virtual(e, seed, {keep, keep});
+    const fs::path folder = (ways.out.empty() ? fs::temp_directory_path() : ways.out) /
+                            ("real-" + std::to_string(getpid()) + "-" + std::to_string(seed));
+    fs::create_directories(folder);
+    Ran ran = run_real(e, seed, {keep, false}, ways.program, folder.string());
+    if (ways.out.empty()) fs::remove_all(folder);
+    return ran;
+  };
+  run_seeds(seeds.first, seeds.last, ways.real ? 1 : ways.jobs, run, [&](Ran&& ran) {
+    set.add(ran);
+    if (keep) {
+      const std::string base = file_name(set) + "-" + std::to_string(ran.seed);
+      write(ways.out / (base + ".events"), ran.outcome.log);
+      if (!ran.node_log.empty()) write(ways.out / (base + ".log"), ran.node_log);
+    }
+    progress.show(set);
+    return !(ways.until_broken && set.broken());
+  });
+  if (!ways.out.empty()) write(ways.out / (file_name(set) + ".json"), set.to_json().dump(1));
+  return set;
+}
+
+void print_table(const std::vector<RunSet>& sets) {
+  std::printf("%-22s %8s %8s %8s %9s %6s %7s %9s %9s  %s\n", "", "asked", "served", "refused", "torn down", "moved",
+              "broken", "service", "UP p99", "rules");
+  for (const RunSet& s : sets) {
+    const std::string rules = !s.failed().empty() ? "failed"
+                              : s.broken()        ? std::to_string(s.violations()) + " broken"
+                                                  : "kept";
+    std::printf("%-22s %8.0f %8.0f %8.0f %9.0f %6.0f %7.0f %9.3f %6.0f ms  %s\n", s.title.substr(0, 22).c_str(),
+                s.figure("sessions"), s.figure("accepted"), s.figure("refused"),
+                s.figure("torn_down") + s.figure("unanswered"), s.figure("moved"), s.figure("broken"),
+                s.figure("service"), s.figure("up_p99_ms"), rules.c_str());
+  }
+}
+
+void print_broken(const RunSet& set, const std::string& file) {
+  std::size_t shown = 0;
+  for (const RunSet::Broken& b : set.first_broken) {
+    if (++shown > 10) break;
+    std::printf("broken: rule=%s seed=%llu at=%.3fs session=%s: %s\n", b.rule.c_str(),
+                static_cast<unsigned long long>(b.seed), b.at, b.session.c_str(), b.what.c_str());
+  }
+  if (!set.failed().empty()) std::printf("failed: %s\n", set.failed().c_str());
+  if (!set.first_broken.empty())
+    std::printf("again: flintweir-lab run %s --seeds %llu --alone --logs --out DIR\n", file.c_str(),
+                static_cast<unsigned long long>(set.first_broken.front().seed));
+}
+
+int run(const std::string& file, const std::string& variant, Seeds seeds, RunWays ways, bool alone, bool json) {
+  const Experiment e = read(file, variant);
+  const bool own_folder = ways.out.empty() && file.empty() && !json;
+  if (own_folder) ways.out = fs::temp_directory_path() / ("flintweir-lab-" + std::to_string(getuid()));
+  if (!ways.out.empty()) fs::create_directories(ways.out);
+  std::vector<RunSet> sets;
+  const std::string title = ways.real ? "real program" : e.node.balancer;
+  sets.push_back(run_set(e, variant.empty() ? title : variant, seeds, ways));
+  if (!alone && !ways.real && e.node.balancer == "module") {
+    for (const char* balancer : {"random", "round-robin", "least-connections"}) {
+      Experiment other = e;
+      other.node.balancer = balancer;
+      RunWays plain = ways;
+      plain.until_broken = plain.keep_logs = false;
+      sets.push_back(run_set(other, balancer, seeds, plain));
+    }
+  }
+  if (json) {
+    nlohmann::json out = nlohmann::json::array();
+    for (const RunSet& s : sets) out.push_back(s.to_json());
+    std::printf("%s\n", out.dump(1).c_str());
+  } else {
+    std::printf("%s: %s\n%llu runs of %g s; rules looked at %llu times; events %s; %.0f virtual seconds a second and core\n\n",
+                e.name.c_str(), e.about.c_str(), static_cast<unsigned long long>(sets[0].runs), sets[0].lasts,
+                static_cast<unsigned long long>(sets[0].checks()), sets[0].hash().c_str(),
+                sets[0].virtual_seconds() / std::max(sets[0].took(), 1e-9));
+    print_table(sets);
+    print_broken(sets[0], file);
+  }
+  if (!ways.out.empty()) {
+    write(ways.out / "report.html", report_page(sets));
+    if (!json) std::printf("\nreport: %s\n", (ways.out / "report.html").string().c_str());
+  }
+  return sets[0].broken() ? 1 : 0;
+}
+
+std::vector<RunSet> sets_of(const nlohmann::json& json) {
+  std::vector<RunSet> out;
+  if (!json.is_array()) return {RunSet::of_json(json)};
+  for (const auto& j : json) out.push_back(RunSet::of_json(j));
+  return out;
+}
+
+// The same seeds with an earlier build of this program.
+RunSet run_program(const std::string& program, const std::string& file, Seeds seeds, unsigned jobs) {
+  const std::string command = "'" + program + "' run '" + file + "' --alone --json --jobs " + std::to_string(jobs) +
+                              " --seeds " + std::to_string(seeds.first) + ".." + std::to_string(seeds.last);
+  FILE* const pipe = popen(command.c_str(), "r");
+  if (!pipe) throw std::runtime_error("can't start " + program);
+  std::string text;
+  char bytes[65536];
+  for (std::size_t n; (n = std::fread(bytes, 1, sizeof bytes, pipe)) > 0;) text.append(bytes, n);
+  pclose(pipe);
+  try {
+    return sets_of(nlohmann::json::parse(text)).at(0);
+  } catch (const std::exception&) {
+    throw BadFile("--base: '" + program + "' does not print results of this form");
+  }
+}
+
+int compare(const std::string& file, const std::string& variant, const std::string& base, Seeds seeds, unsigned jobs) {
+  RunWays ways;
+  ways.jobs = jobs;
+  const Experiment e = read(file, variant);
+  const bool program = base.find('/') != base.npos;
+  if (program && access(base.c_str(), X_OK) != 0) throw BadFile("--base: '" + base + "' is no program");
+  const RunSet before = program ? run_program(base, file, seeds, jobs)
+                                : run_set(read(file, base == "file" ? "" : base), base, seeds, ways);
+  const RunSet now = run_set(e, variant.empty() ? "file" : variant, seeds, ways);
+  std::printf("%-14s %12s %12s %12s %10s\n", "", base.substr(0, 12).c_str(), now.title.substr(0, 12).c_str(),
+              "difference", "noise");
+  for (const std::string& name : e.measures) {
+    if (std::find(figure_names().begin(), figure_names().end(), name) == figure_names().end())
+      throw BadFile(file + ":1: measures: there is no figure '" + name + "'");
+    const auto &a = before.per_seed(name), &b = now.per_seed(name);
+    const std::size_t n = std::min(a.size(), b.size());
+    double mean_a = 0, mean_b = 0, mean = 0, square = 0;
+    for (std::size_t i = 0; i < n; ++i) {
+      mean_a += a[i] / static_cast<double>(n);
+      mean_b += b[i] / static_cast<double>(n);
+    }
+    mean = mean_b - mean_a;
+    // The same seeds on both sides: what is left is the spread of their differences.
+    for (std::size_t i = 0; i < n; ++i) square += (b[i] - a[i] - mean) * (b[i] - a[i] - mean);
+    const double noise = n > 1 ? std::sqrt(square / static_cast<double>(n - 1) / static_cast<double>(n)) : 0;
+    std::printf("%-14s %12.4f %12.4f %+12.4f %10.4f%s\n", name.c_str(), mean_a, mean_b, mean, noise,
+                noise > 0 && std::abs(mean) > 2 * noise ? "  *" : "");
+  }
+  std::printf("%-14s %12llu %12llu\n", "rules broken", static_cast<unsigned long long>(before.violations()),
+              static_cast<unsigned long long>(now.violations()));
+  std::printf("means over seeds %llu to %llu; noise is the standard error of the difference, * is over twice that\n",
+              static_cast<unsigned long long>(seeds.first), static_cast<unsigned long long>(seeds.last));
+  return now.broken() ? 1 : 0;
+}
+
+int shrink_run(const std::string& file, const std::string& variant, std::uint64_t seed, unsigned jobs) {
+  const Experiment e = read(file, variant);
+  const auto left = shrink(e, seed, jobs, [](std::size_t n, bool fails) {
+    if (isatty(2)) std::fprintf(stderr, "\r%zu faults left%s \033[K", n, fails ? "" : ", smaller parts");
+  });
+  if (isatty(2)) std::fprintf(stderr, "\n");
+  if (!left) return std::printf("seed %llu breaks no rule\n", static_cast<unsigned long long>(seed)), 0;
+  const std::vector<Fault> all = draw_faults(e.faults, e.fleet, e.lasts, seed);
+  std::printf("%zu of %zu faults still break it:\n", left->size(), all.size());
+  for (const std::size_t i : *left) std::printf("  %s\n", to_text(all[i], e.fleet).c_str());
+  const Ran ran = run_virtual(e, seed, {}, *left);
+  for (const Violation& v : ran.outcome.violations)
+    std::printf("broken: rule=%s seed=%llu at=%.3fs session=%016llx: %s\n", name_of(v.rule),
+                static_cast<unsigned long long>(seed), static_cast<double>(v.at.count()) / 1e6,
+                static_cast<unsigned long long>(v.session.value), v.what.c_str());
+  return 1;
+}
+
+int report(const fs::path& folder) {
+  std::vector<fs::path> files;
+  if (!fs::is_directory(folder)) throw BadFile(folder.string() + ":0: folder: is not there");
+  for (const auto& f : fs::directory_iterator(folder))
+    if (f.path().extension() == ".json") files.push_back(f.path());
+  std::sort(files.begin(), files.end());
+  std::vector<RunSet> sets;
+  for (const fs::path& f : files) {
+    try {
+      std::ifstream in(f);
+      for (RunSet& s : sets_of(nlohmann::json::parse(in))) sets.push_back(std::move(s));
+    } catch (const nlohmann::json::exception& e) {
+      throw BadFile(f.string() + ":1: file: is not the result of a run");
+    }
+  }
+  if (sets.empty()) throw BadFile(folder.string() + ":0: folder: holds no results");
+  std::stable_sort(sets.begin(), sets.end(), [](const RunSet& a, const RunSet& b) {
+    const auto plain = [](const RunSet& s) {
+      return s.title == "random" || s.title == "round-robin" || s.title == "least-connections";
+    };
+    return plain(a) < plain(b);
+  });
+  write(folder / "report.html", report_page(sets));
+  std::printf("%s\n", (folder / "report.html").string().c_str());
+  return 0;
+}
+
+int list(const std::string& folder) {
+  std::printf("%-22s %s\n", "(built in)", Experiment::of_text(kBuiltinDay, "built-in day").about.c_str());
+  std::vector<fs::path> files;
+  if (fs::is_directory(folder))
+    for (const auto& f : fs::directory_iterator(folder))
+      if (f.path().extension() == ".toml") files.push_back(f.path());
+  std::sort(files.begin(), files.end());
+  for (const fs::path& f : files) {
+    const Experiment e = Experiment::of_file(f.string());
+    std::printf("%-22s %s", f.string().c_str(), e.about.c_str());
+    for (const std::string& v : e.variants) std::printf(" [%s]", v.c_str());
+    std::printf("\n");
+  }
+  std::printf("\nfaults:\n");
+  for (const FaultKind& k : fault_kinds())
+    std::printf("  %-15s %s%s\n", k.name, k.does, k.virtual_only ? " (virtual network only)" : "");
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"Runs experiments on flintweir in virtual time, or against the real program on loopback."};
+  app.require_subcommand(1);
+  std::string file, variant, seeds = "1", base, program, folder = "lab";
+  RunWays ways;
+  ways.jobs = std::max(1u, std::thread::hardware_concurrency());
+  std::uint64_t seed = 1;
+  bool alone = false, json = false;
+
+  CLI::App* const list_command = app.add_subcommand("list", "experiments, and the kinds of fault");
+  list_command->add_option("FOLDER", folder, "where they lie")->capture_default_str();
+
+  CLI::App* const run_command = app.add_subcommand("run", "play an experiment; without a file a built-in day");
+  run_command->add_option("FILE", file, "the experiment");
+  run_command->add_option("--variant", variant, "one of its variants");
+  run_command->add_option("--seeds", seeds, "a seed, or a range A..B")->capture_default_str();
+  run_command->add_option("--jobs", ways.jobs, "runs at a time")->check(CLI::Range(1u, 256u))->capture_default_str();
+  run_command->add_option("--out", ways.out, "folder for results and the report");
+  run_command->add_flag("--json", json, "print results as JSON");
+  run_command->add_flag("--real", ways.real, "against the real program, on loopback, in real time");
+  run_command->add_option("--program", program, "the real program; without it the one beside this");
+  run_command->add_flag("--alone", alone, "without the baselines");
+  run_command->add_flag("--logs", ways.keep_logs, "keep event logs and what nodes log, in the folder");
+  run_command->add_flag("--until-broken", ways.until_broken, "stop at the first seed that breaks a rule");
+
+  CLI::App* const compare_command = app.add_subcommand("compare", "the same seeds, before and now");
+  compare_command->add_option("FILE", file, "the experiment")->required();
+  compare_command->add_option("--base", base, "an earlier flintweir-lab, a variant, or 'file' for none")->required();
+  compare_command->add_option("--variant", variant, "what is compared with it");
+  compare_command->add_option("--seeds", seeds, "a range A..B")->default_str("1..20");
+  compare_command->add_option("--jobs", ways.jobs, "runs at a time")->check(CLI::Range(1u, 256u));
+
+  CLI::App* const shrink_command = app.add_subcommand("shrink", "the fewest faults with which a run still fails");
+  shrink_command->add_option("FILE", file, "the experiment")->required();
+  shrink_command->add_option("--variant", variant, "one of its variants");
+  shrink_command->add_option("--seed", seed, "the failing run's")->required();
+  shrink_command->add_option("--jobs", ways.jobs, "runs at a time")->check(CLI::Range(1u, 256u));
+
+  CLI::App* const report_command = app.add_subcommand("report", "one HTML page about the results in a folder");
+  report_command->add_option("DIR", folder, "as given to --out")->required();
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : 2;
+  }
+  try {
+    if (*list_command) return list(folder);
+    if (*run_command) {
+      if (ways.real) ways.program = program_of(program);
+      return run(file, variant, seeds_of(seeds), ways, alone, json);
+    }
+    if (*compare_command)
+      return compare(file, variant, base, seeds_of(compare_command->count("--seeds") ? seeds : "1..20"), ways.jobs);
+    if (*shrink_command) return shrink_run(file, variant, seed, ways.jobs);
+    return report(folder);
+  } catch (const BadFile& e) {
+    std::fprintf(stderr, "flintweir-lab: %s\n", e.what());
+    return 2;
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "flintweir-lab: %s\n", e.what());
+    return 3;
+  }
+}
--- /dev/null
+++ b/src/lab/bad_file.h
@@ -0,0 +1,12 @@
+// What is wrong with a file that somebody wrote, in one line: file, line, field, reason.
+#pragma once
+
+#include <stdexcept>
+
+namespace flintweir::lab {
+
+struct BadFile : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/checker.h
@@ -0,0 +1,177 @@
+// Holds a run against the rules, from what clients, hosts and discovery see; the node is never asked. No I/O
+// and no clock.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lab/front_model.h"
+#include "lab/plan.h"
+
+namespace flintweir::lab {
+
+using SessionNo = Id<struct SessionNoTag, std::uint64_t>;  // as its first line gives it
+using HostNo = Id<struct HostNoTag, std::uint32_t>;
+using CallNo = Id<struct CallNoTag, std::uint64_t>;  // one dial, as its host sees it
+
+enum class Rule {
+  answer,  // one final answer in time for each session taken
+  effect,  // no effect twice, never two dials out where not allowed
+  drain,   // nothing new to a draining or gone host after the grace
+  cold,    // a cold host's budget, all nodes together
+  line,    // no line lost, altered, doubled or out of order on an open session
+  held,    // no line held for over a second
+  cut,     // no connection cut without MOVE while its host answers
+  ended,   // what one side has ended is ended at the other within a second, a silent host left within seven
+  rude,    // a bad client gets an error or a close within three seconds
+};
+const char* name_of(Rule rule);
+
+struct Violation {
+  Rule rule;
+  Micros at;
+  SessionNo session;  // zero: of no single session
+  std::string what;
+};
+
+// What the checker must know of the network between two machines.
+class Paths {
+ public:
+  virtual Micros longest(MachineNo a, MachineNo b) const = 0;  // one way
+  // Whether all has got through both ways since then, and time to mend what had been lost before.
+  virtual bool sound(MachineNo a, MachineNo b, Micros since) const = 0;
+
+ protected:
+  ~Paths() = default;
+};
+
+class Checker {
+ public:
+  enum class Answer { none, up, busy, err };
+  enum class Ends { bye, move, breaks };
+
+  Checker(const Paths& paths, const HostPlan& hosts, unsigned most_dials,
+          std::function<void(const Violation&)> broken)
+      : paths_(paths), grace_(hosts.grace), most_dials_(most_dials), broken_(std::move(broken)) {}
+
+  // Nodes and hosts come and go; what they held goes with them.
+  void node_up(NodeNo node, MachineNo machine) { nodes_[node.value] = {machine, true, {}, {}}; }
+  void node_down(NodeNo node);
+  // `started` is zero where it has been up for long.
+  void host_up(HostNo host, MachineNo machine, const std::string& name, ZoneNo zone, CellId cell, Micros started);
+  void host_down(HostNo host, Micros now);
+  void host_silent(HostNo host, bool silent, Micros now);
+  // It has tipped over while it was cold.
+  void host_tipped(HostNo host, Micros now);
+  // An answer of discovery has been written out, from that machine.
+  void told(NodeNo node, MachineNo teller, HostNo host, Standing standing, Micros started, Micros now);
+
+  // What a client does and sees.
+  void asked(SessionNo id, NodeNo node, MachineNo client, const Listener& listener, Micros patience, Micros now);
+  void answered(SessionNo id, Answer answer, std::string_view receipt, Micros now);
+  void client_said(SessionNo id, std::uint64_t line, Micros now);
+  void client_heard(SessionNo id, std::uint64_t line, bool is_move, Micros now);
+  void client_ends(SessionNo id, bool cleanly, Micros now);  // by its own will
+  void client_sees_end(SessionNo id, Micros now);
+  void rude_waited(Micros waited, Micros allowance, const char* kind, Micros now);
+
+  // What a host sees and does.
+  CallNo dialled(HostNo host, SessionNo id, Micros now);
+  // The host is cold, and this dial counts for so much against what would tip it over within a window.
+  void cold_sent(HostNo host, SessionNo id, double load, Micros window, Micros now);
+  void host_answers(CallNo call, Answer answer, std::string_view receipt, Micros now);
+  void host_said(CallNo call, std::uint64_t line, Micros now);
+  void host_heard(CallNo call, std::uint64_t line, Micros now);
+  void host_ends(CallNo call, Ends how, Micros now);
+  void host_sees_end(CallNo call, bool cleanly, Micros now);
+
+  void scan(Micros now);  // what is overdue
+  std::uint64_t checks() const { return checks_; }
+
+ private:
+  struct Line {
+    std::uint64_t hash;
+    Micros at;
+  };
+  struct Dial {
+    HostNo host;
+    CallNo call;
+    Micros came{0};
+    Answer answer = Answer::none;
+    std::string receipt;
+    bool over = false;           // as the host sees it
+    bool host_ended = false;     // first, or its process died
+    Micros host_ended_at{0};
+    Ends ends = Ends::breaks;
+    Micros overtaken_at{0};      // by a later dial, while this was out
+    std::deque<Line> down;       // its lines that the client has still to hear
+  };
+  struct Session {
+    NodeNo node;
+    MachineNo client;
+    Listener listener;
+    Micros asked_at{0}, patience{0};
+    Answer answer = Answer::none;
+    Micros answered_at{0}, client_over_at{0}, waiting_since{0}, moved_at{0};
+    bool client_over = false, clean_end = false, moved = false, excused = false;
+    std::vector<Dial> dials;
+    std::deque<Line> up;
+    CallNo open;  // the dial that the client was told of
+    std::set<Rule> reported;
+  };
+  struct Node {
+    MachineNo machine;
+    bool up = false;
+    struct Away {
+      Micros at;
+      MachineNo teller;
+    };
+    std::map<std::uint32_t, Away> told_away;  // by host
+    std::map<std::uint32_t, Micros> told_start;
+  };
+  struct Host {
+    MachineNo machine;
+    std::string name;
+    ZoneNo zone;
+    CellId cell;
+    bool up = false, silent = false;
+    Micros silent_until{0};  // the latest end of a silence
+    Micros started{0};
+    struct Sent {
+      Micros at;
+      double load;
+      bool told;  // the node that sent it had been told of the host's start
+    };
+    std::deque<Sent> cold_sent{};
+  };
+
+  Session* find(SessionNo id) {
+    ++checks_;
+    const auto it = sessions_.find(id.value);
+    return it == sessions_.end() ? nullptr : &it->second;
+  }
+  Dial* find(CallNo call, Session*& session);
+  void breaks(Rule rule, SessionNo id, Session& s, Micros now, const std::string& what);
+  static bool may_have_run(const Dial& d) { return d.answer != Answer::busy; }
+  static Dial* open_dial(Session& s);
+  Micros slack(const Session& s, const Dial* d) const;
+  bool sound(const Session& s, const Dial* d, Micros since) const;
+  bool spoke_since(HostNo host, Micros since) const;  // the host was not silent at any time since
+  bool scan(SessionNo id, Session& s, Micros now);    // true: it may be forgotten
+
+  const Paths& paths_;
+  Micros grace_;
+  unsigned most_dials_;
+  std::function<void(const Violation&)> broken_;
+  std::map<std::uint32_t, Node> nodes_;
+  std::map<std::uint32_t, Host> hosts_;
+  std::map<std::uint64_t, Session> sessions_;
+  std::map<std::uint64_t, SessionNo> calls_;
+  std::uint64_t next_call_ = 0, checks_ = 0;
+};
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/client_peer.cpp
@@ -0,0 +1,330 @@
+#include "lab/client_peer.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace flintweir::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Micros kLate = 150ms;   // waits so much longer than it says, so that a late answer is seen
+constexpr Micros kLinger = 1s;    // for the other side to end as well
+constexpr Micros kNoWay = 250ms;  // until it looks for a node again, or tries one that did not take it
+
+unsigned long long hex(SessionNo id) { return id.value; }
+
+}  // namespace
+
+void ClientPeer::begin() { wait(model_.begin(wakes_.now())); }
+
+void ClientPeer::wait(Micros in) {
+  ++turn_;
+  wakes_.after(in, *this, token(Due::due));
+}
+
+void ClientPeer::come() {
+  if (phase_ == Phase::idle && model_.wake(wakes_.now())) {
+    ++turn_;
+    counted_ = false;
+    ask();
+  }
+}
+
+void ClientPeer::ask() {
+  const auto way = door_.way_in(zone_);
+  if (!way) return wait(kNoWay);
+  node_ = way->node;
+  id_ = door_.enter(model_.session(), zone_);
+  asked_told_ = moved_ = false;
+  unanswered_.clear();
+  last_took_ = 0us;
+  said_ = 0;
+  out_.clear();
+  if (!stream_.connect(way->at, *this)) return wait(kNoWay);
+  phase_ = Phase::connecting;
+  wakes_.after(model_.patience(), *this, token(Due::patience));
+}
+
+void ClientPeer::connected(net::Stream&, bool failed) {
+  if (failed) {
+    log_.line(wakes_.now(), "unconnected node=n%u", node_.value);
+    shut();
+    return wait(kNoWay);
+  }
+  const ClientModel::Session& s = model_.session();
+  char line[256];
+  int n = std::snprintf(line, sizeof line, "OPEN %llx %llx c=%s,d=%lld", hex(id_),
+                        static_cast<unsigned long long>(model_.key()), model_.listener().name.c_str(),
+                        static_cast<long long>(model_.patience() / 1ms));
+  if (s.group) n += std::snprintf(line + n, sizeof line - n, ",g=%llx", static_cast<unsigned long long>(s.group));
+  if (s.retry) n += std::snprintf(line + n, sizeof line - n, ",r=1");
+  if (s.again) n += std::snprintf(line + n, sizeof line - n, ",again=1");
+  std::snprintf(line + n, sizeof line - n, "\r\n");
+  phase_ = Phase::asking;
+  model_.asked();
+  if (!out_.say(line)) return broken(stream_);
+  sent();
+  stream_.want_read();
+}
+
+void ClientPeer::sent() {
+  if (asked_told_ || !out_.all_out()) return;
+  asked_told_ = true;
+  asked_at_ = wakes_.now();
+  checker_.asked(id_, node_, machine_, model_.listener().rules, model_.patience(), asked_at_);
+  log_.line(asked_at_, "asked session=%llx node=n%u client=%llx", hex(id_), node_.value,
+            static_cast<unsigned long long>(model_.key()));
+  if (std::exchange(counted_, true)) return;  // tries of one session count once
+  ++door_.tally().sessions;
+  ++door_.second().sessions;
+}
+
+void ClientPeer::writable(net::Stream&) {
+  if (!out_.flush()) return;  // its reading side tells of the end
+  if (phase_ == Phase::asking) sent();
+  if (phase_ == Phase::ending && out_.all_out()) stream_.end_sending();
+}
+
+void ClientPeer::came(net::Stream&) {
+  const std::uint64_t turn = turn_;
+  while (const auto line = stream_.in().line()) {
+    const std::string_view text = net::without_end(*line);
+    if (phase_ == Phase::asking)
+      first(text);
+    else
+      heard(text);
+    if (turn != turn_) return;
+    stream_.in().drop(line->size());
+  }
+  if (stream_.at_end()) return over(false);
+  stream_.want_read();
+}
+
+void ClientPeer::first(std::string_view line) {
+  const Micros now = wakes_.now();
+  if (line.starts_with("UP ")) {
+    checker_.answered(id_, Checker::Answer::up, line.substr(3), now);
+    log_.line(now, "up session=%llx receipt=%.*s", hex(id_), static_cast<int>(line.size() - 3), line.data() + 3);
+    phase_ = Phase::open;
+    model_.up();
+    ++door_.tally().accepted;
+    ++door_.second().accepted;
+    door_.tally().to_up.add(now - asked_at_);
+    ++turn_;  // it is patient from now on
+    wakes_.after(std::max(model_.session().until - now, 0us), *this, token(Due::had));
+    speak();
+    // What came with the answer is looked at by the caller of came(), which sees the new turn.
+    stream_.in().drop(line.size() + 2);
+    return came(stream_);
+  }
+  const bool busy = line.starts_with("BUSY");
+  long long stated = 0;
+  if (busy && line.size() > 5) std::from_chars(line.data() + 5, line.data() + line.size(), stated);
+  checker_.answered(id_, busy ? Checker::Answer::busy : Checker::Answer::err, {}, now);
+  log_.line(now, "%s session=%llx wait=%lld", busy ? "refused" : "torn-down", hex(id_), stated);
+  ++(busy ? door_.tally().refused : door_.tally().torn_down);
+  ++(busy ? door_.second().refused : door_.second().torn_down);
+  // More after the answer would be one answer too many: it listens until the node has closed.
+  phase_ = Phase::ending;
+  const Micros again = model_.not_accepted(now, std::chrono::milliseconds(stated));
+  wakes_.after(again, *this, token(Due::due));
+  stream_.end_sending();
+}
+
+void ClientPeer::heard(std::string_view line) {
+  const Micros now = wakes_.now();
+  const bool is_move = line == "MOVE";
+  checker_.client_heard(id_, hash_of(line), is_move, now);
+  ++door_.tally().lines;
+  if (is_move) {
+    moved_ = true;
+    return;
+  }
+  if (!line.starts_with("got ") || unanswered_.empty()) return;
+  last_took_ = now - unanswered_.front();
+  unanswered_.pop_front();
+}
+
+void ClientPeer::speak() {
+  if (phase_ != Phase::open) return;
+  const Micros now = wakes_.now();
+  const std::string line = line_of("say", id_, ++said_, model_.line_size());
+  checker_.client_said(id_, hash_of(net::without_end(line)), now);
+  unanswered_.push_back(now);
+  out_.say(line);
+  wakes_.after(plan_.speaks_every, *this, token(Due::speak));
+}
+
+bool ClientPeer::well(Micros now) const {
+  if (phase_ != Phase::open) return false;
+  const Micros target = model_.listener().message_target;
+  return last_took_ <= target && (unanswered_.empty() || now - unanswered_.front() <= target);
+}
+
+void ClientPeer::broken(net::Stream&) { over(false); }
+
+void ClientPeer::shut() {
+  ++turn_;
+  phase_ = Phase::idle;
+  out_.clear();
+  stream_.close();
+}
+
+// The connection is over, by its own doing or another's.
+void ClientPeer::over(bool by_itself) {
+  const Micros now = wakes_.now();
+  const Phase was = phase_;
+  if (was == Phase::idle) return;
+  if (asked_told_) {
+    if (by_itself)
+      checker_.client_ends(id_, false, now);
+    else
+      checker_.client_sees_end(id_, now);
+  }
+  // After a final answer the next try is under way already, and only the connection goes.
+  if (was == Phase::ending) {
+    out_.clear();
+    stream_.close();
+    if (model_.state() == ClientModel::State::open) {
+      shut();
+      wait(model_.ended(now));
+    }
+    return;
+  }
+  shut();
+  if (was == Phase::open) {
+    log_.line(now, "%s session=%llx", moved_ ? "moved" : "broken", hex(id_));
+    ++(moved_ ? door_.tally().moved : door_.tally().broken);
+    ++(moved_ ? door_.second().moved : door_.second().broken);
+    counted_ = true;
+    return wait(model_.broken(now));
+  }
+  log_.line(now, "unanswered session=%llx", hex(id_));
+  ++door_.tally().unanswered;
+  ++door_.second().unanswered;
+  wait(model_.not_accepted(now, 0us));
+}
+
+bool ClientPeer::drop() {
+  if (phase_ != Phase::open) return false;
+  const Micros now = wakes_.now();
+  log_.line(now, "drops session=%llx", hex(id_));
+  checker_.client_ends(id_, false, now);
+  stream_.abort();
+  shut();
+  wait(model_.broken(now));
+  return true;
+}
+
+void ClientPeer::woken(std::uint64_t t) {
+  if (t >> 3 != turn_) return;
+  const Micros now = wakes_.now();
+  switch (static_cast<Due>(t & 7)) {
+    case Due::due:
+      if (phase_ != Phase::idle) {  // still listening after its answer
+        if (asked_told_) checker_.client_ends(id_, false, now);
+        shut();
+      }
+      if (model_.state() == ClientModel::State::resting) counted_ = false;
+      if (model_.due(now)) return ask();
+      return wait(model_.ended(now));
+    case Due::patience:
+      if (phase_ == Phase::connecting) {
+        log_.line(now, "unconnected node=n%u", node_.value);
+        shut();
+        return wait(model_.not_accepted(now, 0us));
+      }
+      if (phase_ != Phase::asking) return;
+      if (now < asked_at_ + model_.patience() + kLate)
+        return wakes_.after(asked_at_ + model_.patience() + kLate - now, *this, token(Due::patience));
+      return over(true);
+    case Due::speak:
+      return speak();
+    case Due::had:
+      // It has had what it wanted: its last words, then the end.
+      log_.line(now, "had session=%llx", hex(id_));
+      phase_ = Phase::ending;
+      checker_.client_ends(id_, true, now);
+      if (out_.all_out()) stream_.end_sending();
+      return wakes_.after(kLinger, *this, token(Due::linger));
+    case Due::linger:
+      shut();
+      return wait(model_.ended(now));
+  }
+}
+
+void RudePeer::next() {
+  ++turn_;
+  waiting_ = false;
+  kind_ = static_cast<Kind>(chance_() % kinds);
+  wakes_.after(Micros{static_cast<std::int64_t>(chance_() % 900000)}, *this, turn_);
+}
+
+void RudePeer::woken(std::uint64_t turn) {
+  if (turn != turn_) return;
+  if (waiting_) {  // long past the limit
+    if (node_sound_(node_)) checker_.rude_waited(wakes_.now() - began_, 20ms, "a bad client", wakes_.now());
+    return done();
+  }
+  const auto way = door_.way_in(zone_);
+  if (!way || !stream_.connect(way->at, *this)) return next();
+  node_ = way->node;
+}
+
+void RudePeer::connected(net::Stream&, bool failed) {
+  if (failed) return done();
+  began_ = wakes_.now();
+  waiting_ = true;
+  wakes_.after(4s, *this, ++turn_);
+  log_.line(began_, "rude node=n%u kind=%u", node_.value, kind_);
+  const std::string id = std::to_string(chance_() % 100000 + 1);
+  switch (kind_) {
+    case rubbish:
+      out_.say("GET / HTTP/1.1\r\n\r\n");
+      break;
+    case endless:
+      out_.say(std::string(9000, 'x'));
+      break;
+    case twice:
+      out_.say("OPEN r" + id + " 7f c=none\r\nOPEN r" + id + " 7f c=none\r\n");
+      break;
+    case half:
+      out_.say("OPEN r" + id + " 7f c=");
+      break;
+    case leaves:
+      out_.say("PING\r\n");
+      stream_.abort();
+      return done();
+    case flood:
+      for (int i = 0; i < 50; ++i) out_.say("PING\r\n");
+      break;
+    case unknown:
+      out_.say("OPEN r" + id + " 7f c=none,d=100\r\n");
+      break;
+    default:
+      break;
+  }
+  stream_.want_read();
+}
+
+void RudePeer::came(net::Stream& s) {
+  // An error or the end is what it is owed; answers to PING are neither.
+  while (const auto line = s.in().line()) {
+    const bool pong = line->starts_with("PONG");
+    s.in().drop(line->size());
+    if (!pong) return done();
+  }
+  if (s.at_end()) return done();
+  s.want_read();
+}
+
+void RudePeer::done() {
+  if (waiting_ && node_sound_(node_))
+    checker_.rude_waited(wakes_.now() - began_, 20ms, "a bad client", wakes_.now());
+  out_.clear();
+  stream_.close();
+  next();
+}
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/client_peer.h
@@ -0,0 +1,141 @@
+// A client of the lab on a network: the platform's line protocol round a ClientModel.
+#pragma once
+
+#include <deque>
+
+#include "lab/checker.h"
+#include "lab/client_model.h"
+#include "lab/event_log.h"
+#include "lab/meter.h"
+#include "lab/talk.h"
+#include "net/wakes.h"
+
+namespace flintweir::lab {
+
+// What a client needs of the world: a way in, and a place in the register.
+class Door {
+ public:
+  struct Way {
+    NodeNo node;
+    net::Address at;
+  };
+  virtual std::optional<Way> way_in(ZoneNo zone) = 0;
+  virtual SessionNo enter(const ClientModel::Session& session, ZoneNo zone) = 0;
+  virtual void crossed(NodeNo node, ZoneNo zone) = 0;
+  virtual Second& second() = 0;  // of the run that it is now
+  virtual Tally& tally() = 0;
+
+ protected:
+  ~Door() = default;
+};
+
+class ClientPeer final : net::StreamEvents, net::Woken {
+ public:
+  ClientPeer(net::Sockets& sockets, net::Wakes& wakes, MachineNo machine, ZoneNo zone, ClientModel model, Door& door,
+             Checker& checker, EventLog& log, const TrafficPlan& plan)
+      : stream_(sockets),
+        out_(stream_),
+        wakes_(wakes),
+        machine_(machine),
+        zone_(zone),
+        model_(std::move(model)),
+        door_(door),
+        checker_(checker),
+        log_(log),
+        plan_(plan) {}
+
+  void begin();
+  void come();           // at once, if it rests
+  bool drop();           // breaks its connection, if it has one, and comes again
+  void stop() { stream_.close(); }
+  bool open() const { return phase_ == Phase::open; }
+  bool wants(Micros now) const { return model_.wants(now); }
+  double utility() const { return model_.listener().rules.utility; }
+  // Whether its connection does what it is for.
+  bool well(Micros now) const;
+  ZoneNo zone() const { return zone_; }
+
+ private:
+  enum class Phase { idle, connecting, asking, open, ending };
+  enum class Due : std::uint64_t { due, patience, speak, had, linger };
+  std::uint64_t token(Due due) const { return turn_ << 3 | static_cast<std::uint64_t>(due); }
+  void connected(net::Stream&, bool failed) override;
+  void came(net::Stream&) override;
+  void writable(net::Stream&) override;
+  void broken(net::Stream&) override;
+  void woken(std::uint64_t token) override;
+  void wait(Micros in);  // for the next call of due()
+  void ask();
+  void sent();
+  void first(std::string_view line);
+  void heard(std::string_view line);
+  void speak();
+  void over(bool by_itself);
+  void shut();  // closes, and forgets what is due
+
+  net::Stream stream_;
+  Speaker out_;
+  net::Wakes& wakes_;
+  MachineNo machine_;
+  ZoneNo zone_;
+  ClientModel model_;
+  Door& door_;
+  Checker& checker_;
+  EventLog& log_;
+  const TrafficPlan& plan_;
+  Phase phase_ = Phase::idle;
+  std::uint64_t turn_ = 1;
+  SessionNo id_;
+  NodeNo node_;
+  Micros asked_at_{0}, last_took_{0};
+  std::deque<Micros> unanswered_;  // when each line was said
+  unsigned said_ = 0;
+  bool counted_ = false, moved_ = false, asked_told_ = false;
+};
+
+// How clients break the protocol, one kind after the other.
+class RudePeer final : net::StreamEvents, net::Woken {
+ public:
+  RudePeer(net::Sockets& sockets, net::Wakes& wakes, MachineNo machine, ZoneNo zone, Door& door,
+           std::function<bool(NodeNo)> node_sound, Checker& checker, EventLog& log, std::uint64_t seed)
+      : stream_(sockets),
+        out_(stream_),
+        wakes_(wakes),
+        machine_(machine),
+        zone_(zone),
+        door_(door),
+        node_sound_(std::move(node_sound)),
+        checker_(checker),
+        log_(log),
+        chance_(static_cast<std::knuth_b::result_type>(seed | 1)) {}
+  void begin() { next(); }
+  void stop() { stream_.close(); }
+
+ private:
+  enum Kind : unsigned { silent, rubbish, endless, twice, half, leaves, flood, unknown, kinds };
+  void connected(net::Stream&, bool failed) override;
+  void came(net::Stream&) override;
+  void writable(net::Stream&) override { out_.flush(); }
+  void broken(net::Stream&) override { done(); }
+  void woken(std::uint64_t token) override;
+  void next();
+  void done();
+
+  net::Stream stream_;
+  Speaker out_;
+  net::Wakes& wakes_;
+  MachineNo machine_;
+  ZoneNo zone_;
+  Door& door_;
+  std::function<bool(NodeNo)> node_sound_;
+  Checker& checker_;
+  EventLog& log_;
+  std::knuth_b chance_;
+  Kind kind_ = silent;
+  NodeNo node_;
+  std::uint64_t turn_ = 0;
+  Micros began_{0};
+  bool waiting_ = false;
+};
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/fabric.cpp
@@ -0,0 +1,357 @@
+#include "lab/fabric.h"
+
+#include <system_error>
+
+namespace flintweir::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Micros kAgain = 200ms;     // lost packets are sent again so long after a link is back
+constexpr Micros kSynAgain = 1s;     // and those that open a connection, as often as that
+constexpr std::size_t kBacklog = 4096;
+
+}  // namespace
+
+Fabric::Fabric(Timeline& timeline, Carriage carriage, std::uint64_t seed)
+    : timeline_(timeline), carriage_(carriage), chance_(static_cast<std::knuth_b::result_type>(seed | 1)) {}
+
+Fabric::~Fabric() = default;
+
+MachineNo Fabric::add_machine(ZoneNo zone) {
+  machines_.push_back({zone, false, {}});
+  return {static_cast<std::uint32_t>(machines_.size() - 1)};
+}
+
+net::Address Fabric::address(MachineNo machine, std::uint16_t port) {
+  net::Address out;
+  const std::uint32_t n = machine.value + 1;
+  out.bytes = {10, static_cast<std::uint8_t>(n >> 16), static_cast<std::uint8_t>(n >> 8),
+               static_cast<std::uint8_t>(n)};
+  out.port = port;
+  return out;
+}
+
+Micros Fabric::latency(MachineNo a, MachineNo b) const {
+  if (a == b) return 20us;
+  return machines_[a.value].zone == machines_[b.value].zone ? carriage_.within_zone : carriage_.across;
+}
+
+Micros Fabric::travel(MachineNo from, MachineNo to) {
+  const double more = carriage_.jitter * std::generate_canonical<double, 32>(chance_);
+  return Micros{static_cast<std::int64_t>(static_cast<double>(latency(from, to).count()) * (1 + more))};
+}
+
+bool Fabric::blocked(MachineNo from, MachineNo to) const {
+  if (from == to) return false;
+  const Machine &a = machines_[from.value], &b = machines_[to.value];
+  return a.lost || b.lost || cuts_.contains({a.zone.value, b.zone.value});
+}
+
+void Fabric::lose(MachineNo machine) { machines_[machine.value].lost = true; }
+
+void Fabric::restore(MachineNo machine) {
+  machines_[machine.value].lost = false;
+  healed();
+}
+
+void Fabric::cut(ZoneNo from, ZoneNo to) { cuts_.insert({from.value, to.value}); }
+
+void Fabric::mend(ZoneNo from, ZoneNo to) {
+  cuts_.erase({from.value, to.value});
+  healed();
+}
+
+void Fabric::healed() {
+  std::erase_if(wires_, [](const auto& w) { return w.expired(); });
+  for (const auto& weak : wires_) {
+    const WireAt wire = weak.lock();
+    for (int from = 0; from < 2; ++from) {
+      Side& side = wire->side[from];
+      if (side.out.empty() || side.pumping) continue;
+      side.pumping = true;
+      timeline_.after(kAgain, [this, wire, from] { pump(wire, from); });
+    }
+  }
+}
+
+void Fabric::send(const WireAt& wire, int from, Segment::Kind kind, std::string bytes, std::size_t acked) {
+  Side& side = wire->side[from];
+  const Micros arrival =
+      std::max(side.last_arrival, timeline_.now() + travel(side.machine, wire->side[1 - from].machine));
+  side.last_arrival = arrival;
+  side.out.push_back({kind, arrival, std::move(bytes), acked});
+  if (std::exchange(side.pumping, true)) return;
+  timeline_.at(arrival, [this, wire, from] { pump(wire, from); });
+}
+
+// In order: what is lost holds up all that was sent behind it.
+void Fabric::pump(const WireAt& wire, int from) {
+  Side& side = wire->side[from];
+  side.pumping = false;
+  while (!side.out.empty() && side.out.front().arrival <= timeline_.now()) {
+    if (blocked(side.machine, wire->side[1 - from].machine)) return;  // until healed
+    Segment next = std::move(side.out.front());
+    side.out.pop_front();
+    deliver(wire, 1 - from, std::move(next));
+  }
+  if (side.out.empty() || std::exchange(side.pumping, true)) return;
+  timeline_.at(side.out.front().arrival, [this, wire, from] { pump(wire, from); });
+}
+
+void Fabric::deliver(const WireAt& wire, int to, Segment segment) {
+  Side& side = wire->side[to];
+  switch (segment.kind) {
+    case Segment::Kind::established:
+      side.established = true;
+      if (!side.process) {  // given up meanwhile: whoever has accepted it hears of that
+        if (!std::exchange(side.rst_out, true)) send(wire, to, Segment::Kind::rst);
+      } else {
+        side.process->post([wire, to] {
+          const Side& here = wire->side[to];
+          if (Process::Entry* e = here.process ? here.process->sockets_.find(here.key) : nullptr)
+            e->whom->connected(false);
+        });
+      }
+      return;
+    case Segment::Kind::ack:
+      side.unacked -= std::min(side.unacked, segment.acked);
+      return notify(wire, to);
+    case Segment::Kind::data:
+      if (!side.process) {
+        // Its program has closed it: whoever still sends hears of that.
+        if (!std::exchange(side.rst_out, true)) send(wire, to, Segment::Kind::rst);
+        return;
+      }
+      if (side.read_from == side.in.size()) side.in.clear(), side.read_from = 0;
+      side.in += segment.bytes;
+      return notify(wire, to);
+    case Segment::Kind::fin:
+      side.fin_in = true;
+      return notify(wire, to);
+    case Segment::Kind::rst:
+      side.rst_in = true;
+      return notify(wire, to);
+  }
+}
+
+void Fabric::notify(const WireAt& wire, int no) {
+  Side& side = wire->side[no];
+  if (!side.process) return;
+  const auto tell = [this, &wire, no](bool reading) {
+    wire->side[no].process->post([wire, no, reading, window = carriage_.window] {
+      Side& s = wire->side[no];
+      Process::Entry* const e = s.process ? s.process->sockets_.find(s.key) : nullptr;
+      if (!e) return;
+      if (reading && s.waits_read && s.readable()) {
+        s.waits_read = false;
+        e->whom->readable(false);
+      } else if (!reading && s.waits_write && (s.unacked < window || s.rst_in)) {
+        s.waits_write = false;
+        e->whom->writable(false);
+      }
+    });
+  };
+  if (side.waits_read && side.readable()) tell(true);
+  if (side.waits_write && (side.unacked < carriage_.window || side.rst_in)) tell(false);
+}
+
+// The first packet of a connection, as often as it takes.
+void Fabric::knock(const WireAt& wire, net::Address to) {
+  Side &from = wire->side[0], &there = wire->side[1];
+  if (!from.process) return;
+  if (blocked(from.machine, there.machine)) {
+    return timeline_.after(kSynAgain, [this, wire, to] { knock(wire, to); });
+  }
+  Machine& machine = machines_[there.machine.value];
+  const auto door = machine.doors.find(to.port);
+  if (door == machine.doors.end()) {
+    const Micros back = travel(there.machine, from.machine);
+    return timeline_.after(back, [this, wire, to] {
+      Side& asker = wire->side[0];
+      if (!asker.process) return;
+      if (blocked(wire->side[1].machine, asker.machine))
+        return timeline_.after(kSynAgain, [this, wire, to] { knock(wire, to); });
+      asker.rst_in = true;
+      asker.process->post([wire] {
+        const Side& s = wire->side[0];
+        if (Process::Entry* e = s.process ? s.process->sockets_.find(s.key) : nullptr) e->whom->connected(true);
+      });
+    });
+  }
+  Process& process = *door->second;
+  if (process.waiting_.size() >= kBacklog)
+    return timeline_.after(kSynAgain, [this, wire, to] { knock(wire, to); });
+  there.process = &process;
+  there.established = true;
+  process.waiting_.push_back(wire);
+  send(wire, 1, Segment::Kind::established);
+  process.try_knock();
+}
+
+Process::Process(Fabric& fabric, MachineNo machine, std::size_t descriptors)
+    : fabric_(fabric), machine_(machine), limit_(descriptors) {}
+
+void Process::kill() {
+  if (std::exchange(dead_, true)) return;
+  *alive_ = false;
+  if (door_) fabric_.machines_[machine_.value].doors.erase(door_);
+  std::vector<net::SocketKey> open;
+  sockets_.each([&](net::SocketKey key, Entry&) { open.push_back(key); });
+  for (const net::SocketKey key : open) close(key, true);
+  for (const Fabric::WireAt& wire : waiting_) {
+    wire->side[1].process = nullptr;
+    if (!std::exchange(wire->side[1].rst_out, true)) fabric_.send(wire, 1, Fabric::Segment::Kind::rst);
+  }
+  waiting_.clear();
+}
+
+void Process::post(Timeline::Act act) {
+  fabric_.timeline_.after(0us, [alive = alive_, act = std::move(act)] {
+    if (*alive) act();
+  });
+}
+
+void Process::ring(Micros at, net::Alarm& whom) {
+  fabric_.timeline_.at(at, [this, alive = alive_, no = ++rings_, &whom] {
+    if (*alive && !stopped_ && no == rings_) whom.rang();
+  });
+}
+
+net::Address Process::listen(const net::Address& at) {
+  if (!fabric_.machines_[machine_.value].doors.emplace(at.port, this).second) {
+    throw std::system_error(std::make_error_code(std::errc::address_in_use));
+  }
+  door_ = at.port;
+  ++open_;
+  return at;
+}
+
+void Process::wait_accept(net::DoorEvents& whom) {
+  at_door_ = &whom;
+  try_knock();
+}
+
+void Process::try_knock() {
+  if (!at_door_ || waiting_.empty() || std::exchange(knocking_, true)) return;
+  post([this] {
+    knocking_ = false;
+    if (!waiting_.empty())
+      if (net::DoorEvents* whom = std::exchange(at_door_, nullptr)) whom->knocked();
+  });
+}
+
+net::Accepted Process::accept() {
+  if (dead_) return {{}, net::Io::broken, "dead"};
+  if (waiting_.empty()) return {{}, net::Io::later};
+  if (open_ >= limit_) return {{}, net::Io::broken, "no descriptors"};
+  const Fabric::WireAt wire = std::move(waiting_.front());
+  waiting_.pop_front();
+  return {open(wire, 1, nullptr)};
+}
+
+net::SocketKey Process::open(const Fabric::WireAt& wire, int side, net::SocketEvents* whom) {
+  const net::SocketKey key = sockets_.lend();
+  *sockets_.find(key) = {wire, side, whom};
+  Fabric::Side& s = wire->side[side];
+  s.process = this;
+  s.machine = machine_;
+  s.key = key;
+  most_open_ = std::max(most_open_, ++open_);
+  return key;
+}
+
+net::SocketKey Process::connect(const net::Address& to, net::SocketEvents& whom) {
+  if (dead_ || open_ >= limit_) return {};
+  const auto wire = std::make_shared<Fabric::Wire>();
+  const std::uint32_t n = std::uint32_t{to.bytes[1]} << 16 | std::uint32_t{to.bytes[2]} << 8 | to.bytes[3];
+  if (n == 0 || n > fabric_.machines_.size()) return {};
+  wire->side[1].machine = {n - 1};
+  const net::SocketKey key = open(wire, 0, &whom);
+  if (fabric_.wires_.size() > 4096 && fabric_.wires_.size() % 1024 == 0)
+    std::erase_if(fabric_.wires_, [](const auto& w) { return w.expired(); });
+  fabric_.wires_.push_back(wire);
+  fabric_.timeline_.after(fabric_.travel(machine_, wire->side[1].machine),
+                          [f = &fabric_, wire, to] { f->knock(wire, to); });
+  return key;
+}
+
+void Process::tell(net::SocketKey socket, net::SocketEvents& whom) {
+  if (Entry* e = sockets_.find(socket)) e->whom = &whom;
+}
+
+void Process::wait_read(net::SocketKey socket) {
+  Entry* const e = sockets_.find(socket);
+  if (!e) return;
+  e->wire->side[e->side].waits_read = true;
+  fabric_.notify(e->wire, e->side);
+}
+
+void Process::wait_write(net::SocketKey socket) {
+  Entry* const e = sockets_.find(socket);
+  if (!e) return;
+  e->wire->side[e->side].waits_write = true;
+  fabric_.notify(e->wire, e->side);
+}
+
+net::Passed Process::read(net::SocketKey socket, char* to, std::size_t size) {
+  Entry* const e = sockets_.find(socket);
+  if (!e) return {0, net::Io::broken};
+  Fabric::Side& side = e->wire->side[e->side];
+  if (const std::size_t held = side.in.size() - side.read_from; held > 0) {
+    const std::size_t n = std::min(size, held);
+    side.in.copy(to, n, side.read_from);
+    side.read_from += n;
+    fabric_.send(e->wire, e->side, Fabric::Segment::Kind::ack, {}, n);
+    return {n, net::Io::done};
+  }
+  if (side.rst_in) return {0, net::Io::broken};
+  return {0, side.fin_in ? net::Io::ended : net::Io::later};
+}
+
+net::Passed Process::write(net::SocketKey socket, std::span<const std::string_view> parts) {
+  Entry* const e = sockets_.find(socket);
+  if (!e) return {0, net::Io::broken};
+  Fabric::Side& side = e->wire->side[e->side];
+  if (side.rst_in || side.fin_out || side.rst_out) return {0, net::Io::broken};
+  const std::size_t window = fabric_.carriage_.window;
+  std::size_t room = window - std::min(window, side.unacked), all = 0;
+  for (const std::string_view part : parts) all += part.size();
+  if (room == 0 && all > 0) return {0, net::Io::later};
+  if (all > 1 && fabric_.carriage_.partial > 0 &&
+      std::generate_canonical<double, 32>(fabric_.chance_) < fabric_.carriage_.partial) {
+    room = std::min<std::size_t>(room, 1 + fabric_.chance_() % (all - 1));
+  }
+  std::string bytes;
+  for (const std::string_view part : parts) bytes.append(part.substr(0, room - bytes.size()));
+  const std::size_t n = bytes.size();
+  side.unacked += n;
+  if (n > 0) fabric_.send(e->wire, e->side, Fabric::Segment::Kind::data, std::move(bytes));
+  return {n, net::Io::done};
+}
+
+void Process::end_sending(net::SocketKey socket) {
+  Entry* const e = sockets_.find(socket);
+  if (!e || std::exchange(e->wire->side[e->side].fin_out, true)) return;
+  fabric_.send(e->wire, e->side, Fabric::Segment::Kind::fin);
+}
+
+void Process::close(net::SocketKey socket, bool reset) {
+  Entry* const e = sockets_.find(socket);
+  if (!e) return;
+  const Fabric::WireAt wire = std::move(e->wire);
+  Fabric::Side& side = wire->side[e->side];
+  const int no = e->side;
+  sockets_.drop(socket);
+  --open_;
+  side.process = nullptr;
+  if (!side.established) return;
+  // As a kernel does: closing over bytes that nobody has read is a reset.
+  if (reset || side.read_from < side.in.size()) {
+    if (!std::exchange(side.rst_out, true)) fabric_.send(wire, no, Fabric::Segment::Kind::rst);
+  } else if (!std::exchange(side.fin_out, true)) {
+    fabric_.send(wire, no, Fabric::Segment::Kind::fin);
+  }
+}
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/fabric.h
@@ -0,0 +1,151 @@
+// A virtual network: machines in zones, links between them with latency and faults, and on each machine a
+// process that sees it as net::Network. TCP as far as a program can tell: order, windows, partial writes,
+// half-close, resets, refusals, and silence where packets get lost. One thread; all chance from one seed.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lab/timeline.h"
+#include "net/network.h"
+
+namespace flintweir::lab {
+
+using MachineNo = Id<struct MachineTag, std::uint32_t>;
+using ZoneNo = ZoneId;
+
+class Process;
+
+// How bytes travel: what the kernel and the links between zones take and hold.
+struct Carriage {
+  Micros within_zone{250}, across{4000};  // one way
+  double jitter = 0.2;                    // of the latency, at most
+  std::size_t window = 64 << 10;          // bytes written and not read yet, each way
+  double partial = 0;                     // share of the writes of which only a part is taken
+};
+
+class Fabric {
+ public:
+  Fabric(Timeline& timeline, Carriage carriage, std::uint64_t seed);
+  ~Fabric();
+
+  MachineNo add_machine(ZoneNo zone);
+  Timeline& timeline() { return timeline_; }
+  static net::Address address(MachineNo machine, std::uint16_t port);
+  Micros latency(MachineNo a, MachineNo b) const;  // without jitter
+
+  // Nothing from or to it arrives, until it is restored. Open connections stay open and silent.
+  void lose(MachineNo machine);
+  void restore(MachineNo machine);
+  // Nothing goes from one zone to the other, one way, until mended.
+  void cut(ZoneNo from, ZoneNo to);
+  void mend(ZoneNo from, ZoneNo to);
+  bool blocked(MachineNo from, MachineNo to) const;
+
+ private:
+  friend class Process;
+  struct Segment {
+    enum class Kind { data, fin, rst, ack, established } kind;
+    Micros arrival;
+    std::string bytes;
+    std::size_t acked = 0;
+  };
+  struct Side {
+    Process* process = nullptr;  // none once closed
+    MachineNo machine;
+    net::SocketKey key;
+    std::string in;
+    std::size_t read_from = 0, unacked = 0;
+    bool established = false, fin_in = false, rst_in = false, fin_out = false, rst_out = false;
+    bool waits_read = false, waits_write = false;
+    std::deque<Segment> out;
+    bool pumping = false;
+    Micros last_arrival{0};
+    bool readable() const { return read_from < in.size() || fin_in || rst_in; }
+  };
+  struct Wire {
+    Side side[2];
+  };
+  using WireAt = std::shared_ptr<Wire>;
+
+  Micros travel(MachineNo from, MachineNo to);
+  void send(const WireAt& wire, int from, Segment::Kind kind, std::string bytes = {}, std::size_t acked = 0);
+  void pump(const WireAt& wire, int from);
+  void deliver(const WireAt& wire, int to, Segment segment);
+  void knock(const WireAt& wire, net::Address to);
+  void healed();
+  void notify(const WireAt& wire, int side);
+
+  struct Machine {
+    ZoneNo zone;
+    bool lost = false;
+    std::map<std::uint16_t, Process*> doors;
+  };
+  Timeline& timeline_;
+  Carriage carriage_;
+  std::knuth_b chance_;
+  std::vector<Machine> machines_;
+  std::set<std::pair<std::uint32_t, std::uint32_t>> cuts_;
+  std::vector<std::weak_ptr<Wire>> wires_;
+};
+
+// One process on a machine. Ends with kill(), or with its last user; its open connections are then reset.
+class Process final : public net::Network {
+ public:
+  Process(Fabric& fabric, MachineNo machine, std::size_t descriptors);
+  ~Process() override { kill(); }
+  Process(const Process&) = delete;
+
+  void kill();
+  bool running() const { return !dead_ && !stopped_; }
+  bool stopped() const { return stopped_; }  // by its own will
+  std::size_t descriptors() const { return open_; }
+  std::size_t most_descriptors() const { return most_open_; }
+  MachineNo machine() const { return machine_; }
+
+  Micros now() const override { return fabric_.timeline_.now(); }
+  void ring(Micros at, net::Alarm& whom) override;
+  net::Address listen(const net::Address& at) override;
+  void wait_accept(net::DoorEvents& whom) override;
+  net::Accepted accept() override;
+  net::SocketKey connect(const net::Address& to, net::SocketEvents& whom) override;
+  void tell(net::SocketKey socket, net::SocketEvents& whom) override;
+  void wait_read(net::SocketKey socket) override;
+  void wait_write(net::SocketKey socket) override;
+  net::Passed read(net::SocketKey socket, char* to, std::size_t size) override;
+  net::Passed write(net::SocketKey socket, std::span<const std::string_view> parts) override;
+  void end_sending(net::SocketKey socket) override;
+  void close(net::SocketKey socket, bool reset) override;
+  void stop() override { stopped_ = true; }
+
+ private:
+  friend class Fabric;
+  struct Entry {
+    Fabric::WireAt wire;
+    int side = 0;
+    net::SocketEvents* whom = nullptr;
+  };
+  net::SocketKey open(const Fabric::WireAt& wire, int side, net::SocketEvents* whom);
+  // Runs later, and only where this process still does then.
+  void post(Timeline::Act act);
+  void try_knock();
+
+  Fabric& fabric_;
+  MachineNo machine_;
+  std::size_t limit_, open_ = 0, most_open_ = 0;
+  bool dead_ = false, stopped_ = false, knocking_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::uint64_t rings_ = 0;
+  std::uint16_t door_ = 0;
+  net::DoorEvents* at_door_ = nullptr;
+  std::deque<Fabric::WireAt> waiting_;
+  Slab<Entry> sockets_;
+};
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/front_peer.h
@@ -0,0 +1,55 @@
+// The front's checks of one node on a network.
+#pragma once
+
+#include <functional>
+
+#include "net/stream.h"
+#include "net/wakes.h"
+
+namespace flintweir::lab {
+
+class FrontPeer final : net::StreamEvents, net::Woken {
+ public:
+  FrontPeer(net::Sockets& sockets, net::Wakes& wakes, Micros every, std::function<void(bool)> told)
+      : stream_(sockets), wakes_(wakes), every_(every), told_(std::move(told)) {}
+
+  void begin(const net::Address& at) {
+    at_ = at;
+    check();
+  }
+  void stop() { stream_.close(); }
+
+ private:
+  void check() {
+    wakes_.after(every_, *this, ++turn_);
+    if (!stream_.connect(at_, *this)) told_(false);
+  }
+  void connected(net::Stream& s, bool failed) override {
+    if (failed || !s.write("PING\r\n")) return over(false);
+    s.want_read();
+  }
+  void came(net::Stream& s) override {
+    if (const auto line = s.in().line()) return over(line->starts_with("PONG"));
+    if (s.at_end()) return over(false);
+    s.want_read();
+  }
+  void broken(net::Stream&) override { over(false); }
+  void over(bool answered) {
+    stream_.close();
+    told_(answered);
+  }
+  void woken(std::uint64_t turn) override {
+    if (turn != turn_) return;
+    if (stream_.open()) over(false);  // no answer by the next check
+    check();
+  }
+
+  net::Stream stream_;
+  net::Wakes& wakes_;
+  Micros every_;
+  std::function<void(bool)> told_;
+  net::Address at_;
+  std::uint64_t turn_ = 0;
+};
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/list_server.cpp
@@ -0,0 +1,136 @@
+#include "lab/list_server.h"
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+namespace flintweir::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+const char* state_of(Standing s) {
+  return s == Standing::in ? "SERVING" : s == Standing::draining ? "DRAINING" : "DELETED";
+}
+
+std::uint64_t number_after(std::string_view text, std::string_view key, std::uint64_t other) {
+  const std::size_t at = text.find(key);
+  return at == text.npos ? other : std::strtoull(text.data() + at + key.size(), nullptr, 10);
+}
+
+}  // namespace
+
+std::string list_text(const ListModel& list, std::uint64_t since, Micros now) {
+  nlohmann::json out{{"rev", list.version(now)}, {"all", since == 0}, {"targets", nlohmann::json::array()}};
+  for (const ListModel::Entry& e : list.since(since, now)) {
+    out["targets"].push_back({{"uid", e.name},
+                              {"endpoint", e.endpoint},
+                              {"az", e.zone},
+                              {"pod_group", e.cell},
+                              {"state", state_of(e.standing)},
+                              {"capacity_hint", e.share},
+                              {"boot_ms", e.started / 1ms}});
+  }
+  return out.dump();
+}
+
+void ListServer::serve(const net::Address& at) {
+  sockets_.network().listen(at);
+  sockets_.network().wait_accept(*this);
+}
+
+void ListServer::knocked() {
+  for (net::Accepted next = sockets_.network().accept(); next.how == net::Io::done;
+       next = sockets_.network().accept()) {
+    const SlabKey key = calls_.lend(*this);
+    Call& c = *calls_.find(key);
+    c.key = key;
+    c.asked = c.watch = c.slowed = false;
+    c.out.clear();
+    c.stream.adopt(next.socket, c);
+    if (mood_.down) {
+      c.stream.abort();
+      free(c);
+    } else {
+      c.stream.want_read();
+    }
+  }
+  sockets_.network().wait_accept(*this);
+}
+
+void ListServer::came(Call& c) {
+  const std::string_view held = c.stream.in().held();
+  const std::size_t end = held.find("\r\n\r\n");
+  if (!c.asked && end != held.npos) {
+    const std::string head(held.substr(0, end));
+    c.stream.in().drop(end + 4);
+    c.asked = true;
+    c.watch = head.find("since=") != head.npos;
+    c.since = number_after(head, "since=", 0);
+    c.until = wakes_.now() + std::chrono::milliseconds(number_after(head, "timeout_ms=", 0));
+    c.slowed = mood_.slow == 0us;
+    if (c.slowed) {
+      look(c);
+    } else {
+      wakes_.after(mood_.slow, *this, c.key.packed());
+    }
+    return;
+  }
+  if (c.stream.at_end()) return free(c);
+  c.stream.want_read();
+}
+
+void ListServer::look(Call& c) {
+  if (!c.asked || !c.slowed) return;
+  const Micros now = wakes_.now();
+  if (!c.watch || list_.version(now) != c.since || now >= c.until) return answer(c);
+  const Micros change = list_.next_after(now);
+  wakes_.after(std::min(c.until, change) - now, *this, c.key.packed());
+}
+
+void ListServer::answer(Call& c) {
+  const Micros now = wakes_.now();
+  // A version that this service never gave is answered with all there is.
+  const std::uint64_t since = c.watch && c.since <= list_.version(now) ? c.since : 0;
+  std::string body = list_text(list_, since, now);
+  if (mood_.malformed) body = body.substr(0, body.size() / 2);
+  c.asked = false;
+  const bool said = c.out.say("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+                              std::to_string(body.size()) + "\r\n\r\n" + body);
+  if (said && !mood_.malformed)
+    for (const ListModel::Entry& e : list_.since(since, now)) told_(e);
+  if (!said) return free(c);
+  came(c);
+}
+
+void ListServer::woken(std::uint64_t token) {
+  if (Call* c = calls_.find(SlabKey::unpacked(token))) {
+    c->slowed = true;
+    look(*c);
+  }
+}
+
+void ListServer::changed() {
+  std::vector<SlabKey> all;
+  calls_.each([&](SlabKey key, Call&) { all.push_back(key); });
+  for (const SlabKey key : all) {
+    Call* const c = calls_.find(key);
+    if (!c) continue;
+    if (mood_.down) {
+      c->stream.abort();
+      free(*c);
+    } else {
+      look(*c);
+    }
+  }
+}
+
+void ListServer::close_all() {
+  calls_.each([](SlabKey, Call& c) { c.stream.abort(); });
+}
+
+void ListServer::free(Call& c) {
+  c.stream.close();
+  calls_.drop(c.key);
+}
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/list_server.h
@@ -0,0 +1,67 @@
+// Discovery on a network: HTTP/1.1 round a ListModel, one door for each node.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/checker.h"
+#include "lab/list_model.h"
+#include "lab/talk.h"
+#include "net/wakes.h"
+#include "slab.h"
+
+namespace flintweir::lab {
+
+// How all doors of the service behave just now.
+struct ListMood {
+  bool down = false, malformed = false;
+  Micros slow{0};
+};
+
+// The list, or its changes since a version, in discovery's form.
+std::string list_text(const ListModel& list, std::uint64_t since, Micros now);
+
+class ListServer final : net::DoorEvents, net::Woken {
+ public:
+  using Told = std::function<void(const ListModel::Entry&)>;  // is written out to the node
+  ListServer(net::Network& network, const ListModel& list, const ListMood& mood, Told told)
+      : sockets_(network, 4096), wakes_(network), list_(list), mood_(mood), told_(std::move(told)) {}
+
+  void serve(const net::Address& at);  // throws std::system_error
+  void changed();                      // the list, or how it behaves
+  void close_all();
+
+ private:
+  struct Call final : net::StreamEvents {
+    explicit Call(ListServer& s) : server(s), stream(s.sockets_), out(stream) {}
+    void came(net::Stream&) override { server.came(*this); }
+    void writable(net::Stream&) override {
+      if (!out.flush()) server.free(*this);
+    }
+    void broken(net::Stream&) override { server.free(*this); }
+    ListServer& server;
+    net::Stream stream;
+    Speaker out;
+    SlabKey key;
+    bool asked = false, watch = false, slowed = false;
+    std::uint64_t since = 0;
+    Micros until{0};
+  };
+  void knocked() override;
+  void woken(std::uint64_t token) override;
+  void came(Call& c);
+  void look(Call& c);
+  void answer(Call& c);
+  void free(Call& c);
+
+  net::Sockets sockets_;
+  net::Wakes wakes_;
+  const ListModel& list_;
+  const ListMood& mood_;
+  Told told_;
+  Slab<Call> calls_;
+};
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/loopback_stage.cpp
@@ -0,0 +1,136 @@
+#include "lab/loopback_stage.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <stdexcept>
+
+namespace flintweir::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A port that is free at this address just now. Each machine has an address of its own, so that nobody else
+// of the run can take it.
+std::uint16_t free_port(const net::Address& a) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  std::memcpy(&at.sin_addr.s_addr, a.bytes.data(), 4);
+  socklen_t size = sizeof at;
+  const bool ok = fd >= 0 && bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 &&
+                  getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0;
+  if (fd >= 0) ::close(fd);
+  if (!ok) throw std::runtime_error("no port is free at " + net::to_text(a));
+  return ntohs(at.sin_port);
+}
+
+}  // namespace
+
+LoopbackStage::LoopbackStage(std::vector<std::string> program, std::string folder)
+    : timeline_(clock_.now()), program_(std::move(program)), folder_(std::move(folder)) {
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+LoopbackStage::~LoopbackStage() {
+  while (!nodes_.empty()) kill_node(NodeNo{nodes_.begin()->first});
+}
+
+void LoopbackStage::run_until(Micros end) {
+  constexpr Micros kTurn = 2ms;
+  while (now() < end) {
+    timeline_.run_until(now());
+    clock_.run_for(std::min(kTurn, std::max(end - now(), 0us)));
+  }
+  timeline_.run_until(now());
+}
+
+MachineNo LoopbackStage::add_machine(ZoneNo) {
+  const std::size_t n = addresses_.size() + 1;
+  const auto pid = static_cast<unsigned>(getpid());
+  net::Address a;
+  a.bytes = {127, static_cast<std::uint8_t>(64 + pid % 128), static_cast<std::uint8_t>((pid / 128 + n / 250) % 256),
+             static_cast<std::uint8_t>(1 + n % 250)};
+  a.port = free_port(a);
+  addresses_.push_back(a);
+  return {static_cast<std::uint32_t>(n - 1)};
+}
+
+net::Network& LoopbackStage::begin(MachineNo) {
+  return *networks_.emplace_back(std::make_unique<net::KernelNetwork>(clock_));
+}
+
+// It stays, so that what the event loop still holds for it finds it.
+void LoopbackStage::end(net::Network& process) {
+  for (const auto& n : networks_)
+    if (n.get() == &process) n->retire();
+}
+
+std::string LoopbackStage::file(NodeNo node) const { return folder_ + "/n" + std::to_string(node.value) + ".json"; }
+
+void LoopbackStage::write(NodeNo node, const std::string& config) const {
+  std::ofstream out(file(node), std::ios::trunc);
+  out << config;
+  out.close();
+  if (!out) throw std::runtime_error("can't write " + file(node));
+}
+
+void LoopbackStage::start_node(NodeNo node, MachineNo, const std::string& config) {
+  write(node, config);
+  const std::string log = file(node) + ".log", path = file(node);
+  const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  std::vector<std::string> words = program_;
+  words.insert(words.end(), {"serve", "--config", path});
+  std::vector<char*> args;
+  for (std::string& w : words) args.push_back(w.data());
+  args.push_back(nullptr);
+  const pid_t pid = fork();
+  if (pid < 0) throw std::runtime_error("can't start a process");
+  if (pid == 0) {
+    dup2(fd, 1);
+    dup2(fd, 2);
+    unsetenv("EDGE_LISTEN");
+    unsetenv("EDGE_DISCOVERY");
+    execvp(args[0], args.data());
+    _exit(127);
+  }
+  if (fd >= 0) ::close(fd);
+  nodes_[node.value] = pid;
+}
+
+void LoopbackStage::kill_node(NodeNo node) {
+  const auto it = nodes_.find(node.value);
+  if (it == nodes_.end()) return;
+  if (it->second > 0) {
+    kill(it->second, SIGKILL);
+    waitpid(it->second, nullptr, 0);
+  }
+  nodes_.erase(it);
+}
+
+void LoopbackStage::leave_node(NodeNo node) {
+  if (running(node)) kill(nodes_[node.value], SIGTERM);
+}
+
+void LoopbackStage::reload_node(NodeNo node, const std::string& config) {
+  if (!running(node)) return;
+  write(node, config);
+  kill(nodes_[node.value], SIGHUP);
+}
+
+bool LoopbackStage::running(NodeNo node) {
+  const auto it = nodes_.find(node.value);
+  if (it == nodes_.end() || it->second <= 0) return false;
+  if (waitpid(it->second, nullptr, WNOHANG) == 0) return true;
+  it->second = 0;
+  return false;
+}
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/loopback_stage.h
@@ -0,0 +1,52 @@
+// The stage in real time: the lab's clients, hosts and discovery on loopback sockets, and each node a process
+// of the real program. What it starts it ends.
+#pragma once
+
+#include <sys/types.h>
+
+#include <map>
+#include <vector>
+
+#include "lab/stage.h"
+#include "lab/timeline.h"
+#include "net/kernel_network.h"
+
+namespace flintweir::lab {
+
+class LoopbackStage final : public Stage {
+ public:
+  // `program` is run as `program serve --config FILE`; its log goes to FILE.log in `folder`.
+  LoopbackStage(std::vector<std::string> program, std::string folder);
+  ~LoopbackStage() override;
+
+  Micros now() const override { return clock_.now(); }
+  void at(Micros when, std::function<void()> act) override { timeline_.at(when, std::move(act)); }
+  void run_until(Micros end) override;
+  MachineNo add_machine(ZoneNo zone) override;
+  net::Address address(MachineNo machine) const override { return addresses_[machine.value]; }
+  net::Network& begin(MachineNo machine) override;
+  void end(net::Network& process) override;
+  void start_node(NodeNo node, MachineNo machine, const std::string& config) override;
+  void kill_node(NodeNo node) override;
+  void leave_node(NodeNo node) override;
+  void reload_node(NodeNo node, const std::string& config) override;
+  bool running(NodeNo node) override;
+
+  // A busy machine is late, also where the network is not.
+  Micros longest(MachineNo, MachineNo) const override { return std::chrono::milliseconds(10); }
+  bool sound(MachineNo, MachineNo, Micros) const override { return true; }
+
+ private:
+  std::string file(NodeNo node) const;
+  void write(NodeNo node, const std::string& config) const;
+
+  net::KernelNetwork clock_;
+  Timeline timeline_;
+  std::vector<std::string> program_;
+  std::string folder_;
+  std::vector<net::Address> addresses_;
+  std::vector<std::unique_ptr<net::KernelNetwork>> networks_;
+  std::map<std::uint32_t, pid_t> nodes_;
+};
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/virtual_stage.cpp
@@ -0,0 +1,119 @@
+#include "lab/virtual_stage.h"
+
+#include <algorithm>
+
+namespace flintweir::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Micros kStart{1'700'000'000'000'000};  // any time far from zero
+constexpr Micros kMends = 2500ms;                // until all that was lost has been sent again, and seen to be
+
+}  // namespace
+
+VirtualStage::VirtualStage(Carriage carriage, std::uint64_t seed, std::size_t descriptors, net::MakeBalancer make,
+                           std::string* logged)
+    : carriage_(carriage),
+      timeline_(kStart),
+      fabric_(timeline_, carriage, seed),
+      descriptors_(descriptors),
+      make_(std::move(make)),
+      logged_(logged) {
+  net::log_to(this);
+}
+
+VirtualStage::~VirtualStage() {
+  for (auto& [no, n] : nodes_) {
+    n.process->kill();
+    n.node.reset();
+  }
+  net::log_to(nullptr);
+}
+
+void VirtualStage::line(const char* text) {
+  if (logged_) *logged_ += std::to_string((now() - kStart).count()) + ' ' + text + '\n';
+}
+
+MachineNo VirtualStage::add_machine(ZoneNo zone) {
+  zones_.push_back(zone);
+  lost_until_.push_back(Micros::min());
+  return fabric_.add_machine(zone);
+}
+
+net::Network& VirtualStage::begin(MachineNo machine) {
+  return *processes_.emplace_back(std::make_unique<Process>(fabric_, machine, std::size_t{1} << 20));
+}
+
+void VirtualStage::end(net::Network& process) {
+  const auto it =
+      std::find_if(processes_.begin(), processes_.end(), [&](const auto& p) { return p.get() == &process; });
+  if (it == processes_.end()) return;
+  (*it)->kill();
+  processes_.erase(it);
+}
+
+void VirtualStage::start_node(NodeNo node, MachineNo machine, const std::string& config) {
+  NodeAt& n = nodes_[node.value];
+  n.process = std::make_unique<Process>(fabric_, machine, descriptors_);
+  n.node = std::make_unique<net::Node>(*n.process, net::NodeFile::of_text(config), make_);
+  n.node->serve();
+}
+
+void VirtualStage::kill_node(NodeNo node) {
+  const auto it = nodes_.find(node.value);
+  if (it == nodes_.end()) return;
+  it->second.process->kill();
+  it->second.node.reset();
+  nodes_.erase(it);
+}
+
+void VirtualStage::leave_node(NodeNo node) {
+  if (running(node)) nodes_[node.value].node->leave();
+}
+
+void VirtualStage::reload_node(NodeNo node, const std::string& config) {
+  if (running(node)) nodes_[node.value].node->reload([&] { return net::NodeFile::of_text(config); });
+}
+
+bool VirtualStage::running(NodeNo node) {
+  const auto it = nodes_.find(node.value);
+  return it != nodes_.end() && it->second.process->running();
+}
+
+void VirtualStage::lose(MachineNo machine) {
+  lost_until_[machine.value] = Micros::max();
+  fabric_.lose(machine);
+}
+
+void VirtualStage::restore(MachineNo machine) {
+  lost_until_[machine.value] = now();
+  fabric_.restore(machine);
+}
+
+void VirtualStage::cut(ZoneNo from, ZoneNo to) {
+  cut_until_[{from.value, to.value}] = Micros::max();
+  fabric_.cut(from, to);
+}
+
+void VirtualStage::mend(ZoneNo from, ZoneNo to) {
+  cut_until_[{from.value, to.value}] = now();
+  fabric_.mend(from, to);
+}
+
+Micros VirtualStage::longest(MachineNo a, MachineNo b) const {
+  const double most = static_cast<double>(fabric_.latency(a, b).count()) * (1 + carriage_.jitter);
+  return Micros{static_cast<std::int64_t>(most) + 1};
+}
+
+bool VirtualStage::sound(MachineNo a, MachineNo b, Micros since) const {
+  if (a == b) return true;
+  Micros until = std::max(lost_until_[a.value], lost_until_[b.value]);
+  const std::uint32_t x = zones_[a.value].value, y = zones_[b.value].value;
+  for (const auto& way : {std::pair(x, y), {y, x}}) {
+    if (const auto it = cut_until_.find(way); it != cut_until_.end()) until = std::max(until, it->second);
+  }
+  return until == Micros::min() || (until != Micros::max() && until + kMends < since);
+}
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/world.cpp
@@ -0,0 +1,514 @@
+#include "lab/world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace flintweir::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Micros kTick = 100ms;
+constexpr Micros kStartsAgain = 500ms;  // a node or host that is replaced, after its end
+constexpr Micros kFrontHears[2] = {200ms, 400ms};  // of a node that leaves
+
+nlohmann::json us(Micros t) { return t.count(); }
+
+HostNo host_of(const ListModel::Entry& e) { return {static_cast<std::uint32_t>(std::stoul(e.name.substr(2)))}; }
+
+std::vector<ZoneNo> zones_of_nodes(const FleetPlan& fleet) {
+  std::vector<ZoneNo> out;
+  for (unsigned i = 0; i < fleet.nodes; ++i) out.push_back({static_cast<std::uint32_t>(i % fleet.zones.size())});
+  return out;
+}
+
+}  // namespace
+
+World::World(const Experiment& experiment, Stage& stage, std::uint64_t seed, const std::vector<Fault>& faults,
+             bool keep_log)
+    : experiment_(experiment),
+      stage_(stage),
+      seed_(seed),
+      faults_(faults),
+      chance_(static_cast<std::knuth_b::result_type>(mix(seed + 1) | 1)),
+      start_(stage.now()),
+      log_(keep_log, start_),
+      checker_(stage, experiment.host, experiment.node.most_dials,
+               [this](const Violation& v) {
+                 Violation told = v;
+                 told.at -= start_;
+                 log_.line(v.at, "BROKEN rule=%s session=%llx %s", name_of(v.rule),
+                           static_cast<unsigned long long>(v.session.value), v.what.c_str());
+                 out_.violations.push_back(told);
+               }),
+      front_(zones_of_nodes(experiment.fleet)) {
+  build();
+}
+
+World::~World() {
+  for (auto& c : clients_) c->stop();
+  for (auto& r : rude_) r->stop();
+  for (NodeUnit& n : nodes_) {
+    if (n.front) n.front->stop();
+    if (n.list) n.list->close_all();
+    stage_.kill_node(n.no);
+  }
+  for (HostUnit& h : hosts_)
+    if (h.server) h.server->die();
+}
+
+Micros World::between(const Micros (&range)[2]) {
+  return range[0] + Micros{static_cast<std::int64_t>(uniform() * static_cast<double>((range[1] - range[0]).count()))};
+}
+
+void World::build() {
+  const FleetPlan& fleet = experiment_.fleet;
+  const std::uint32_t zones = static_cast<std::uint32_t>(fleet.zones.size());
+  double all = 0, share = 0, mean = 0, usual = 0, per_life = 0;
+  for (const FleetPlan::Kind& k : fleet.kinds) all += k.share;
+  for (const FleetPlan::Kind& k : fleet.kinds) mean += k.share / all * k.cores * k.speed;
+  for (const ListenerPlan& l : experiment_.traffic.listeners) {
+    share += l.share;
+    usual += l.share * l.load;
+    per_life += l.share * l.load * l.life;
+  }
+  const double mean_load = experiment_.traffic.load * usual / share;
+  const double mean_life = seconds(experiment_.traffic.life) * per_life / usual;
+  for (std::uint32_t i = 0; i < fleet.hosts; ++i) {
+    HostUnit h;
+    h.no = {i};
+    h.name = "s-" + std::to_string(i);
+    h.zone = {i % zones};
+    h.cell = {i % (2 * zones)};
+    h.machine = stage_.add_machine(h.zone);
+    double drawn = uniform() * all;
+    const FleetPlan::Kind* kind = &fleet.kinds.back();
+    for (const FleetPlan::Kind& k : fleet.kinds) {
+      if ((drawn -= k.share) < 0) {
+        kind = &k;
+        break;
+      }
+    }
+    h.capacity = kind->cores * kind->speed * 1e6;
+    h.share = kind->cores * kind->speed / mean;
+    h.model = std::make_unique<HostModel>(experiment_.host, experiment_.cold, h.capacity, h.capacity / mean_life,
+                                          mean_load, mix(seed_ + 1000 + i));
+    hosts_.push_back(std::move(h));
+  }
+  for (HostUnit& h : hosts_) {
+    start_host(h, false);
+    list_host(h, Standing::in, 0us);
+  }
+  // On their machines: the front with the clients of the first zone's, so that no link lies between.
+  for (std::uint32_t z = 0; z <= zones; ++z) {
+    Crowd crowd;
+    crowd.machine = stage_.add_machine({z % zones});
+    net::Network& network = stage_.begin(crowd.machine);
+    crowd.sockets = std::make_unique<net::Sockets>(network, std::size_t{1} << 20);
+    crowd.wakes = std::make_unique<net::Wakes>(network);
+    (z < zones ? crowds_.emplace_back() : fronts_) = std::move(crowd);
+  }
+  const std::vector<ZoneNo> of_nodes = zones_of_nodes(fleet);
+  for (std::uint32_t i = 0; i < fleet.nodes; ++i) {
+    NodeUnit n;
+    n.no = {i};
+    n.zone = of_nodes[i];
+    n.machine = stage_.add_machine(n.zone);
+    nodes_.push_back(std::move(n));
+  }
+  for (NodeUnit& n : nodes_) {
+    serve_list(n);
+    start_node(n);
+    // Checked from the zone that it serves.
+    Crowd& crowd = crowds_[n.zone.value];
+    n.front = std::make_unique<FrontPeer>(*crowd.sockets, *crowd.wakes, experiment_.front.check_every,
+                                          [this, no = n.no](bool answered) {
+                                            if (answered && !nodes_[no.value].leaving)
+                                              return front_.check_answered(no);
+                                            if (!answered)
+                                              front_.check_failed(no, now(), between(experiment_.front.notices));
+                                          });
+    n.front->begin(stage_.address(n.machine));
+  }
+  const TrafficPlan& traffic = experiment_.traffic;
+  Door& door = *this;
+  for (unsigned i = 0; i < traffic.clients; ++i) {
+    const ZoneNo zone{i % zones};
+    const std::uint64_t group = traffic.groups ? 1 + mix(seed_ + 7777 + i) % traffic.groups : 0;
+    clients_.push_back(std::make_unique<ClientPeer>(
+        *crowds_[zone.value].sockets, *crowds_[zone.value].wakes, crowds_[zone.value].machine, zone,
+        ClientModel(traffic, mix(seed_ * 31 + i) | 1, group, mix(seed_ + 100000 + i)), door, checker_, log_, traffic));
+  }
+  for (unsigned i = 0; i < traffic.rude; ++i) {
+    const ZoneNo zone{i % zones};
+    const MachineNo machine = crowds_[zone.value].machine;
+    rude_.push_back(std::make_unique<RudePeer>(
+        *crowds_[zone.value].sockets, *crowds_[zone.value].wakes, machine, zone, door,
+        [this, machine](NodeNo no) {
+          const NodeUnit& n = nodes_[no.value];
+          return n.up && stage_.sound(machine, n.machine, now() - 5s);
+        },
+        checker_, log_, mix(seed_ + 300000 + i)));
+  }
+}
+
+void World::start_host(HostUnit& h, bool cold) {
+  h.network = &stage_.begin(h.machine);
+  h.model->start(now(), cold);
+  ++h.turn;
+  const Register& known = *this;
+  h.server = std::make_unique<HostServer>(*h.network, *h.model, h.no, h.name, known, checker_, log_, experiment_.host,
+                                          experiment_.traffic, experiment_.cold.tip_after, mix(seed_ + 500000 + h.no.value + 7919 * h.turn));
+  h.server->serve(stage_.address(h.machine));
+  h.up = true;
+  h.lost = h.leaving = false;
+  checker_.host_up(h.no, h.machine, h.name, h.zone, h.cell, h.model->started());
+  log_.line(now(), "host-up host=%s cold=%d", h.name.c_str(), cold);
+}
+
+void World::end_host(HostUnit& h) {
+  if (!h.up) return;
+  h.up = false;
+  ++h.turn;
+  checker_.host_down(h.no, now());
+  h.server->die();
+  stage_.end(*h.network);
+  h.server.reset();
+  log_.line(now(), "host-down host=%s", h.name.c_str());
+}
+
+void World::list_host(const HostUnit& h, Standing standing, Micros late) {
+  list_.change({h.name, net::to_text(stage_.address(h.machine)), experiment_.fleet.zones[h.zone.value], h.cell.value,
+                h.share, standing, h.model->started()},
+               now() + late);
+  // Whoever watches hears of it when it is known; a look at that time is enough.
+  if (late > 0us)
+    for (NodeUnit& n : nodes_)
+      if (n.list) n.list->changed();
+}
+
+void World::serve_list(NodeUnit& n) {
+  n.list_machine = stage_.add_machine({0});
+  n.list_network = &stage_.begin(n.list_machine);
+  n.list = std::make_unique<ListServer>(*n.list_network, list_, mood_, [this, no = n.no](const ListModel::Entry& e) {
+    const NodeUnit& node = nodes_[no.value];
+    if (!node.up || node.lost) return;
+    checker_.told(no, node.list_machine, host_of(e), e.standing, e.started, now());
+  });
+  n.list->serve(stage_.address(n.list_machine));
+}
+
+std::string World::config(const NodeUnit& n) const {
+  const NodePlan& plan = experiment_.node;
+  const ColdPlan& cold = experiment_.cold;
+  nlohmann::json listeners = nlohmann::json::array();
+  for (const ListenerPlan& l : experiment_.traffic.listeners) {
+    const Listener& r = l.rules;
+    listeners.push_back({{"name", l.name},
+                         {"handshakeTarget", us(r.handshake_target)},
+                         {"dialTimeout", us(r.dial_timeout)},
+                         {"effect", r.effect == Effect::repeatable   ? "repeatable"
+                                    : r.effect == Effect::referenced ? "by_key"
+                                                                     : "once"},
+                         {"group", r.reach == Reach::all ? "all" : r.reach == Reach::zone ? "zone" : "cell"},
+                         {"dedupWindow", us(r.memory)},
+                         {"utility", r.utility}});
+  }
+  double target = 1e18;
+  for (const ListenerPlan& l : experiment_.traffic.listeners)
+    target = std::min(target, static_cast<double>(l.message_target.count()));
+  const nlohmann::json settings{
+      {"balancers", nodes_.size()},
+      {"myZone", n.zone.value},
+      {"failureDomains", experiment_.fleet.zones},
+      {"discovery", "on_request"},
+      {"listeners", listeners},
+      {"ceilings",
+       {{"maxDials", plan.most_dials},
+        {"connectTimeout", us(plan.connect_timeout)},
+        {"probes", plan.probes},
+        {"retryAfter", plan.longest_stay_away > 0us},
+        {"maxRetryAfter", us(plan.longest_stay_away)}}},
+      {"rules",
+       {{"askEvery", us(experiment_.list.ask_every)},
+        {"cold", us(cold.warm_within)},
+        {"coldShare", cold.share},
+        {"overloadFactor", cold.multiple},
+        {"tipAfter", us(cold.tip_after)}}},
+      {"prices", {{"probe", plan.probe_price}, {"crossZone", plan.crossing_price}}},
+      {"familyInfo",
+       {{"groups", experiment_.traffic.groups > 0}, {"tellsDelay", true}, {"messageAim", nlohmann::json::array({target})}}},
+      {"reporting", {{"fields", nlohmann::json::array({"util", "x0"})}}}};
+  char seed[20];
+  std::snprintf(seed, sizeof seed, "%llx", static_cast<unsigned long long>(n.seed));
+  return nlohmann::json{{"name", "n" + std::to_string(n.no.value)},
+                        {"listen", net::to_text(stage_.address(n.machine))},
+                        {"discovery", net::to_text(stage_.address(n.list_machine))},
+                        {"seed", seed},
+                        {"limits", {{"memory_mb", plan.memory_mb}, {"sockets", plan.sockets}}},
+                        {"known", nlohmann::json::parse(list_text(list_, 0, now()))},
+                        {"settings", settings}}
+      .dump();
+}
+
+void World::start_node(NodeUnit& n) {
+  ++n.turn;
+  n.seed = mix(seed_ + 700000 + n.no.value + 104729 * n.turn);
+  n.up = true;
+  n.lost = n.leaving = false;
+  checker_.node_up(n.no, n.machine);
+  // What it knows from its start on, as if discovery had just told it.
+  for (const ListModel::Entry& e : list_.since(0, now()))
+    checker_.told(n.no, n.machine, host_of(e), e.standing, e.started, now());
+  stage_.start_node(n.no, n.machine, config(n));
+  log_.line(now(), "node-up node=n%u", n.no.value);
+}
+
+void World::restart(NodeUnit& n) {
+  const std::uint64_t turn = ++n.turn;
+  stage_.at(now() + kStartsAgain, [this, &n, turn] {
+    if (turn == n.turn && !n.up) start_node(n);
+  });
+}
+
+// A node that leaves has ended when it says so; what it still held then was cut by it.
+void World::await_exit(NodeUnit& n) {
+  stage_.at(now() + 50ms, [this, &n, turn = n.turn] {
+    if (turn != n.turn || !n.up) return;
+    if (stage_.running(n.no)) return await_exit(n);
+    log_.line(now(), "node-left node=n%u", n.no.value);
+    stage_.kill_node(n.no);
+    n.up = false;
+    restart(n);
+  });
+}
+
+std::optional<Door::Way> World::way_in(ZoneNo zone) {
+  const auto n = front_.choose(zone, now());
+  if (!n) return std::nullopt;
+  if (nodes_[n->value].zone != zone) ++out_.tally.crossed;
+  return Way{*n, stage_.address(nodes_[n->value].machine)};
+}
+
+SessionNo World::enter(const ClientModel::Session& session, ZoneNo zone) {
+  asked_.push_back({session.load, session.group, zone});
+  return {asked_.size()};
+}
+
+const Asked* World::asked(SessionNo id) const {
+  return id.value >= 1 && id.value <= asked_.size() ? &asked_[id.value - 1] : nullptr;
+}
+
+Second& World::second() {
+  const auto no = static_cast<std::size_t>(std::max(since_start(), 0us) / 1s);
+  if (out_.seconds.size() <= no) out_.seconds.resize(no + 1);
+  return out_.seconds[no];
+}
+
+void World::cut(const std::string& kind, ZoneNo zone, bool on) {
+  for (std::uint32_t other = 0; other < experiment_.fleet.zones.size(); ++other) {
+    if (other == zone.value) continue;
+    const auto way = [&](ZoneNo from, ZoneNo to) {
+      unsigned& count = cuts_[{from.value, to.value}];
+      if (on && count++ == 0) stage_.cut(from, to);
+      if (!on && --count == 0) stage_.mend(from, to);
+    };
+    if (kind != "zone-deaf") way(zone, {other});
+    if (kind != "zone-mute") way({other}, zone);
+  }
+}
+
+void World::list_mood() {
+  const bool stale = list_trouble_[3] > 0;
+  mood_.down = list_trouble_[0] > 0;
+  mood_.malformed = list_trouble_[1] > 0;
+  if (list_trouble_[2] == 0) mood_.slow = 0us;
+  if (!stale) list_.thaw();
+  for (NodeUnit& n : nodes_) n.list->changed();
+}
+
+// Drained, then ended, then started again cold.
+void World::deploy(HostUnit& h) {
+  if (!h.up || h.leaving) return;
+  h.leaving = true;
+  const std::uint64_t turn = h.turn;
+  h.server->drain();
+  log_.line(now(), "draining host=%s", h.name.c_str());
+  list_host(h, Standing::draining, between(experiment_.list.late));
+  stage_.at(now() + experiment_.host.leaves_after, [this, &h, turn] {
+    if (h.turn != turn) return;
+    end_host(h);
+    list_host(h, Standing::gone, between(experiment_.list.late));
+    stage_.at(now() + kStartsAgain, [this, &h, after = h.turn] {
+      if (h.turn != after) return;
+      start_host(h, true);
+      list_host(h, Standing::in, between(experiment_.list.late));
+    });
+  });
+}
+
+void World::begin(const Fault& f) {
+  const std::string text = to_text(f, experiment_.fleet);
+  log_.line(now(), "fault %s", text.c_str());
+  out_.marks.push_back({f.at, f.at + f.lasts, text.substr(text.find(": ") + 2)});
+  HostUnit* const h = f.target < hosts_.size() ? &hosts_[f.target] : nullptr;
+  NodeUnit* const n = f.target < nodes_.size() ? &nodes_[f.target] : nullptr;
+  std::uint64_t turn = 0;
+  if (f.kind.starts_with("host-")) {
+    if (!h->up || h->lost) return;
+    if (f.kind == "host-dies") {
+      end_host(*h);
+      list_host(*h, Standing::gone, between(experiment_.list.late));
+    } else if (f.kind == "host-lost") {
+      h->lost = true;
+      stage_.lose(h->machine);
+      checker_.host_silent(h->no, true, now());
+      list_host(*h, Standing::gone, 3 * experiment_.list.late[1]);
+    } else if (f.kind == "host-hangs") {
+      h->model->hang(true);
+      checker_.host_silent(h->no, true, now());
+    } else if (f.kind == "host-half-dead") {
+      h->model->half_dead(true);
+    } else if (f.kind == "host-errs") {
+      h->model->err(f.size);
+    } else if (f.kind == "host-slow") {
+      h->model->slow(now(), std::clamp(f.size, 0.01, 1.0));
+    } else if (f.kind == "host-resets") {
+      h->model->reset(f.size);
+    }
+    turn = h->turn;
+  } else if (f.kind == "hosts-deploy") {
+    return deploy(*h);
+  } else if (f.kind.starts_with("node-")) {
+    if (!n->up || n->lost) return;
+    if (f.kind == "node-reload") {
+      const bool wrong = uniform() < f.size;
+      return stage_.reload_node(n->no, wrong ? "{\"name\":" : config(*n));
+    }
+    if (f.kind == "node-restarts") {
+      if (std::exchange(n->leaving, true)) return;
+      front_.check_failed(n->no, now(), between(kFrontHears));
+      stage_.leave_node(n->no);
+      return await_exit(*n);
+    }
+    if (f.kind == "node-lost") {
+      n->lost = true;
+      stage_.lose(n->machine);
+    } else {
+      stage_.kill_node(n->no);
+      n->up = false;
+    }
+    checker_.node_down(n->no);
+    turn = ++n->turn;
+  } else if (f.kind.starts_with("zone-")) {
+    cut(f.kind, {f.target}, true);
+  } else if (f.kind == "clients-drop" || f.kind == "clients-burst") {
+    for (const auto& c : clients_) {
+      if (uniform() >= f.share) continue;
+      if (f.kind == "clients-drop")
+        c->drop();
+      else
+        c->come();
+    }
+    return;
+  } else if (f.kind == "list-moves") {
+    for (NodeUnit& each : nodes_) {
+      each.list->close_all();
+      stage_.end(*each.list_network);
+      each.list.reset();
+      serve_list(each);
+      if (each.up && !each.lost) stage_.reload_node(each.no, config(each));
+    }
+    return;
+  } else {
+    const char* const kinds[] = {"list-down", "list-malformed", "list-slow", "list-stale"};
+    for (int i = 0; i < 4; ++i)
+      if (f.kind == kinds[i]) ++list_trouble_[i];
+    if (f.kind == "list-slow") mood_.slow = Micros{static_cast<std::int64_t>(f.size * 1e6)};
+    if (f.kind == "list-stale") list_.freeze(now());
+    list_mood();
+  }
+  stage_.at(now() + f.lasts, [this, f, turn] { end(f, turn); });
+}
+
+void World::end(const Fault& f, std::uint64_t turn) {
+  log_.line(now(), "over %s", to_text(f, experiment_.fleet).c_str());
+  if (f.kind.starts_with("host-")) {
+    HostUnit& h = hosts_[f.target];
+    if (h.turn != turn) return;
+    if (f.kind == "host-lost") {
+      end_host(h);
+      stage_.restore(h.machine);
+    }
+    if (f.kind == "host-dies" || f.kind == "host-lost") {
+      start_host(h, true);
+      return list_host(h, Standing::in, between(experiment_.list.late));
+    }
+    if (f.kind == "host-hangs") {
+      h.model->hang(false);
+      if (!h.model->hanging()) {
+        checker_.host_silent(h.no, false, now());
+        h.server->resume();
+      }
+    }
+    if (f.kind == "host-half-dead") h.model->half_dead(false);
+    if (f.kind == "host-errs") h.model->err(0);
+    if (f.kind == "host-slow") h.model->slow(now(), 1);
+    if (f.kind == "host-resets") h.model->reset(0);
+    return;
+  }
+  if (f.kind.starts_with("node-")) {
+    NodeUnit& n = nodes_[f.target];
+    if (n.turn != turn) return;
+    if (f.kind == "node-lost") {
+      stage_.kill_node(n.no);
+      stage_.restore(n.machine);
+      n.up = false;
+    }
+    return start_node(n);
+  }
+  if (f.kind.starts_with("zone-")) return cut(f.kind, {f.target}, false);
+  const char* const kinds[] = {"list-down", "list-malformed", "list-slow", "list-stale"};
+  for (int i = 0; i < 4; ++i)
+    if (f.kind == kinds[i]) --list_trouble_[i];
+  list_mood();
+}
+
+void World::tick() {
+  checker_.scan(now());
+  Second& s = second();
+  const double part = seconds(kTick);
+  for (const auto& c : clients_) {
+    if (!c->wants(now())) continue;
+    s.asked += c->utility() * part;
+    if (c->well(now())) s.served += c->utility() * part;
+  }
+  if (s.loads.empty()) {
+    for (const HostUnit& h : hosts_) s.loads.push_back(h.up && !h.lost ? h.model->asked() : -1);
+  }
+  if (since_start() + kTick < experiment_.lasts) stage_.at(now() + kTick, [this] { tick(); });
+}
+
+Outcome World::play() {
+  for (const auto& c : clients_) c->begin();
+  for (const auto& r : rude_) r->begin();
+  for (const Fault& f : faults_) stage_.at(start_ + f.at, [this, f] { begin(f); });
+  stage_.at(start_ + kTick, [this] { tick(); });
+  stage_.run_until(start_ + experiment_.lasts);
+  for (NodeUnit& n : nodes_) {
+    if (n.up && !n.lost && !n.leaving && !stage_.running(n.no))
+      out_.violations.push_back({Rule::answer, since_start(), {}, "node n" + std::to_string(n.no.value) + " has ended by itself"});
+  }
+  for (const Second& s : out_.seconds) {
+    out_.tally.asked += s.asked;
+    out_.tally.served += s.served;
+  }
+  out_.hash = log_.hash();
+  out_.lines = log_.lines();
+  out_.checks = checker_.checks();
+  out_.log = log_.text();
+  return std::move(out_);
+}
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/world.h
@@ -0,0 +1,122 @@
+// One run of an experiment on a stage: fleet, clients, discovery, fronts and faults, watched by the checker.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/client_peer.h"
+#include "lab/event_log.h"
+#include "lab/faults.h"
+#include "lab/front_peer.h"
+#include "lab/host_server.h"
+#include "lab/list_server.h"
+#include "lab/meter.h"
+#include "lab/stage.h"
+
+namespace flintweir::lab {
+
+struct Mark {  // on the time axis
+  Micros at, until;
+  std::string what;
+};
+
+struct Outcome {
+  Tally tally;
+  std::vector<Second> seconds;
+  std::vector<Violation> violations;  // times from the start
+  std::vector<Mark> marks;
+  std::uint64_t hash = 0, lines = 0, checks = 0;
+  std::string log;  // where it was to be kept
+};
+
+class World final : Door, Register {
+ public:
+  // `faults` as drawn, or a part of them.
+  World(const Experiment& experiment, Stage& stage, std::uint64_t seed, const std::vector<Fault>& faults,
+        bool keep_log);
+  ~World();
+  Outcome play();
+
+ private:
+  struct HostUnit {
+    HostNo no;
+    std::string name;
+    MachineNo machine;
+    ZoneNo zone;
+    CellId cell;
+    double capacity, share;
+    std::unique_ptr<HostModel> model;
+    net::Network* network = nullptr;
+    std::unique_ptr<HostServer> server;
+    bool up = false, lost = false, leaving = false;
+    std::uint64_t turn = 0;  // grows with each start and end
+  };
+  struct NodeUnit {
+    NodeNo no;
+    MachineNo machine, list_machine;
+    ZoneNo zone;
+    std::uint64_t seed = 0, turn = 0;
+    net::Network* list_network = nullptr;
+    std::unique_ptr<ListServer> list;
+    std::unique_ptr<FrontPeer> front;
+    bool up = false, lost = false, leaving = false;
+  };
+  struct Crowd {  // the clients of a zone, on a machine of their own
+    MachineNo machine;
+    std::unique_ptr<net::Sockets> sockets;
+    std::unique_ptr<net::Wakes> wakes;
+  };
+
+  std::optional<Way> way_in(ZoneNo zone) override;
+  SessionNo enter(const ClientModel::Session& session, ZoneNo zone) override;
+  void crossed(NodeNo, ZoneNo) override {}
+  Second& second() override;
+  Tally& tally() override { return out_.tally; }
+  const Asked* asked(SessionNo id) const override;
+
+  Micros now() const { return stage_.now(); }
+  Micros since_start() const { return now() - start_; }
+  double uniform() { return std::generate_canonical<double, 32>(chance_); }
+  Micros between(const Micros (&range)[2]);
+
+  void build();
+  void start_host(HostUnit& h, bool cold);
+  void end_host(HostUnit& h);
+  void list_host(const HostUnit& h, Standing standing, Micros late);
+  void deploy(HostUnit& h);
+  void serve_list(NodeUnit& n);
+  std::string config(const NodeUnit& n) const;
+  void start_node(NodeUnit& n);
+  void restart(NodeUnit& n);
+  void await_exit(NodeUnit& n);
+  void begin(const Fault& f);
+  void end(const Fault& f, std::uint64_t turn);
+  void cut(const std::string& kind, ZoneNo zone, bool on);
+  void list_mood();
+  void tick();
+
+  const Experiment& experiment_;
+  Stage& stage_;
+  std::uint64_t seed_;
+  std::vector<Fault> faults_;
+  std::knuth_b chance_;
+  Micros start_;
+  EventLog log_;
+  Outcome out_;
+  Checker checker_;
+  ListModel list_{1};
+  ListMood mood_;
+  unsigned list_trouble_[4]{};  // how many faults of each kind last: down, malformed, slow, stale
+  std::vector<HostUnit> hosts_;
+  std::vector<NodeUnit> nodes_;
+  std::vector<Crowd> crowds_;  // by zone
+  Crowd fronts_;
+  FrontModel front_;
+  std::vector<std::unique_ptr<ClientPeer>> clients_;
+  std::vector<std::unique_ptr<RudePeer>> rude_;
+  std::vector<Asked> asked_;  // by number, from one
+  std::map<std::pair<std::uint32_t, std::uint32_t>, unsigned> cuts_;
+};
+
+}  // namespace flintweir::lab
--- a/src/net/kernel_network.cpp
+++ b/src/net/kernel_network.cpp
@@ -33,7 +33,12 @@
 
 }  // namespace
 
-KernelNetwork::~KernelNetwork() { io_.stop(); }
+void KernelNetwork::retire() {
+  retired_ = true;
+  std::error_code ignored;
+  door_.close(ignored);
+  timer_.cancel();
+}
 
 void KernelNetwork::hear_signals(std::initializer_list<int> numbers, std::function<void(int)> heard) {
   heard_ = std::move(heard);
@@ -55,8 +60,8 @@
 
 void KernelNetwork::ring(Micros at, Alarm& whom) {
   timer_.expires_after(std::max(at - now(), Micros{0}));
-  timer_.async_wait([&whom](std::error_code ec) {
-    if (!ec) whom.rang();  // else it was set anew
+  timer_.async_wait([this, &whom](std::error_code ec) {
+    if (!ec && !retired_) whom.rang();  // else it was set anew
   });
 }
 
@@ -71,8 +76,8 @@
 }
 
 void KernelNetwork::wait_accept(DoorEvents& whom) {
-  door_.async_wait(Tcp::acceptor::wait_read, [&whom](std::error_code ec) {
-    if (!ec) whom.knocked();
+  door_.async_wait(Tcp::acceptor::wait_read, [this, &whom](std::error_code ec) {
+    if (!ec && !retired_) whom.knocked();
   });
 }
 
--- a/src/net/kernel_network.h
+++ b/src/net/kernel_network.h
@@ -9,6 +9,7 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 
 #include "net/handler_memory.h"
@@ -18,12 +19,15 @@
 
 class KernelNetwork final : public Network {
  public:
-  KernelNetwork() = default;
-  ~KernelNetwork() override;
+  KernelNetwork() : own_(std::make_unique<asio::io_context>(1)), io_(*own_) {}
+  // On another's loop, which must outlive it: with sockets, a door and an alarm of its own.
+  explicit KernelNetwork(KernelNetwork& beside) : io_(beside.io_) {}
 
   void run() { io_.run(); }  // until stop()
   // Runs what is ready within so long; for a caller with a loop of its own.
   void run_for(Micros within) { io_.run_for(within); }
+  // Closes the door and forgets the alarm, for good. Whoever is told of sockets has closed them.
+  void retire();
   // Calls heard(number) for each of these signals from now on.
   void hear_signals(std::initializer_list<int> numbers, std::function<void(int)> heard);
 
@@ -57,13 +61,15 @@
   void next_signal();
 
   HandlerMemory memory_;  // outlives what is pending in the loop
-  asio::io_context io_{1};
+  std::unique_ptr<asio::io_context> own_;
+  asio::io_context& io_;
   std::chrono::system_clock::duration zero_ = std::chrono::system_clock::now().time_since_epoch();
   std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
   asio::steady_timer timer_{io_};
   Tcp::acceptor door_{io_};
   asio::signal_set signals_{io_};
   std::function<void(int)> heard_;
+  bool retired_ = false;
   Slab<Entry> sockets_;
   std::string why_;
 };
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -6,7 +6,12 @@
 
 namespace flintweir::net {
 
-void log_line(const char* format, ...) {
+namespace {
+
+thread_local LogSink* elsewhere = nullptr;
+
+// Whether a line more may be written in this second.
+bool may_write() {
   using Clock = std::chrono::steady_clock;
   constexpr unsigned kLinesPerSecond = 500;
   static Clock::time_point second = Clock::now();
@@ -16,13 +21,23 @@
     second = now;
     written = dropped = 0;
   }
-  if (written >= kLinesPerSecond) return void(++dropped);
+  if (written >= kLinesPerSecond) return ++dropped, false;
   ++written;
+  return true;
+}
+
+}  // namespace
+
+void log_to(LogSink* sink) { elsewhere = sink; }
+
+void log_line(const char* format, ...) {
+  if (!elsewhere && !may_write()) return;
   char line[1024];
   std::va_list args;
   va_start(args, format);
   std::vsnprintf(line, sizeof line, format, args);
   va_end(args);
+  if (elsewhere) return elsewhere->line(line);
   std::fprintf(stderr, "%s\n", line);
 }
 
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -5,6 +5,16 @@
 
 namespace flintweir::net {
 
+// Where this thread's lines go instead of standard error, all of them; null: back there.
+class LogSink {
+ public:
+  virtual void line(const char* text) = 0;
+
+ protected:
+  ~LogSink() = default;
+};
+void log_to(LogSink* sink);
+
 // One line to standard error, printf style. Past a burst, lines of a second too many are dropped and counted.
 [[gnu::format(printf, 1, 2)]] void log_line(const char* format, ...);
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -67,7 +67,7 @@
 
 }  // namespace
 
-Node::Node(Network& network, const NodeFile& file)
+Node::Node(Network& network, const NodeFile& file, MakeBalancer make)
     : network_(network),
       listen_(file.listen()),
       sockets_(network, socket_limit(file)),
@@ -76,7 +76,7 @@
                 head_reader(file.settings()), most_sessions(file), socket_limit(file) / kIdleShare, *this),
       discovery_(sockets_, wakes_, file.discovery(), setup::names(file.settings(), "failureDomains"), hosts_,
                  *this) {
-  sessions_.serve(file.settings(), file.seed());
+  sessions_.serve(make(file.settings(), sessions_, file.seed()));
   if (const auto known = file.known(); known && !discovery_.take(*known)) {
     setup::bad("configuration: known is not a list of hosts");
   }
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -6,13 +6,17 @@
 #include "net/discovery.h"
 #include "net/node_file.h"
 #include "net/sessions.h"
+#include "setup/deployment.h"
 
 namespace flintweir::net {
 
+using MakeBalancer =
+    std::function<std::unique_ptr<Balancer>(const setup::Values& settings, Outlet& outlet, std::uint64_t seed)>;
+
 class Node final : Sessions::Told, Discovery::Told, Woken, DoorEvents {
  public:
   // Reads all of the file and makes the parts, but serves nobody. Throws setup::BadInput.
-  Node(Network& network, const NodeFile& file);
+  Node(Network& network, const NodeFile& file, MakeBalancer make = setup::balancer_for);
   // From now on takes clients, on the network's loop. Throws std::system_error where it can't listen.
   void serve();
   // Takes the new address of discovery; all else holds until the next start. What `read` throws, and a file
--- a/src/net/sessions.cpp
+++ b/src/net/sessions.cpp
@@ -2,8 +2,6 @@
 
 #include <cstdio>
 
-#include "setup/deployment.h"
-
 namespace flintweir::net {
 
 using namespace std::chrono_literals;
@@ -21,10 +19,6 @@
       told_(told),
       probes_(sockets, wakes, patience.probe, *this) {}
 
-void Sessions::serve(const setup::Values& settings, std::uint64_t seed) {
-  balancer_ = setup::balancer_for(settings, *this, seed);
-}
-
 Balancer& Sessions::balancer_now() {
   balancer_->at(wakes_.now());
   return *balancer_;
--- a/src/net/sessions.h
+++ b/src/net/sessions.h
@@ -7,7 +7,6 @@
 #include "net/hosts.h"
 #include "net/link.h"
 #include "net/probes.h"
-#include "setup/values.h"
 #include "slab.h"
 
 namespace flintweir::net {
@@ -31,8 +30,8 @@
   Sessions(Sockets& sockets, Wakes& wakes, Hosts& hosts, Patience patience, Micros message_target,
            HeadReader heads, std::size_t most, std::size_t most_idle, Told& told);
 
-  void serve(const setup::Values& settings, std::uint64_t seed);  // makes the balancer
-  Balancer& balancer_now();                                       // with the time said
+  void serve(std::unique_ptr<Balancer> balancer) { balancer_ = std::move(balancer); }
+  Balancer& balancer_now();  // with the time said
   void take(SocketKey socket);
   // Ends a connection that asks for nothing, for one that may; false: there is none.
   bool make_room() { return lobby_.show_out_first(); }
--- a/src/setup/deployment.cpp
+++ b/src/setup/deployment.cpp
@@ -21,18 +21,22 @@
 
 }  // namespace
 
-std::unique_ptr<Balancer> balancer_for(const Values& settings, Outlet& outlet, std::uint64_t seed) {
-  const Values ceilings(settings, "ceilings"), rules(settings, "rules"), prices(settings, "prices");
-  std::vector<Listener> listeners;
+std::vector<Listener> listeners(const Values& settings) {
+  std::vector<Listener> out;
   for (const simdjson::dom::element e : settings.row("listeners")) {
     const Values l(e, "settings: a listener");
-    listeners.push_back({l.time("handshakeTarget"), l.time("dialTimeout"),
+    out.push_back({l.time("handshakeTarget"), l.time("dialTimeout"),
                          effect_named(l.text("effect", "once")), reach_named(l.text("group", "cell")),
                          l.time("dedupWindow"), l.real("utility", 1)});
   }
+  return out;
+}
+
+std::unique_ptr<Balancer> balancer_for(const Values& settings, Outlet& outlet, std::uint64_t seed) {
+  const Values ceilings(settings, "ceilings"), rules(settings, "rules"), prices(settings, "prices");
   return make_balancer(
       outlet, seed, static_cast<unsigned>(settings.real("balancers", 1)),
-      ZoneId{static_cast<std::uint32_t>(settings.real("myZone", 0))}, std::move(listeners),
+      ZoneId{static_cast<std::uint32_t>(settings.real("myZone", 0))}, listeners(settings),
       DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)), longest_stay_away(settings)},
       ColdRule{rules.time("cold"), rules.real("coldShare", 1), rules.real("overloadFactor", 1),
                rules.time("tipAfter")},
--- a/src/setup/deployment.h
+++ b/src/setup/deployment.h
@@ -14,6 +14,9 @@
 // The balancer that the settings ask for. Throws BadInput.
 std::unique_ptr<Balancer> balancer_for(const Values& settings, Outlet& outlet, std::uint64_t seed);
 
+// Its listeners, in their order. Throws BadInput.
+std::vector<Listener> listeners(const Values& settings);
+
 // The names of a list of objects or texts, in their order.
 std::vector<std::string> names(const Values& settings, std::string_view list);
 
