Say answers in full where only part is taken, and budget cold hosts by the slower flow

What is not taken is now kept and said when the stream is writable; the next line is looked at only then. STATS likewise. (2) A cold host's budget took arrivals over the load of warm hosts for what a full host takes: while a deploy is under way the cold ones carry a good part of that load, and while loads grow arrivals run ahead of it.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -227,6 +227,7 @@
         dial_limits_(dials),
         guard_(cold),
         arrived_(4 * cold.warm_within),
+        departed_(4 * cold.warm_within),
         list_(list),
         crossing_price_(prices.crossing),
         pace_(prices.probe),
@@ -284,6 +285,7 @@
     Host* h = hosts_.find(s->host);
     if (s->state == State::open) {
       if (h) h->closed(s->load, s->taken.group);
+      if (!s->moved && how != Ending::broken) departed_.add(now_, s->load);
       // A connection that broke off is a failure of its host, unless that was on its way out. A host that
       // sheds load may report little just after: it gets nothing until a report shows it below suspension.
       if (h && h->usable() && how == Ending::broken) {
@@ -454,10 +456,15 @@
       load += load_of(h);
       carried += h.forecast.raw() * h.share;
       seen += h.own_load - h.sent.at(now_);
-      if (!guard_.cold(now_, h.started)) warm += h.forecast.raw() * h.share;
+      const bool cold = guard_.cold(now_, h.started);
+      warm += h.forecast.raw() * h.share * (cold ? guard_.warmth(now_ - h.started) : 1);
     }
     // This node's part of what warm hosts take a second when full, by load and size.
-    if (warm > 0) per_share_ = arrived_.per_second(now_, began_, guard_.window()) / warm;
+    // While loads still grow or shrink, as after a start or in a burst, more comes than leaves or the other way
+    // round: the smaller of both is what such loads go with. Guards against budgets that a rush makes larger.
+    if (warm > 0)
+      per_share_ = std::min(arrived_.per_second(now_, began_, guard_.window()),
+                            departed_.per_second(now_, began_, guard_.window())) / warm;
     mean_known_ = known > 0;
     mean_load_ = known > 0 ? load / known : 0;
     mean_own_ = all > 0 ? own / all : 0;
@@ -752,7 +759,7 @@
   std::vector<Listener> listeners_;
   DialLimits dial_limits_;
   ColdGuard guard_;
-  FadingSum arrived_;  // load of new sessions
+  FadingSum arrived_, departed_;  // load of new sessions, and of those that ended of themselves
   ListRule list_;
   double crossing_price_;
   ProbePace pace_;
--- a/src/lab/checker.cpp
+++ b/src/lab/checker.cpp
@@ -112,14 +112,16 @@
   Host& h = hosts_[host.value];
   const Session* const s = find(id);
   const auto told = s ? nodes_[s->node.value].told_start.find(host.value) : nodes_.begin()->second.told_start.end();
-  const bool knows = s && told != nodes_[s->node.value].told_start.end() && told->second == h.started;
+  const bool knows = s && told != nodes_[s->node.value].told_start.end() && told->second.started == h.started;
   while (!h.cold_sent.empty() && now - h.cold_sent.front().at > window) h.cold_sent.pop_front();
   h.cold_sent.push_back({now, load, knows});
 }
 
 void Checker::told(NodeNo node, MachineNo teller, HostNo host, Standing standing, Micros started, Micros now) {
   Node& n = nodes_[node.value];
-  n.told_start[host.value] = started;
+  Node::Start& last = n.told_start[host.value];
+  if (now < last.told_at) return;  // something newer has been told since
+  last = {now, started};
   if (standing == Standing::in)
     n.told_away.erase(host.value);
   else
--- a/src/lab/checker.h
+++ b/src/lab/checker.h
@@ -131,7 +131,10 @@
       MachineNo teller;
     };
     std::map<std::uint32_t, Away> told_away;  // by host
-    std::map<std::uint32_t, Micros> told_start;
+    struct Start {
+      Micros told_at, started;
+    };
+    std::map<std::uint32_t, Start> told_start;
   };
   struct Host {
     MachineNo machine;
--- a/src/lab/list_server.cpp
+++ b/src/lab/list_server.cpp
@@ -8,6 +8,8 @@
 
 using namespace std::chrono_literals;
 
+constexpr Micros kArrives = 20ms;  // what was written, unless the other side has gone
+
 const char* state_of(Standing s) {
   return s == Standing::in ? "SERVING" : s == Standing::draining ? "DRAINING" : "DELETED";
 }
@@ -44,6 +46,7 @@
     const SlabKey key = calls_.lend(*this);
     Call& c = *calls_.find(key);
     c.key = key;
+    c.written.clear();
     c.asked = c.watch = c.slowed = false;
     c.out.clear();
     c.stream.adopt(next.socket, c);
@@ -73,7 +76,8 @@
     } else {
       wakes_.after(mood_.slow, *this, c.key.packed());
     }
-    return;
+    // Whoever has stopped waiting is told nothing.
+    return c.stream.want_read();
   }
   if (c.stream.at_end()) return free(c);
   c.stream.want_read();
@@ -96,13 +100,27 @@
   c.asked = false;
   const bool said = c.out.say("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
                               std::to_string(body.size()) + "\r\n\r\n" + body);
-  if (said && !mood_.malformed)
-    for (const ListModel::Entry& e : list_.since(since, now)) told_(e);
+  if (said && !mood_.malformed) {
+    c.written.clear();
+    c.written_at = now;
+    for (const ListModel::Entry& e : list_.since(since, now)) {
+      if (e.standing == Standing::in)
+        told_(e, now);
+      else
+        c.written.push_back(e);
+    }
+    wakes_.after(kArrives, *this, told_token(c.key));
+  }
   if (!said) return free(c);
   came(c);
 }
 
 void ListServer::woken(std::uint64_t token) {
+  if (token >> 28 & 1) {
+    if (Call* c = calls_.find(SlabKey::unpacked(token & ~(std::uint64_t{1} << 28))))
+      for (const ListModel::Entry& e : std::exchange(c->written, {})) told_(e, c->written_at);
+    return;
+  }
   if (Call* c = calls_.find(SlabKey::unpacked(token))) {
     c->slowed = true;
     look(*c);
--- a/src/lab/list_server.h
+++ b/src/lab/list_server.h
@@ -25,7 +25,9 @@
 
 class ListServer final : net::DoorEvents, net::Woken {
  public:
-  using Told = std::function<void(const ListModel::Entry&)>;  // is written out to the node
+  // Has been written out to the node at that time. Of a host that goes it is told a while later, where the
+  // connection is still good.
+  using Told = std::function<void(const ListModel::Entry&, Micros written)>;
   ListServer(net::Network& network, const ListModel& list, const ListMood& mood, Told told)
       : sockets_(network, 4096), wakes_(network), list_(list), mood_(mood), told_(std::move(told)) {}
 
@@ -48,12 +50,15 @@
     bool asked = false, watch = false, slowed = false;
     std::uint64_t since = 0;
     Micros until{0};
+    std::vector<ListModel::Entry> written;  // and not known to have arrived
+    Micros written_at{0};
   };
   void knocked() override;
   void woken(std::uint64_t token) override;
   void came(Call& c);
   void look(Call& c);
   void answer(Call& c);
+  static std::uint64_t told_token(SlabKey key) { return key.packed() | std::uint64_t{1} << 28; }
   void free(Call& c);
 
   net::Sockets sockets_;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -191,10 +191,10 @@
 void World::serve_list(NodeUnit& n) {
   n.list_machine = stage_.add_machine({0});
   n.list_network = &stage_.begin(n.list_machine);
-  n.list = std::make_unique<ListServer>(*n.list_network, list_, mood_, [this, no = n.no](const ListModel::Entry& e) {
+  n.list = std::make_unique<ListServer>(*n.list_network, list_, mood_, [this, no = n.no](const ListModel::Entry& e, Micros written) {
     const NodeUnit& node = nodes_[no.value];
     if (!node.up || node.lost) return;
-    checker_.told(no, node.list_machine, host_of(e), e.standing, e.started, now());
+    checker_.told(no, node.list_machine, host_of(e), e.standing, e.started, written);
   });
   n.list->serve(stage_.address(n.list_machine));
 }
--- a/src/net/client_conn.cpp
+++ b/src/net/client_conn.cpp
@@ -6,6 +6,7 @@
   stream_.adopt(socket, *this);
   phase_ = Phase::head;
   pinged_ = false;
+  unsaid_begin_ = unsaid_end_ = 0;
   head_ = {};
   lobby_.enter(*this);
   wakes_.after(first_line_within_, *this, ++token_);
@@ -25,7 +26,10 @@
 }
 
 void ClientConn::look_for_head() {
-  while (const auto line = stream_.in().line()) {
+  // The answer to one line is out before the next is looked at: nothing may come between it and what follows.
+  while (all_out()) {
+    const auto line = stream_.in().line();
+    if (!line) break;
     if (line->size() > kLongestLine || !line->ends_with("\r\n")) return fail();
     if (*line != "PING\r\n") {
       // A client waits for its answer. Guards against commands by the hundred, of which a host can't use two.
@@ -40,11 +44,13 @@
       return owner_.head_came(head_.substr(0, head_.size() - 2));
     }
     pinged_ = true;
-    if (!owner_.taking() || !stream_.write("PONG\r\n")) return fail();
-    stream_.in().drop(line->size());
+    const std::size_t size = line->size();
+    if (!owner_.taking() || !say("PONG\r\n")) return fail();
+    stream_.in().drop(size);
     wakes_.after(first_line_within_, *this, ++token_);
   }
   // Guards against lines without an end, which would fill the buffer and leave the connection stuck.
+  if (!all_out()) return;
   if (stream_.in().held().size() >= kLongestLine || stream_.at_end()) fail();
 }
 
@@ -55,9 +61,34 @@
   answer("ERR\r\n");
 }
 
+// Guards against an answer of which only a part is taken at once, as where the other side's window is full.
+bool ClientConn::say(std::string_view text) {
+  if (text.size() > unsaid_.size() - unsaid_end_) return false;
+  text.copy(unsaid_.data() + unsaid_end_, text.size());
+  unsaid_end_ += text.size();
+  return flush();
+}
+
+bool ClientConn::flush() {
+  const auto n = stream_.write({unsaid_.data() + unsaid_begin_, unsaid_end_ - unsaid_begin_});
+  if (!n) return false;
+  unsaid_begin_ += *n;
+  if (all_out())
+    unsaid_begin_ = unsaid_end_ = 0;
+  else
+    stream_.want_write();
+  return true;
+}
+
+void ClientConn::writable(Stream&) {
+  if (!flush()) return;  // its reading side tells of the end
+  if (!all_out()) return;
+  if (phase_ == Phase::lingering) stream_.end_sending();
+  if (phase_ == Phase::head) came(stream_);
+}
+
 void ClientConn::answer(std::string_view line) {
-  stream_.write(line);
-  stream_.end_sending();
+  if (!say(line) || all_out()) stream_.end_sending();
   // Closing with bytes unread would reset the connection and might take the answer with it.
   stream_.in().clear();
   phase_ = Phase::lingering;
@@ -92,7 +123,7 @@
 void ClientConn::show_out() {
   if (phase_ == Phase::head) {
     owner_.client_failed(pinged_ ? Reason::checked : Reason::crowded_out);
-    stream_.write("BUSY\r\n");
+    say("BUSY\r\n");
   }
   close();
 }
--- a/src/net/client_conn.h
+++ b/src/net/client_conn.h
@@ -1,6 +1,8 @@
 // A client's connection up to its session's acceptance: the first line, the answer, the end.
 #pragma once
 
+#include <array>
+
 #include "net/lobby.h"
 #include "net/log.h"
 #include "net/stream.h"
@@ -38,11 +40,15 @@
  private:
   enum class Phase { idle, head, waiting, lingering, given };
   void came(Stream&) override;
+  void writable(Stream&) override;
   void broken(Stream&) override;
   void woken(std::uint64_t token) override;
   void show_out() override;
   void look_for_head();
   void fail();
+  bool say(std::string_view text);  // false: the connection is broken, or there is no place for it
+  bool flush();
+  bool all_out() const { return unsaid_begin_ == unsaid_end_; }
   void close();
 
   Stream stream_;
@@ -53,6 +59,9 @@
   Phase phase_ = Phase::idle;
   std::uint64_t token_ = 0;
   bool pinged_ = false;
+  // What the other side has not taken yet of what was said to it: one line, as the next waits for it.
+  std::array<char, 48> unsaid_{};
+  std::size_t unsaid_begin_ = 0, unsaid_end_ = 0;
   std::size_t drained_ = 0, drained_seen_ = 0;  // bytes that came after the answer, now and when last looked
   Micros drained_until_{0};                     // the latest that more may come
   std::string_view head_;
--- a/src/net/probes.cpp
+++ b/src/net/probes.cpp
@@ -42,7 +42,16 @@
 void Probes::Probe::connected(Stream&, bool failed) { failed ? broken(stream_) : send(); }
 
 void Probes::Probe::send() {
-  if (!stream_.write("STATS\r\n")) return broken(stream_);
+  sent_ = 0;
+  send_rest();
+}
+
+void Probes::Probe::send_rest() {
+  constexpr std::string_view kQuestion = "STATS\r\n";
+  const auto n = stream_.write(kQuestion.substr(sent_));
+  if (!n) return broken(stream_);
+  sent_ += *n;
+  if (sent_ < kQuestion.size()) stream_.want_write();
   stream_.want_read();
 }
 
--- a/src/net/probes.h
+++ b/src/net/probes.h
@@ -37,9 +37,11 @@
    private:
     void connected(Stream&, bool failed) override;
     void came(Stream&) override;
+    void writable(Stream&) override { send_rest(); }
     void broken(Stream&) override;
     void woken(std::uint64_t token) override;
     void send();
+    void send_rest();
     void end(bool answered, const LoadReport& report);
 
     Probes& probes_;
@@ -47,6 +49,7 @@
     HostId host_;
     Address at_;
     std::uint64_t token_ = 0;
+    std::size_t sent_ = 0;
     bool asking_ = false, kept_ = false;  // kept: the connection has answered before
   };
 
