Take cold budgets from the turnover of own load, so that all nodes' parts make one

What a full host takes a second is now the part of own load that ends of itself, times this node's part of the load that fills a host. Neither depends on arrivals.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -226,8 +226,8 @@
         listeners_(std::move(listeners)),
         dial_limits_(dials),
         guard_(cold),
-        arrived_(4 * cold.warm_within),
-        departed_(4 * cold.warm_within),
+        ended_load_(4 * cold.warm_within),
+        load_time_(4 * cold.warm_within),
         list_(list),
         crossing_price_(prices.crossing),
         pace_(prices.probe),
@@ -248,11 +248,8 @@
     fresh.give_up_at = std::min(now_ + listeners_[taken.listener.value].handshake_target, taken.valid_until);
     if (taken.client) fresh.load = sent_away_.of(*taken.client, now_ - kQuietRest).value_or(fresh.load);
     const SlabKey key = sessions_.add(fresh);
-    // Repeats and returns would make a storm look like capacity.
-    if (!taken.returned && !taken.repeat) {
-      arrived_.add(now_, fresh.load);
-      pace_.took(now_);
-    }
+    // Repeats and returns would make a storm look like more sessions.
+    if (!taken.returned && !taken.repeat) pace_.took(now_);
     place(key, *sessions_.find(key));
     return {this, key};
   }
@@ -285,7 +282,7 @@
     Host* h = hosts_.find(s->host);
     if (s->state == State::open) {
       if (h) h->closed(s->load, s->taken.group);
-      if (!s->moved && how != Ending::broken) departed_.add(now_, s->load);
+      if (!s->moved && how != Ending::broken) ended_load_.add(now_, s->load);
       // A connection that broke off is a failure of its host, unless that was on its way out. A host that
       // sheds load may report little just after: it gets nothing until a report shows it below suspension.
       if (h && h->usable() && how == Ending::broken) {
@@ -459,12 +456,11 @@
       const bool cold = guard_.cold(now_, h.started);
       warm += h.forecast.raw() * h.share * (cold ? guard_.warmth(now_ - h.started) : 1);
     }
-    // This node's part of what warm hosts take a second when full, by load and size.
-    // While loads still grow or shrink, as after a start or in a burst, more comes than leaves or the other way
-    // round: the smaller of both is what such loads go with. Guards against budgets that a rush makes larger.
-    if (warm > 0)
-      per_share_ = std::min(arrived_.per_second(now_, began_, guard_.window()),
-                            departed_.per_second(now_, began_, guard_.window())) / warm;
+    // This node's part of what a full host of usual size takes a second: the part of its load that ends of itself
+    // in a second, times this node's part of the load that fills it. Neither grows in a rush, while loads still
+    // build up, or when another node's clients come here; and all nodes' parts make one.
+    const double lived = load_time_.at(now_);
+    if (warm > 0) per_share_ = lived > 0 ? ended_load_.at(now_) / lived * std::max(seen, 0.0) / warm : 0;
     mean_known_ = known > 0;
     mean_load_ = known > 0 ? load / known : 0;
     mean_own_ = all > 0 ? own / all : 0;
@@ -651,6 +647,7 @@
     }
     probe_every_ = pace_.interval(now_, began_, hosts_.size());
     for (Host& h : hosts_) {
+      load_time_.add(now_, h.own_load * seconds(kBeat));
       h.sent.fade_by(probe_every_);
       if (!pace_.allowed() || !h.usable() || (h.probe_due += ratio(kBeat, probe_every_)) < 1) continue;
       h.probe_due -= 1;
@@ -759,7 +756,7 @@
   std::vector<Listener> listeners_;
   DialLimits dial_limits_;
   ColdGuard guard_;
-  FadingSum arrived_, departed_;  // load of new sessions, and of those that ended of themselves
+  FadingSum ended_load_, load_time_;  // of own sessions that ended of themselves; and of all, in load seconds
   ListRule list_;
   double crossing_price_;
   ProbePace pace_;
--- a/src/lab/checker.h
+++ b/src/lab/checker.h
@@ -120,6 +120,8 @@
     bool client_over = false, clean_end = false, moved = false, excused = false;
     std::vector<Dial> dials;
     std::deque<Line> up;
+    std::size_t missing = 0;  // of its lines, when its host saw the end
+    Micros missing_at{0};
     CallNo open;  // the dial that the client was told of
     std::set<Rule> reported;
   };
