--- a/src/lab/baselines.cpp
+++ b/src/lab/baselines.cpp
@@ -1,6 +1,7 @@
 #include "lab/baselines.h"
 
 #include <algorithm>
+#include <array>
 #include <random>
 #include <vector>
 
@@ -28,6 +29,7 @@
   Micros valid_until{0};
   HostId host;
   unsigned dials = 0;
+  std::array<HostId, 6> tried{};
   bool out = false, open = false, over = false, ran = false, moved = false;
   Micros ran_at{0};
   HostId ran_host;
@@ -153,8 +155,9 @@
     PlainHost* best = nullptr;
     if (again && s.dials < most_dials_ && now_ < s.valid_until) {
       std::vector<PlainHost*> fit;
+      const auto tried = s.tried.begin() + std::min<std::size_t>(s.dials, s.tried.size());
       for (PlainHost& h : hosts_)
-        if (may(s, h)) fit.push_back(&h);
+        if (may(s, h) && std::find(s.tried.begin(), tried, h.id) == tried) fit.push_back(&h);
       if (!fit.empty()) {
         best = fit[way_ == Way::random ? chance_() % fit.size() : turn_++ % fit.size()];
         if (way_ == Way::fewest)
@@ -169,6 +172,7 @@
       return harmless ? out_.refuse(id, 0us) : out_.tear_down(id);
     }
     s.host = best->id;
+    if (s.dials < s.tried.size()) s.tried[s.dials] = best->id;
     ++best->own;
     ++s.dials;
     s.out = true;
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -138,8 +138,8 @@
   for (double p = low; p <= high; ++p) {
     out += text("<line class=\"grid\" x1=\"%g\" x2=\"%g\" y1=\"%.1f\" y2=\"%.1f\"/>", kLeft, kWidth - kRight,
                 y(std::pow(10, p)), y(std::pow(10, p)));
-    out += text("<text class=\"tick\" x=\"%g\" y=\"%.1f\" text-anchor=\"end\">%g ms</text>", kLeft - 6,
-                y(std::pow(10, p)) + 4, std::pow(10, p));
+    out += text("<text class=\"tick\" x=\"%g\" y=\"%.1f\" text-anchor=\"end\">%g %s</text>", kLeft - 6,
+                y(std::pow(10, p)) + 4, std::pow(10, p < 3 ? p : p - 3), p < 3 ? "ms" : "s");
   }
   for (std::size_t i = 0; i < count; ++i)
     out += text("<text class=\"tick\" x=\"%.1f\" y=\"%g\" text-anchor=\"middle\">%g%%</text>", x(i), kHeight - kBottom + 17,
@@ -178,7 +178,7 @@
 std::string section(const std::vector<const RunSet*>& sets) {
   const RunSet& main = *sets.front();
   std::string out = "<section><h2>" + escaped(main.experiment) + "</h2><p>" + escaped(main.about) + "</p>" +
-                    text("<p class=\"note\">%llu runs of %g virtual or real seconds, seeds %llu to %llu; the rules were looked at %llu "
+                    text("<p class=\"note\">%llu runs of %g s, seeds %llu to %llu; the rules were looked at %llu "
                          "times. The shaded times are the faults of seed %llu.</p>",
                          static_cast<unsigned long long>(main.runs), main.lasts,
                          static_cast<unsigned long long>(main.first_seed), static_cast<unsigned long long>(main.last_seed),
@@ -226,14 +226,14 @@
 
 constexpr const char* kStyle = R"(<style>
 :root{color-scheme:light}
-body{font:15px/1.5 system-ui,sans-serif;color:#1c2430;background:#fbfbf9;max-width:960px;margin:2rem auto;padding:0 1rem}
+body{font:15px/1.5 system-ui,sans-serif;color:#1c2430;background:#fbfbf9;max-width:1040px;margin:2rem auto;padding:0 1rem}
 h1{font-size:1.5rem}h2{font-size:1.25rem;margin-top:2.5rem;border-top:1px solid #d9dcd6;padding-top:1.2rem}
 h3{font-size:1rem;margin:1.4rem 0 .2rem}.note{color:#5c6670}
 svg{width:100%;height:auto;display:block}.grid{stroke:#e3e5df}.tick{font:11px system-ui,sans-serif;fill:#5c6670}
 .fault{fill:#c0392b;fill-opacity:.09}
 .legend span{margin-right:1.2rem;white-space:nowrap}.legend i{display:inline-block;width:.8rem;height:.8rem;border-radius:2px;margin-right:.4rem;vertical-align:-1px}
 .wide{overflow-x:auto}table{border-collapse:collapse;font-variant-numeric:tabular-nums}
-th,td{padding:.25rem .6rem;text-align:right;border-bottom:1px solid #e3e5df;white-space:nowrap}
+table{font-size:14px}th,td{padding:.25rem .5rem;text-align:right;border-bottom:1px solid #e3e5df;white-space:nowrap}
 tbody th,td.text{text-align:left;font-weight:500}thead th{font-weight:500;color:#5c6670}
 .good{color:#2c7a4b}.bad{color:#b3261e}
 </style>)";
