--- a/src/lab/fabric.h
+++ b/src/lab/fabric.h
@@ -145,7 +145,7 @@
   std::uint16_t door_ = 0;
   net::DoorEvents* at_door_ = nullptr;
   std::deque<Fabric::WireAt> waiting_;
-  Slab<Entry> sockets_;
+  net::Places<Entry> sockets_;
 };
 
 }  // namespace flintweir::lab
--- a/src/net/kernel_network.cpp
+++ b/src/net/kernel_network.cpp
@@ -59,7 +59,7 @@
 }
 
 void KernelNetwork::ring(Micros at, Alarm& whom) {
-  timer_.expires_after(std::max(at - now(), Micros{0}));
+  timer_.expires_at(began_ + (at - zero_));
   timer_.async_wait([this, &whom](std::error_code ec) {
     if (!ec && !retired_) whom.rang();  // else it was set anew
   });
@@ -83,7 +83,7 @@
 
 Accepted KernelNetwork::accept() {
   std::error_code ec;
-  Tcp::socket socket(io_);
+  Socket socket(io_);
   door_.accept(socket, ec);
   if (!ec) return {adopt(std::move(socket), nullptr)};
   if (ec == asio::error::would_block) return {{}, Io::later};
@@ -92,7 +92,7 @@
   return {{}, Io::broken, why_.c_str()};
 }
 
-SocketKey KernelNetwork::adopt(Tcp::socket socket, SocketEvents* whom) {
+SocketKey KernelNetwork::adopt(Socket socket, SocketEvents* whom) {
   std::error_code ignored;
   socket.non_blocking(true, ignored);
   socket.set_option(Tcp::no_delay(true), ignored);
@@ -110,18 +110,18 @@
 
 template <class Handler>
 auto KernelNetwork::kept(Handler handler) {
-  return asio::bind_allocator(HandlerAllocator<void>(*memory_), std::move(handler));
+  return asio::bind_allocator(HandlerAllocator<void>(memory_), std::move(handler));
 }
 
 SocketKey KernelNetwork::connect(const Address& to, SocketEvents& whom) {
   const Tcp::endpoint there = endpoint(to);
-  Tcp::socket socket(io_);
+  Socket socket(io_);
   std::error_code ec;
   socket.open(there.protocol(), ec);
   if (ec) return {};
   const SocketKey key = adopt(std::move(socket), &whom);
-  sockets_.find(key)->socket.async_connect(there, kept([this, key](std::error_code failed) {
-                                             if (Entry* e = sockets_.find(key))
+  sockets_.find(key)->socket.async_connect(there, kept([key](std::error_code failed) {
+                                             if (Entry* e = Places<Entry>::find(key))
                                                e->whom->connected(bool(failed));
                                            }));
   return key;
@@ -135,9 +135,9 @@
 void KernelNetwork::wait(SocketKey key) {
   Entry* const e = sockets_.find(key);
   if (!e) return;
-  e->socket.async_wait(is_read ? Tcp::socket::wait_read : Tcp::socket::wait_write,
-                       kept([this, key](std::error_code ec) {
-                         Entry* const here = sockets_.find(key);
+  e->socket.async_wait(is_read ? Socket::wait_read : Socket::wait_write,
+                       kept([key](std::error_code ec) {
+                         Entry* const here = Places<Entry>::find(key);
                          if (!here) return;
                          if constexpr (is_read)
                            here->whom->readable(bool(ec));
@@ -151,9 +151,9 @@
   if (!e) return {0, Io::broken};
   std::error_code ec;
   const std::size_t n = e->socket.read_some(asio::buffer(to, size), ec);
+  if (!ec) return {n, Io::done};
   if (not_now(ec)) return {0, Io::later};
-  if (ec && ec != asio::error::eof) return {0, Io::broken};
-  return {n, ec ? Io::ended : Io::done};
+  return {0, ec == asio::error::eof ? Io::ended : Io::broken};
 }
 
 Passed KernelNetwork::write(SocketKey socket, std::span<const std::string_view> parts) {
@@ -169,9 +169,8 @@
     for (std::size_t i = 0; i < count; ++i) buffers[i] = asio::buffer(parts[i]);
     n = e->socket.write_some(std::span(buffers.data(), count), ec);
   }
-  if (not_now(ec)) return {0, Io::later};
-  if (ec) return {0, Io::broken};
-  return {n, Io::done};
+  if (!ec) return {n, Io::done};
+  return {0, not_now(ec) ? Io::later : Io::broken};
 }
 
 void KernelNetwork::end_sending(SocketKey socket) {
--- a/src/net/kernel_network.h
+++ b/src/net/kernel_network.h
@@ -21,7 +21,7 @@
  public:
   KernelNetwork() : own_(std::make_unique<asio::io_context>(1)), io_(*own_) {}
   // On another's loop, which must outlive it: with sockets, a door and an alarm of its own.
-  explicit KernelNetwork(KernelNetwork& beside) : memory_(beside.memory_), io_(beside.io_) {}
+  explicit KernelNetwork(KernelNetwork& beside) : own_memory_(beside.own_memory_), io_(beside.io_) {}
 
   void run() { io_.run(); }  // until stop()
   // Runs what is ready within so long; for a caller with a loop of its own.
@@ -47,31 +47,36 @@
   void stop() override { io_.stop(); }
 
  private:
-  using Tcp = asio::ip::tcp;
+  // With the loop's own executor, which needs no type erased at each wait.
+  using Executor = asio::io_context::executor_type;
+  using Socket = asio::basic_stream_socket<asio::ip::tcp, Executor>;
+  using Timer =
+      asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Executor>;
   struct Entry {
     explicit Entry(asio::io_context& io) : socket(io) {}
-    Tcp::socket socket;
+    Socket socket;
     SocketEvents* whom = nullptr;
   };
   template <class Handler>
   auto kept(Handler handler);  // with memory that is used again
   template <bool reading>
   void wait(SocketKey key);
-  SocketKey adopt(Tcp::socket socket, SocketEvents* whom);
+  SocketKey adopt(Socket socket, SocketEvents* whom);
   void next_signal();
 
   // Outlives what is pending in the loop, whoever of those on it goes first.
-  std::shared_ptr<HandlerMemory> memory_ = std::make_shared<HandlerMemory>();
+  std::shared_ptr<HandlerMemory> own_memory_ = std::make_shared<HandlerMemory>();
+  HandlerMemory& memory_ = *own_memory_;
   std::unique_ptr<asio::io_context> own_;
   asio::io_context& io_;
   std::chrono::system_clock::duration zero_ = std::chrono::system_clock::now().time_since_epoch();
   std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
-  asio::steady_timer timer_{io_};
-  Tcp::acceptor door_{io_};
+  Timer timer_{io_};
+  asio::basic_socket_acceptor<asio::ip::tcp, Executor> door_{io_};
   asio::signal_set signals_{io_};
   std::function<void(int)> heard_;
   bool retired_ = false;
-  Slab<Entry> sockets_;
+  Places<Entry> sockets_;
   std::string why_;
 };
 
--- a/src/net/network.h
+++ b/src/net/network.h
@@ -9,13 +9,10 @@
 
 #include "ids.h"
 #include "net/address.h"
-#include "slab.h"
+#include "net/places.h"
 
 namespace flintweir::net {
 
-// Names one socket for as long as it is open; a key that is over is never another's.
-using SocketKey = SlabKey;
-
 class SocketEvents {
  public:
   virtual void connected(bool failed) = 0;
