--- a/apps/flintweir_lab.cpp
+++ b/apps/flintweir_lab.cpp
@@ -216,8 +216,6 @@
   std::printf("%-14s %12s %12s %12s %10s\n", "", base.substr(0, 12).c_str(), now.title.substr(0, 12).c_str(),
               "difference", "noise");
   for (const std::string& name : e.measures) {
-    if (std::find(figure_names().begin(), figure_names().end(), name) == figure_names().end())
-      throw BadFile(file + ":1: measures: there is no figure '" + name + "'");
     const auto &a = before.per_seed(name), &b = now.per_seed(name);
     const std::size_t n = std::min(a.size(), b.size());
     double mean_a = 0, mean_b = 0, mean = 0, square = 0;
--- a/src/lab/client_peer.cpp
+++ b/src/lab/client_peer.cpp
@@ -35,7 +35,7 @@
   const auto way = door_.way_in(zone_);
   if (!way) return wait(kNoWay);
   node_ = way->node;
-  id_ = door_.enter(model_.session(), zone_);
+  id_ = door_.enter(model_.session());
   asked_told_ = moved_ = false;
   unanswered_.clear();
   last_took_ = 0us;
--- a/src/lab/client_peer.h
+++ b/src/lab/client_peer.h
@@ -20,8 +20,7 @@
     net::Address at;
   };
   virtual std::optional<Way> way_in(ZoneNo zone) = 0;
-  virtual SessionNo enter(const ClientModel::Session& session, ZoneNo zone) = 0;
-  virtual void crossed(NodeNo node, ZoneNo zone) = 0;
+  virtual SessionNo enter(const ClientModel::Session& session) = 0;
   virtual Second& second() = 0;  // of the run that it is now
   virtual Tally& tally() = 0;
 
--- a/src/lab/fabric.cpp
+++ b/src/lab/fabric.cpp
@@ -14,7 +14,7 @@
 }  // namespace
 
 Fabric::Fabric(Timeline& timeline, Carriage carriage, std::uint64_t seed)
-    : timeline_(timeline), carriage_(carriage), chance_(static_cast<std::knuth_b::result_type>(seed | 1)) {}
+    : timeline_(timeline), carriage_(std::move(carriage)), chance_(static_cast<std::knuth_b::result_type>(seed | 1)) {}
 
 Fabric::~Fabric() = default;
 
@@ -34,7 +34,11 @@
 
 Micros Fabric::latency(MachineNo a, MachineNo b) const {
   if (a == b) return 20us;
-  return machines_[a.value].zone == machines_[b.value].zone ? carriage_.within_zone : carriage_.across;
+  const ZoneNo x = machines_[a.value].zone, y = machines_[b.value].zone;
+  if (x == y) return carriage_.within_zone;
+  for (const Carriage::Pair& p : carriage_.pairs)
+    if ((p.a == x && p.b == y) || (p.a == y && p.b == x)) return p.one_way;
+  return carriage_.across;
 }
 
 Micros Fabric::travel(MachineNo from, MachineNo to) {
--- a/src/lab/host_server.h
+++ b/src/lab/host_server.h
@@ -16,7 +16,6 @@
 struct Asked {
   double load = 0;
   std::uint64_t group = 0;
-  ZoneNo zone;
 };
 class Register {
  public:
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "lab/fields.h"
+#include "lab/meter.h"
 
 namespace flintweir::lab {
 namespace {
@@ -43,13 +44,24 @@
   return out;
 }
 
-Carriage carriage_of(Fields f) {
+Carriage carriage_of(Fields f, const std::vector<std::string>& zones) {
   Carriage out;
   out.within_zone = f.time("within", 250us);
   out.across = f.time("across", 4ms);
   out.jitter = f.number("jitter", 0.2, 0, 10);
   out.window = f.count("window", 64u << 10, 256, 1u << 30);
   out.partial = f.number("partial", 0, 0, 1);
+  for (Fields& p : f.tables("pair")) {
+    std::vector<ZoneNo> both;
+    for (const std::string& name : p.words("between", {})) {
+      const auto found = std::find(zones.begin(), zones.end(), name);
+      if (found == zones.end()) p.bad("between", "there is no zone '" + name + "'");
+      both.push_back({static_cast<std::uint32_t>(found - zones.begin())});
+    }
+    if (both.size() != 2 || both[0] == both[1]) p.bad("between", "does not name two zones");
+    out.pairs.push_back({both[0], both[1], p.time("one_way", out.across)});
+    p.done();
+  }
   f.done();
   return out;
 }
@@ -236,8 +248,12 @@
   out.about = top.word("about", "");
   out.lasts = top.time("lasts", 60s, 1s);
   out.measures = top.words("measures", {"service", "refused", "moved", "up_p99_ms"});
+  for (const std::string& m : out.measures) {
+    if (std::find(figure_names().begin(), figure_names().end(), m) == figure_names().end())
+      top.bad("measures", "there is no figure '" + m + "'");
+  }
   out.fleet = fleet_of(top.table("fleet"));
-  out.carriage = carriage_of(top.table("link"));
+  out.carriage = carriage_of(top.table("link"), out.fleet.zones);
   out.cold = cold_of(top.table("cold"));
   out.host = host_of(top.table("host"));
   out.list = list_of(top.table("list"));
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -291,8 +291,8 @@
   return Way{*n, stage_.address(nodes_[n->value].machine)};
 }
 
-SessionNo World::enter(const ClientModel::Session& session, ZoneNo zone) {
-  asked_.push_back({session.load, session.group, zone});
+SessionNo World::enter(const ClientModel::Session& session) {
+  asked_.push_back({session.load, session.group});
   return {asked_.size()};
 }
 
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -69,8 +69,7 @@
   };
 
   std::optional<Way> way_in(ZoneNo zone) override;
-  SessionNo enter(const ClientModel::Session& session, ZoneNo zone) override;
-  void crossed(NodeNo, ZoneNo) override {}
+  SessionNo enter(const ClientModel::Session& session) override;
   Second& second() override;
   Tally& tally() override { return out_.tally; }
   const Asked* asked(SessionNo id) const override;
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -1,5 +1,6 @@
 // The lab: its network, its models and its checker, and the node's own code among them, over fixed seeds.
 #include <gtest/gtest.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -210,6 +211,7 @@
       {"name = \"x\"\n[[listener]]\nname = \"a\"\ndial_timeout = \"1ms\"", "x:4: listener[0].dial_timeout:"},
       {"name = \"x\"\nname = \"y\"", "x:2: file:"},
       {"[fleet]\nnodes = 1", "x:1: name:"},
+      {"name = \"x\"\n[[link.pair]]\nbetween = [\"east\", \"moon\"]", "x:3: link.pair[0].between:"},
   };
   for (const auto& [text, where] : bad) {
     try {
@@ -242,6 +244,32 @@
   EXPECT_EQ(hashes(1), hashes(4));
 }
 
+// What the tool prints, and its exit status.
+std::pair<std::string, int> tool(const std::string& words) {
+  FILE* const pipe = popen((std::string(FLINTWEIR_LAB_TOOL) + ' ' + words + " 2>&1").c_str(), "r");
+  std::string out;
+  char bytes[4096];
+  for (std::size_t n; (n = std::fread(bytes, 1, sizeof bytes, pipe)) > 0;) out.append(bytes, n);
+  const int status = pclose(pipe);
+  return {out, WIFEXITED(status) ? WEXITSTATUS(status) : -1};
+}
+
+TEST(Tool, TellsTheSameOfASeedInEveryProcessAndOneLineOfAWrongFile) {
+  const std::string mix = std::string(FLINTWEIR_EXPERIMENTS) + "/mix.toml";
+  const auto hash = [&](const std::string& jobs) {
+    const auto [text, status] = tool("run " + mix + " --alone --json --seeds 3..6 --jobs " + jobs);
+    EXPECT_EQ(status, 0);
+    return nlohmann::json::parse(text).at(0).at("hash").get<std::string>();
+  };
+  EXPECT_EQ(hash("1"), hash("8"));
+  for (const char* words : {"run no/such/file.toml", "run --seeds 9..1", "compare " FLINTWEIR_EXPERIMENTS
+                            "/calm.toml --base no-such-variant", "report /no/such/folder"}) {
+    const auto [text, status] = tool(words);
+    EXPECT_EQ(status, 2) << words;
+    EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 1) << text;
+  }
+}
+
 // Each kind of trouble over its first seeds, then the seeds that once broke a rule.
 class Days : public testing::TestWithParam<const char*> {};
 TEST_P(Days, KeepEveryRule) {
