--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -104,7 +104,7 @@
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     std::mt19937_64 chance(seed);
     Timeline timeline(1s);
-    Fabric fabric(timeline, {300us, 5ms, 0.5, 256u << chance() % 6, 0.5}, seed);
+    Fabric fabric(timeline, {300us, 5ms, {}, 0.5, 256u << chance() % 6, 0.5}, seed);
     const MachineNo a = fabric.add_machine({0}), b = fabric.add_machine({1});
     Process left(fabric, a, 100), right(fabric, b, 100);
     Talker dialler(left, seed), door(right, seed + 1);
