--- a/apps/flintweir_lab.cpp
+++ b/apps/flintweir_lab.cpp
@@ -58,10 +58,10 @@
     if (!isatty(2) || (now - shown_ < std::chrono::milliseconds(200) && set.runs < all_)) return;
     shown_ = now;
     const double took = std::chrono::duration<double>(now - began_).count();
-    std::fprintf(stderr, "\r%s: %llu of %llu runs, %llu broken rules, %.0f s a second \033[K%s", title_.c_str(),
-                 static_cast<unsigned long long>(set.runs), static_cast<unsigned long long>(all_),
-                 static_cast<unsigned long long>(set.violations()), set.virtual_seconds() / std::max(took, 0.001),
-                 set.runs == all_ ? "\n" : "");
+    std::fprintf(stderr, "\r%s: %llu of %llu runs, %llu broken rules, %.0f s a second \033[K%s",
+                 title_.c_str(), static_cast<unsigned long long>(set.runs),
+                 static_cast<unsigned long long>(all_), static_cast<unsigned long long>(set.violations()),
+                 set.virtual_seconds() / std::max(took, 0.001), set.runs == all_ ? "\n" : "");
   }
 
  private:
@@ -86,7 +86,8 @@
 
 std::string file_name(const RunSet& set) {
   std::string out = set.experiment + "-" + set.title;
-  std::replace_if(out.begin(), out.end(), [](char c) { return !std::isalnum(static_cast<unsigned char>(c)); }, '-');
+  std::replace_if(
+      out.begin(), out.end(), [](char c) { return !std::isalnum(static_cast<unsigned char>(c)); }, '-');
   return out;
 }
 
@@ -118,16 +119,16 @@
 }
 
 void print_table(const std::vector<RunSet>& sets) {
-  std::printf("%-22s %8s %8s %8s %9s %6s %7s %9s %9s  %s\n", "", "asked", "served", "refused", "torn down", "moved",
-              "broken", "service", "UP p99", "rules");
+  std::printf("%-22s %8s %8s %8s %9s %6s %7s %9s %9s  %s\n", "", "asked", "served", "refused", "torn down",
+              "moved", "broken", "service", "UP p99", "rules");
   for (const RunSet& s : sets) {
     const std::string rules = !s.failed().empty() ? "failed"
                               : s.broken()        ? std::to_string(s.violations()) + " broken"
                                                   : "kept";
-    std::printf("%-22s %8.0f %8.0f %8.0f %9.0f %6.0f %7.0f %9.3f %6.0f ms  %s\n", s.title.substr(0, 22).c_str(),
-                s.figure("sessions"), s.figure("accepted"), s.figure("refused"),
-                s.figure("torn_down") + s.figure("unanswered"), s.figure("moved"), s.figure("broken"),
-                s.figure("service"), s.figure("up_p99_ms"), rules.c_str());
+    std::printf("%-22s %8.0f %8.0f %8.0f %9.0f %6.0f %7.0f %9.3f %6.0f ms  %s\n",
+                s.title.substr(0, 22).c_str(), s.figure("sessions"), s.figure("accepted"),
+                s.figure("refused"), s.figure("torn_down") + s.figure("unanswered"), s.figure("moved"),
+                s.figure("broken"), s.figure("service"), s.figure("up_p99_ms"), rules.c_str());
   }
 }
 
@@ -144,7 +145,8 @@
                 static_cast<unsigned long long>(set.first_broken.front().seed));
 }
 
-int run(const std::string& file, const std::string& variant, Seeds seeds, RunWays ways, bool alone, bool json) {
+int run(const std::string& file, const std::string& variant, Seeds seeds, RunWays ways, bool alone,
+        bool json) {
   const Experiment e = read(file, variant);
   const bool own_folder = ways.out.empty() && file.empty() && !json;
   if (own_folder) ways.out = fs::temp_directory_path() / ("flintweir-lab-" + std::to_string(getuid()));
@@ -166,10 +168,12 @@
     for (const RunSet& s : sets) out.push_back(s.to_json());
     std::printf("%s\n", out.dump(1).c_str());
   } else {
-    std::printf("%s: %s\n%llu runs of %g s; rules looked at %llu times; events %s; %.0f virtual seconds a second and core\n\n",
-                e.name.c_str(), e.about.c_str(), static_cast<unsigned long long>(sets[0].runs), sets[0].lasts,
-                static_cast<unsigned long long>(sets[0].checks()), sets[0].hash().c_str(),
-                sets[0].virtual_seconds() / std::max(sets[0].took(), 1e-9));
+    std::printf(
+        "%s: %s\n%llu runs of %g s; rules looked at %llu times; events %s; %.0f virtual seconds a second and "
+        "core\n\n",
+        e.name.c_str(), e.about.c_str(), static_cast<unsigned long long>(sets[0].runs), sets[0].lasts,
+        static_cast<unsigned long long>(sets[0].checks()), sets[0].hash().c_str(),
+        sets[0].virtual_seconds() / std::max(sets[0].took(), 1e-9));
     print_table(sets);
     print_broken(sets[0], file);
   }
@@ -189,8 +193,9 @@
 
 // The same seeds with an earlier build of this program.
 RunSet run_program(const std::string& program, const std::string& file, Seeds seeds, unsigned jobs) {
-  const std::string command = "'" + program + "' run '" + file + "' --alone --json --jobs " + std::to_string(jobs) +
-                              " --seeds " + std::to_string(seeds.first) + ".." + std::to_string(seeds.last);
+  const std::string command = "'" + program + "' run '" + file + "' --alone --json --jobs " +
+                              std::to_string(jobs) + " --seeds " + std::to_string(seeds.first) + ".." +
+                              std::to_string(seeds.last);
   FILE* const pipe = popen(command.c_str(), "r");
   if (!pipe) throw std::runtime_error("can't start " + program);
   std::string text;
@@ -204,7 +209,8 @@
   }
 }
 
-int compare(const std::string& file, const std::string& variant, const std::string& base, Seeds seeds, unsigned jobs) {
+int compare(const std::string& file, const std::string& variant, const std::string& base, Seeds seeds,
+            unsigned jobs) {
   RunWays ways;
   ways.jobs = jobs;
   const Experiment e = read(file, variant);
@@ -232,8 +238,9 @@
   }
   std::printf("%-14s %12llu %12llu\n", "rules broken", static_cast<unsigned long long>(before.violations()),
               static_cast<unsigned long long>(now.violations()));
-  std::printf("means over seeds %llu to %llu; noise is the standard error of the difference, * is over twice that\n",
-              static_cast<unsigned long long>(seeds.first), static_cast<unsigned long long>(seeds.last));
+  std::printf(
+      "means over seeds %llu to %llu; noise is the standard error of the difference, * is over twice that\n",
+      static_cast<unsigned long long>(seeds.first), static_cast<unsigned long long>(seeds.last));
   return now.broken() ? 1 : 0;
 }
 
@@ -315,11 +322,14 @@
   CLI::App* const list_command = app.add_subcommand("list", "experiments, and the kinds of fault");
   list_command->add_option("FOLDER", folder, "where they lie")->capture_default_str();
 
-  CLI::App* const run_command = app.add_subcommand("run", "play an experiment; without a file a built-in day");
+  CLI::App* const run_command =
+      app.add_subcommand("run", "play an experiment; without a file a built-in day");
   run_command->add_option("FILE", file, "the experiment");
   run_command->add_option("--variant", variant, "one of its variants");
   run_command->add_option("--seeds", seeds, "a seed, or a range A..B")->capture_default_str();
-  run_command->add_option("--jobs", ways.jobs, "runs at a time")->check(CLI::Range(1u, 256u))->capture_default_str();
+  run_command->add_option("--jobs", ways.jobs, "runs at a time")
+      ->check(CLI::Range(1u, 256u))
+      ->capture_default_str();
   run_command->add_option("--out", ways.out, "folder for results and the report");
   run_command->add_flag("--json", json, "print results as JSON");
   run_command->add_flag("--real", ways.real, "against the real program, on loopback, in real time");
@@ -330,18 +340,21 @@
 
   CLI::App* const compare_command = app.add_subcommand("compare", "the same seeds, before and now");
   compare_command->add_option("FILE", file, "the experiment")->required();
-  compare_command->add_option("--base", base, "an earlier flintweir-lab, a variant, or 'file' for none")->required();
+  compare_command->add_option("--base", base, "an earlier flintweir-lab, a variant, or 'file' for none")
+      ->required();
   compare_command->add_option("--variant", variant, "what is compared with it");
   compare_command->add_option("--seeds", seeds, "a range A..B")->default_str("1..20");
   compare_command->add_option("--jobs", ways.jobs, "runs at a time")->check(CLI::Range(1u, 256u));
 
-  CLI::App* const shrink_command = app.add_subcommand("shrink", "the fewest faults with which a run still fails");
+  CLI::App* const shrink_command =
+      app.add_subcommand("shrink", "the fewest faults with which a run still fails");
   shrink_command->add_option("FILE", file, "the experiment")->required();
   shrink_command->add_option("--variant", variant, "one of its variants");
   shrink_command->add_option("--seed", seed, "the failing run's")->required();
   shrink_command->add_option("--jobs", ways.jobs, "runs at a time")->check(CLI::Range(1u, 256u));
 
-  CLI::App* const report_command = app.add_subcommand("report", "one HTML page about the results in a folder");
+  CLI::App* const report_command =
+      app.add_subcommand("report", "one HTML page about the results in a folder");
   report_command->add_option("DIR", folder, "as given to --out")->required();
 
   try {
@@ -356,7 +369,8 @@
       return run(file, variant, seeds_of(seeds), ways, alone, json);
     }
     if (*compare_command)
-      return compare(file, variant, base, seeds_of(compare_command->count("--seeds") ? seeds : "1..20"), ways.jobs);
+      return compare(file, variant, base, seeds_of(compare_command->count("--seeds") ? seeds : "1..20"),
+                     ways.jobs);
     if (*shrink_command) return shrink_run(file, variant, seed, ways.jobs);
     return report(folder);
   } catch (const BadFile& e) {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -91,7 +91,7 @@
   }
 
  private:
-  static constexpr double kCaution = 0.75;  // the rate is an estimate from a count of arrivals
+  static constexpr double kCaution = 0.75;  // the rate is an estimate from few sessions
   ColdRule rule_;
 };
 
--- a/src/lab/baselines.cpp
+++ b/src/lab/baselines.cpp
@@ -37,7 +37,8 @@
 
 class Plain final : public Balancer {
  public:
-  Plain(Way way, Outlet& out, std::uint64_t seed, std::vector<Listener> listeners, unsigned most_dials, Micros ask_every)
+  Plain(Way way, Outlet& out, std::uint64_t seed, std::vector<Listener> listeners, unsigned most_dials,
+        Micros ask_every)
       : way_(way),
         out_(out),
         chance_(static_cast<std::knuth_b::result_type>(seed | 1)),
@@ -133,7 +134,8 @@
   void messages_take(SlabKey, Micros) override {}
 
   PlainHost* find(HostId id) {
-    const auto it = std::find_if(hosts_.begin(), hosts_.end(), [&](const PlainHost& h) { return h.id == id; });
+    const auto it =
+        std::find_if(hosts_.begin(), hosts_.end(), [&](const PlainHost& h) { return h.id == id; });
     return it == hosts_.end() ? nullptr : &*it;
   }
   PlainSession* current(SlabKey key, DialNo dial) {
@@ -199,7 +201,8 @@
   return [way](const setup::Values& settings, Outlet& out, std::uint64_t seed) -> std::unique_ptr<Balancer> {
     const setup::Values ceilings(settings, "ceilings"), rules(settings, "rules");
     return std::make_unique<Plain>(way, out, seed, setup::listeners(settings),
-                                   static_cast<unsigned>(ceilings.real("maxDials", 1)), rules.time("askEvery"));
+                                   static_cast<unsigned>(ceilings.real("maxDials", 1)),
+                                   rules.time("askEvery"));
   };
 }
 
--- a/src/lab/checker.cpp
+++ b/src/lab/checker.cpp
@@ -16,7 +16,8 @@
 }  // namespace
 
 const char* name_of(Rule rule) {
-  constexpr const char* names[] = {"answer", "effect", "drain", "cold", "line", "held", "cut", "ended", "rude"};
+  constexpr const char* names[] = {"answer", "effect", "drain", "cold", "line",
+                                   "held",   "cut",    "ended", "rude"};
   return names[static_cast<int>(rule)];
 }
 
@@ -111,13 +112,15 @@
 void Checker::cold_sent(HostNo host, SessionNo id, double load, Micros window, Micros now) {
   Host& h = hosts_[host.value];
   const Session* const s = find(id);
-  const auto told = s ? nodes_[s->node.value].told_start.find(host.value) : nodes_.begin()->second.told_start.end();
+  const auto told =
+      s ? nodes_[s->node.value].told_start.find(host.value) : nodes_.begin()->second.told_start.end();
   const bool knows = s && told != nodes_[s->node.value].told_start.end() && told->second.started == h.started;
   while (!h.cold_sent.empty() && now - h.cold_sent.front().at > window) h.cold_sent.pop_front();
   h.cold_sent.push_back({now, load, knows});
 }
 
-void Checker::told(NodeNo node, MachineNo teller, HostNo host, Standing standing, Micros started, Micros now) {
+void Checker::told(NodeNo node, MachineNo teller, HostNo host, Standing standing, Micros started,
+                   Micros now) {
   Node& n = nodes_[node.value];
   Node::Start& last = n.told_start[host.value];
   if (now < last.told_at) return;  // something newer has been told since
@@ -143,7 +146,8 @@
   Session* const s = find(id);
   if (!s) return;
   if (s->answer != Answer::none) {
-    return breaks(Rule::answer, id, *s, now, "a second answer came " + ms(now - s->answered_at) + " after the first");
+    return breaks(Rule::answer, id, *s, now,
+                  "a second answer came " + ms(now - s->answered_at) + " after the first");
   }
   s->answer = answer;
   s->answered_at = now;
@@ -156,12 +160,12 @@
     if (!s->open.value) breaks(Rule::answer, id, *s, now, "it was accepted with a receipt that no host gave");
   }
   if (answer != Answer::busy) return;
-  const bool harmless =
-      s->listener.effect == Effect::repeatable ||
-      (s->listener.effect == Effect::referenced && s->listener.reach == Reach::all);
+  const bool harmless = s->listener.effect == Effect::repeatable ||
+                        (s->listener.effect == Effect::referenced && s->listener.reach == Reach::all);
   for (const Dial& d : s->dials) {
     if (!harmless && may_have_run(d))
-      breaks(Rule::effect, id, *s, now, "it was refused though it may have run at " + hosts_[d.host.value].name);
+      breaks(Rule::effect, id, *s, now,
+             "it was refused though it may have run at " + hosts_[d.host.value].name);
   }
 }
 
@@ -213,13 +217,15 @@
   s->client_over_at = now;
   s->waiting_since = Micros{0};
   if (s->excused || !nodes_[s->node.value].up || !sound(*s, nullptr, s->asked_at)) return;
-  if (s->answer == Answer::none) return breaks(Rule::answer, id, *s, now, "its connection ended with no answer");
+  if (s->answer == Answer::none)
+    return breaks(Rule::answer, id, *s, now, "its connection ended with no answer");
   if (s->answer != Answer::up || s->moved) return;
   const Dial* const d = open_dial(*s);
   if (!d || !sound(*s, d, s->answered_at)) return;
   if (!d->host_ended) {
     if (spoke_since(d->host, now - kSilent))
-      breaks(Rule::cut, id, *s, now, "it was cut without MOVE while its host " + hosts_[d->host.value].name + " answered");
+      breaks(Rule::cut, id, *s, now,
+             "it was cut without MOVE while its host " + hosts_[d->host.value].name + " answered");
   } else if (d->ends != Ends::breaks && !d->down.empty()) {
     breaks(Rule::line, id, *s, now, std::to_string(d->down.size()) + " lines that its host sent never came");
   }
@@ -243,10 +249,12 @@
   Node& node = nodes_[s->node.value];
   if (const auto away = node.told_away.find(host.value); away != node.told_away.end() && !s->excused) {
     const Micros late = now - away->second.at - grace_;
-    const Micros travels = paths_.longest(away->second.teller, node.machine) + 3 * paths_.longest(node.machine, h.machine);
+    const Micros travels =
+        paths_.longest(away->second.teller, node.machine) + 3 * paths_.longest(node.machine, h.machine);
     if (late > kOnSockets + travels && paths_.sound(away->second.teller, node.machine, away->second.at) &&
         paths_.sound(node.machine, h.machine, s->asked_at))
-      breaks(Rule::drain, id, *s, now, "it was sent to " + h.name + ' ' + ms(late) + " after the grace of its drain");
+      breaks(Rule::drain, id, *s, now,
+             "it was sent to " + h.name + ' ' + ms(late) + " after the grace of its drain");
   }
   const Dial* first = nullptr;
   for (Dial& d : s->dials) {
@@ -257,15 +265,17 @@
     breaks(Rule::effect, id, *s, now, "it was dialled more than " + std::to_string(most_dials_) + " times");
   if (s->answer == Answer::busy || s->answer == Answer::err) {
     // What was sent before it, and got lost, comes once the way is mended.
-    if (now - s->answered_at > kOnSockets + slack(*s, nullptr) && paths_.sound(node.machine, h.machine, s->asked_at))
+    if (now - s->answered_at > kOnSockets + slack(*s, nullptr) &&
+        paths_.sound(node.machine, h.machine, s->asked_at))
       breaks(Rule::answer, id, *s, now, "it was dialled after its final answer");
   }
   if (first && s->listener.effect == Effect::once_only)
-    breaks(Rule::effect, id, *s, now, "once-only, it was dialled again though it may have run at " +
-                                          hosts_[first->host.value].name);
+    breaks(Rule::effect, id, *s, now,
+           "once-only, it was dialled again though it may have run at " + hosts_[first->host.value].name);
   if (first && s->listener.effect == Effect::referenced) {
     const Host& ran = hosts_[first->host.value];
-    if (now - first->came > s->listener.memory + slack(*s, nullptr) + 2 * paths_.longest(node.machine, h.machine) &&
+    if (now - first->came >
+            s->listener.memory + slack(*s, nullptr) + 2 * paths_.longest(node.machine, h.machine) &&
         paths_.sound(node.machine, h.machine, first->came))
       breaks(Rule::effect, id, *s, now, "it was dialled again when hosts no longer remembered it");
     if ((s->listener.reach == Reach::zone && ran.zone != h.zone) ||
@@ -324,7 +334,8 @@
     const MachineNo node = nodes_[s->node.value].machine, host = hosts_[d->host.value].machine;
     if (now - d->overtaken_at > kOnSockets + 2 * paths_.longest(node, host) && !s->excused &&
         paths_.sound(node, host, d->overtaken_at) && spoke_since(d->host, d->overtaken_at))
-      breaks(Rule::effect, calls_[call.value], *s, now, "a second dial was out for " + ms(now - d->overtaken_at));
+      breaks(Rule::effect, calls_[call.value], *s, now,
+             "a second dial was out for " + ms(now - d->overtaken_at));
   }
   if (d != open_dial(*s) || s->excused) return;
   // The client has said its last, all of which its host must have got; unless a MOVE to it was on its way.
@@ -358,13 +369,14 @@
     if (d.over) continue;
     const Micros slack_d = slack(s, &d);
     const auto overdue = [&](Micros since, Micros limit) {
-      return since != Micros{0} && now - since > limit + slack_d && sound(s, &d, since) && spoke_since(d.host, since);
+      return since != Micros{0} && now - since > limit + slack_d && sound(s, &d, since) &&
+             spoke_since(d.host, since);
     };
     if (d.answer == Answer::none && overdue(d.overtaken_at, Micros{0}))
       breaks(Rule::effect, id, s, now, "a second dial is out");
     // Whatever ended at the client's side must end at the host's.
-    const Micros away = s.client_over ? s.client_over_at
-                        : s.moved     ? s.moved_at
+    const Micros away = s.client_over                                         ? s.client_over_at
+                        : s.moved                                             ? s.moved_at
                         : s.answer == Answer::busy || s.answer == Answer::err ? s.answered_at
                                                                               : Micros{0};
     if (overdue(away, kEnds))
@@ -377,7 +389,8 @@
     if (open && !s.moved) {
       if (open->host_ended && now - open->host_ended_at > kEnds + slack(s, open) &&
           sound(s, open, open->host_ended_at))
-        breaks(Rule::ended, id, s, now, "its host " + hosts_[open->host.value].name + " has ended it, and nobody told the client");
+        breaks(Rule::ended, id, s, now,
+               "its host " + hosts_[open->host.value].name + " has ended it, and nobody told the client");
       const Micros quiet = s.waiting_since == Micros{0} ? Micros{0} : now - s.waiting_since;
       if (quiet > kSilent + slack(s, open) && sound(s, nullptr, s.waiting_since))
         breaks(Rule::ended, id, s, now, "nothing came back for " + ms(quiet) + ", and it was not moved");
--- a/src/lab/checker.h
+++ b/src/lab/checker.h
@@ -62,7 +62,8 @@
   void node_up(NodeNo node, MachineNo machine) { nodes_[node.value] = {machine, true, {}, {}}; }
   void node_down(NodeNo node);
   // `started` is zero where it has been up for long.
-  void host_up(HostNo host, MachineNo machine, const std::string& name, ZoneNo zone, CellId cell, Micros started);
+  void host_up(HostNo host, MachineNo machine, const std::string& name, ZoneNo zone, CellId cell,
+               Micros started);
   void host_down(HostNo host, Micros now);
   void host_silent(HostNo host, bool silent, Micros now);
   // It has tipped over while it was cold.
@@ -71,7 +72,8 @@
   void told(NodeNo node, MachineNo teller, HostNo host, Standing standing, Micros started, Micros now);
 
   // What a client does and sees.
-  void asked(SessionNo id, NodeNo node, MachineNo client, const Listener& listener, Micros patience, Micros now);
+  void asked(SessionNo id, NodeNo node, MachineNo client, const Listener& listener, Micros patience,
+             Micros now);
   void answered(SessionNo id, Answer answer, std::string_view receipt, Micros now);
   void client_said(SessionNo id, std::uint64_t line, Micros now);
   void client_heard(SessionNo id, std::uint64_t line, bool is_move, Micros now);
@@ -103,12 +105,12 @@
     Micros came{0};
     Answer answer = Answer::none;
     std::string receipt;
-    bool over = false;           // as the host sees it
-    bool host_ended = false;     // first, or its process died
+    bool over = false;        // as the host sees it
+    bool host_ended = false;  // first, or its process died
     Micros host_ended_at{0};
     Ends ends = Ends::breaks;
-    Micros overtaken_at{0};      // by a later dial, while this was out
-    std::deque<Line> down;       // its lines that the client has still to hear
+    Micros overtaken_at{0};  // by a later dial, while this was out
+    std::deque<Line> down;   // its lines that the client has still to hear
   };
   struct Session {
     NodeNo node;
--- a/src/lab/client_peer.cpp
+++ b/src/lab/client_peer.cpp
@@ -57,7 +57,8 @@
   int n = std::snprintf(line, sizeof line, "OPEN %llx %llx c=%s,d=%lld", hex(id_),
                         static_cast<unsigned long long>(model_.key()), model_.listener().name.c_str(),
                         static_cast<long long>(model_.patience() / 1ms));
-  if (s.group) n += std::snprintf(line + n, sizeof line - n, ",g=%llx", static_cast<unsigned long long>(s.group));
+  if (s.group)
+    n += std::snprintf(line + n, sizeof line - n, ",g=%llx", static_cast<unsigned long long>(s.group));
   if (s.retry) n += std::snprintf(line + n, sizeof line - n, ",r=1");
   if (s.again) n += std::snprintf(line + n, sizeof line - n, ",again=1");
   std::snprintf(line + n, sizeof line - n, "\r\n");
@@ -105,7 +106,8 @@
   const Micros now = wakes_.now();
   if (line.starts_with("UP ")) {
     checker_.answered(id_, Checker::Answer::up, line.substr(3), now);
-    log_.line(now, "up session=%llx receipt=%.*s", hex(id_), static_cast<int>(line.size() - 3), line.data() + 3);
+    log_.line(now, "up session=%llx receipt=%.*s", hex(id_), static_cast<int>(line.size() - 3),
+              line.data() + 3);
     phase_ = Phase::open;
     model_.up();
     ++door_.tally().accepted;
--- a/src/lab/client_peer.h
+++ b/src/lab/client_peer.h
@@ -30,8 +30,8 @@
 
 class ClientPeer final : net::StreamEvents, net::Woken {
  public:
-  ClientPeer(net::Sockets& sockets, net::Wakes& wakes, MachineNo machine, ZoneNo zone, ClientModel model, Door& door,
-             Checker& checker, EventLog& log, const TrafficPlan& plan)
+  ClientPeer(net::Sockets& sockets, net::Wakes& wakes, MachineNo machine, ZoneNo zone, ClientModel model,
+             Door& door, Checker& checker, EventLog& log, const TrafficPlan& plan)
       : stream_(sockets),
         out_(stream_),
         wakes_(wakes),
@@ -44,8 +44,8 @@
         plan_(plan) {}
 
   void begin();
-  void come();           // at once, if it rests
-  bool drop();           // breaks its connection, if it has one, and comes again
+  void come();  // at once, if it rests
+  bool drop();  // breaks its connection, if it has one, and comes again
   void stop() { stream_.close(); }
   bool open() const { return phase_ == Phase::open; }
   bool wants(Micros now) const { return model_.wants(now); }
--- a/src/lab/fabric.cpp
+++ b/src/lab/fabric.cpp
@@ -7,14 +7,16 @@
 
 using namespace std::chrono_literals;
 
-constexpr Micros kAgain = 200ms;     // lost packets are sent again so long after a link is back
-constexpr Micros kSynAgain = 1s;     // and those that open a connection, as often as that
+constexpr Micros kAgain = 200ms;  // lost packets are sent again so long after a link is back
+constexpr Micros kSynAgain = 1s;  // and those that open a connection, as often as that
 constexpr std::size_t kBacklog = 4096;
 
 }  // namespace
 
 Fabric::Fabric(Timeline& timeline, Carriage carriage, std::uint64_t seed)
-    : timeline_(timeline), carriage_(std::move(carriage)), chance_(static_cast<std::knuth_b::result_type>(seed | 1)) {}
+    : timeline_(timeline),
+      carriage_(std::move(carriage)),
+      chance_(static_cast<std::knuth_b::result_type>(seed | 1)) {}
 
 Fabric::~Fabric() = default;
 
@@ -179,7 +181,8 @@
       asker.rst_in = true;
       asker.process->post([wire] {
         const Side& s = wire->side[0];
-        if (Process::Entry* e = s.process ? s.process->sockets_.find(s.key) : nullptr) e->whom->connected(true);
+        if (Process::Entry* e = s.process ? s.process->sockets_.find(s.key) : nullptr)
+          e->whom->connected(true);
       });
     });
   }
--- a/src/lab/fabric.h
+++ b/src/lab/fabric.h
@@ -29,10 +29,10 @@
     ZoneNo a, b;
     Micros one_way;
   };
-  std::vector<Pair> pairs;                // of zones that lie nearer or farther than that
-  double jitter = 0.2;                    // of the latency, at most
-  std::size_t window = 64 << 10;          // bytes written and not read yet, each way
-  double partial = 0;                     // share of the writes of which only a part is taken
+  std::vector<Pair> pairs;        // of zones that lie nearer or farther than that
+  double jitter = 0.2;            // of the latency, at most
+  std::size_t window = 64 << 10;  // bytes written and not read yet, each way
+  double partial = 0;             // share of the writes of which only a part is taken
 };
 
 class Fabric {
--- a/src/lab/faults.cpp
+++ b/src/lab/faults.cpp
@@ -28,8 +28,8 @@
 std::string to_text(const Fault& f, const FleetPlan& fleet) {
   const std::string who = name_of(befalls(f.kind), f.target, fleet);
   char text[160];
-  std::snprintf(text, sizeof text, "%.3f s: %s%s%s for %.3f s", seconds(f.at), f.kind.c_str(), who.empty() ? "" : " ",
-                who.c_str(), seconds(f.lasts));
+  std::snprintf(text, sizeof text, "%.3f s: %s%s%s for %.3f s", seconds(f.at), f.kind.c_str(),
+                who.empty() ? "" : " ", who.c_str(), seconds(f.lasts));
   return text;
 }
 
@@ -51,12 +51,14 @@
     for (std::size_t i = all.size(); i > 1; --i) std::swap(all[i - 1], all[chance() % i]);
     if (p.at) {
       const bool some = what == "host" || what == "node" || what == "zone";
-      const auto wanted = some ? static_cast<std::size_t>(std::lround(p.share * static_cast<double>(count))) : 1;
+      const auto wanted =
+          some ? static_cast<std::size_t>(std::lround(p.share * static_cast<double>(count))) : 1;
       all.resize(std::min(all.size(), std::max<std::size_t>(wanted, 1)));
       const bool in_turn = p.kind == "hosts-deploy" || p.kind == "node-restarts";
       for (std::size_t i = 0; i < all.size(); ++i) {
         const Micros later =
-            in_turn ? p.lasts * static_cast<std::int64_t>(i) / static_cast<std::int64_t>(all.size()) : Micros{0};
+            in_turn ? p.lasts * static_cast<std::int64_t>(i) / static_cast<std::int64_t>(all.size())
+                    : Micros{0};
         out.push_back({*p.at + later, p.kind, all[i], p.lasts, p.share, p.size});
       }
       continue;
@@ -68,8 +70,8 @@
         if (at >= seconds(lasts)) break;
         const double length = 0.5 + uniform();
         out.push_back({Micros{static_cast<std::int64_t>(at * 1e6)}, p.kind, target,
-                       Micros{static_cast<std::int64_t>(static_cast<double>(p.lasts.count()) * length)}, p.share,
-                       p.size});
+                       Micros{static_cast<std::int64_t>(static_cast<double>(p.lasts.count()) * length)},
+                       p.share, p.size});
       }
     }
   }
--- a/src/lab/host_model.cpp
+++ b/src/lab/host_model.cpp
@@ -21,7 +21,8 @@
 
 double HostModel::present(Micros now) const {
   const double warm =
-      cold_start_ ? std::min(1.0, cold_.share + (1 - cold_.share) * ratio(now - started_, cold_.warm_within)) : 1;
+      cold_start_ ? std::min(1.0, cold_.share + (1 - cold_.share) * ratio(now - started_, cold_.warm_within))
+                  : 1;
   return capacity_ * warm * speed_;
 }
 
--- a/src/lab/host_server.cpp
+++ b/src/lab/host_server.cpp
@@ -10,9 +10,9 @@
 
 using namespace std::chrono_literals;
 
-HostServer::HostServer(net::Network& network, HostModel& model, HostNo no, std::string name, const Register& known,
-                       Checker& checker, EventLog& log, const HostPlan& plan, const TrafficPlan& traffic,
-                       Micros tip_after, std::uint64_t seed)
+HostServer::HostServer(net::Network& network, HostModel& model, HostNo no, std::string name,
+                       const Register& known, Checker& checker, EventLog& log, const HostPlan& plan,
+                       const TrafficPlan& traffic, Micros tip_after, std::uint64_t seed)
     : sockets_(network, 1u << 20),
       wakes_(network),
       model_(model),
@@ -120,7 +120,8 @@
   c.answer = verdict.answer;
   c.phase = Call::Phase::answering;
   log_.line(now, "dialled session=%llx host=%s", static_cast<unsigned long long>(id), name_.c_str());
-  if (verdict.answer != HostModel::Answer::nothing) wakes_.after(verdict.after, *this, token(c.key, Due::answer));
+  if (verdict.answer != HostModel::Answer::nothing)
+    wakes_.after(verdict.after, *this, token(c.key, Due::answer));
 }
 
 void HostServer::answer(Call& c) {
@@ -130,8 +131,10 @@
   switch (c.answer) {
     case HostModel::Answer::up: {
       char up[48];
-      std::snprintf(up, sizeof up, "UP r%u-%llu\r\n", no_.value, static_cast<unsigned long long>(++receipts_));
-      checker_.host_answers(c.call, Checker::Answer::up, net::without_end(std::string_view(up).substr(3)), now);
+      std::snprintf(up, sizeof up, "UP r%u-%llu\r\n", no_.value,
+                    static_cast<unsigned long long>(++receipts_));
+      checker_.host_answers(c.call, Checker::Answer::up, net::without_end(std::string_view(up).substr(3)),
+                            now);
       model_.opened(now, c.load, c.group);
       c.phase = Call::Phase::open;
       c.loaded_at = now;
@@ -169,8 +172,8 @@
   c.replies.pop_front();
   const Micros now = wakes_.now();
   const double usual = c.told_load;
-  const double step =
-      traffic_.drift * std::sqrt(seconds(now - c.loaded_at)) * (2 * std::generate_canonical<double, 32>(chance_) - 1);
+  const double step = traffic_.drift * std::sqrt(seconds(now - c.loaded_at)) *
+                      (2 * std::generate_canonical<double, 32>(chance_) - 1);
   const double load = std::clamp(c.load * (1 + step), traffic_.load / 8, traffic_.load * 16);
   model_.changed(now, load - c.load);
   c.load = load;
--- a/src/lab/host_server.h
+++ b/src/lab/host_server.h
@@ -28,8 +28,8 @@
 class HostServer final : net::DoorEvents, net::Woken {
  public:
   HostServer(net::Network& network, HostModel& model, HostNo no, std::string name, const Register& known,
-             Checker& checker, EventLog& log, const HostPlan& plan, const TrafficPlan& traffic, Micros tip_after,
-             std::uint64_t seed);
+             Checker& checker, EventLog& log, const HostPlan& plan, const TrafficPlan& traffic,
+             Micros tip_after, std::uint64_t seed);
 
   void serve(const net::Address& at);  // throws std::system_error
   void drain();                        // sends its clients away as the plan says
@@ -62,7 +62,9 @@
   enum class Due : std::uint64_t { answer, reply, leave, away, give_up };
   void knocked() override;
   void woken(std::uint64_t token) override;
-  static std::uint64_t token(SlabKey key, Due due) { return key.packed() | static_cast<std::uint64_t>(due) << 28; }
+  static std::uint64_t token(SlabKey key, Due due) {
+    return key.packed() | static_cast<std::uint64_t>(due) << 28;
+  }
   void came(Call& c);
   void written(Call& c);
   void over(Call& c, bool cleanly);
--- a/src/lab/loopback_stage.cpp
+++ b/src/lab/loopback_stage.cpp
@@ -56,8 +56,8 @@
   const std::size_t n = addresses_.size() + 1;
   const auto pid = static_cast<unsigned>(getpid());
   net::Address a;
-  a.bytes = {127, static_cast<std::uint8_t>(64 + pid % 128), static_cast<std::uint8_t>((pid / 128 + n / 250) % 256),
-             static_cast<std::uint8_t>(1 + n % 250)};
+  a.bytes = {127, static_cast<std::uint8_t>(64 + pid % 128),
+             static_cast<std::uint8_t>((pid / 128 + n / 250) % 256), static_cast<std::uint8_t>(1 + n % 250)};
   a.port = free_port(a);
   addresses_.push_back(a);
   return {static_cast<std::uint32_t>(n - 1)};
@@ -73,7 +73,9 @@
     if (n.get() == &process) n->retire();
 }
 
-std::string LoopbackStage::file(NodeNo node) const { return folder_ + "/n" + std::to_string(node.value) + ".json"; }
+std::string LoopbackStage::file(NodeNo node) const {
+  return folder_ + "/n" + std::to_string(node.value) + ".json";
+}
 
 void LoopbackStage::write(NodeNo node, const std::string& config) const {
   std::ofstream out(file(node), std::ios::trunc);
@@ -96,7 +98,8 @@
   if (pid == 0) {
     dup2(fd, 1);
     dup2(fd, 2);
-    // The lab's own sockets are none of the program's: held there, they would stay open when the lab closes them.
+    // The lab's own sockets are none of the program's: held there, they would stay open when the lab closes
+    // them.
     close_range(3, ~0u, 0);
     unsetenv("EDGE_LISTEN");
     unsetenv("EDGE_DISCOVERY");
--- a/src/lab/meter.cpp
+++ b/src/lab/meter.cpp
@@ -1,13 +1,13 @@
-#include <optional>
-
 #include "lab/meter.h"
 
+#include <optional>
+
 namespace flintweir::lab {
 
 const std::vector<std::string>& figure_names() {
-  static const std::vector<std::string> names{"service", "sessions", "accepted",  "refused",   "torn_down", "unanswered",
-                                              "moved",   "broken",   "crossed",   "lines",     "up_p50_ms", "up_p99_ms",
-                                              "up_p999_ms"};
+  static const std::vector<std::string> names{"service",    "sessions",  "accepted",  "refused", "torn_down",
+                                              "unanswered", "moved",     "broken",    "crossed", "lines",
+                                              "up_p50_ms",  "up_p99_ms", "up_p999_ms"};
   return names;
 }
 
--- a/src/lab/meter.h
+++ b/src/lab/meter.h
@@ -30,7 +30,8 @@
     double sum = 0;
     for (std::size_t i = 0; i < cells_.size(); ++i) {
       sum += static_cast<double>(cells_[i]);
-      if (count_ > 0 && sum >= wanted && cells_[i] > 0) return Micros{static_cast<std::int64_t>(least(i + 1))};
+      if (count_ > 0 && sum >= wanted && cells_[i] > 0)
+        return Micros{static_cast<std::int64_t>(least(i + 1))};
     }
     return Micros{0};
   }
@@ -65,7 +66,8 @@
   Histogram to_up;
   double service() const { return asked > 0 ? served / asked : 1; }
   void add(const Tally& o) {
-    asked += o.asked, served += o.served, sessions += o.sessions, accepted += o.accepted, refused += o.refused;
+    asked += o.asked, served += o.served, sessions += o.sessions, accepted += o.accepted,
+        refused += o.refused;
     torn_down += o.torn_down, unanswered += o.unanswered, moved += o.moved, broken += o.broken;
     crossed += o.crossed, lines += o.lines;
     to_up.add(o.to_up);
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -11,8 +11,9 @@
 using namespace std::chrono_literals;
 
 Effect effect_of(const std::string& name) {
-  return name == "once-only" ? Effect::once_only
-                             : name == "referenced" ? Effect::referenced : Effect::repeatable;
+  return name == "once-only"    ? Effect::once_only
+         : name == "referenced" ? Effect::referenced
+                                : Effect::repeatable;
 }
 
 Reach reach_of(const std::string& name) {
@@ -34,7 +35,8 @@
   out.hosts = f.count("hosts", 12, 1, 5000);
   double all = 0;
   for (Fields& k : f.tables("kind")) {
-    out.kinds.push_back({k.number("share", 1, 0, 1), k.number("cores", 2, 0.1, 256), k.number("speed", 1, 0.01, 100)});
+    out.kinds.push_back(
+        {k.number("share", 1, 0, 1), k.number("cores", 2, 0.1, 256), k.number("speed", 1, 0.01, 100)});
     all += out.kinds.back().share;
     k.done();
   }
@@ -67,8 +69,8 @@
 }
 
 ColdPlan cold_of(Fields f) {
-  const ColdPlan out{f.number("share", 0.3, 0.01, 1), f.time("warm_within", 8s), f.number("multiple", 3, 1, 100),
-                     f.time("tip_after", 1500ms, 1ms)};
+  const ColdPlan out{f.number("share", 0.3, 0.01, 1), f.time("warm_within", 8s),
+                     f.number("multiple", 3, 1, 100), f.time("tip_after", 1500ms, 1ms)};
   f.done();
   return out;
 }
@@ -81,8 +83,9 @@
   out.connections = f.count("connections", 400, 1, 100000);
   out.group_cost = f.number("group_cost", 0, 0, 100);
   const std::string away = f.word("sends_away", "bit by bit", {"at once", "bit by bit", "keeps"});
-  out.sends_away =
-      away == "at once" ? SendsAway::at_once : away == "keeps" ? SendsAway::keeps : SendsAway::bit_by_bit;
+  out.sends_away = away == "at once" ? SendsAway::at_once
+                   : away == "keeps" ? SendsAway::keeps
+                                     : SendsAway::bit_by_bit;
   out.leaves_after = f.time("leaves_after", 6s);
   out.grace = f.time("grace", 300ms);
   f.done();
@@ -108,11 +111,13 @@
 ListenerPlan listener_of(Fields& f) {
   ListenerPlan out;
   out.name = f.word("name", "");
-  if (out.name.empty() || out.name.find_first_of(" ,=\"") != out.name.npos) f.bad("name", "is missing or no word");
+  if (out.name.empty() || out.name.find_first_of(" ,=\"") != out.name.npos)
+    f.bad("name", "is missing or no word");
   out.share = f.number("share", 1, 0, 1e6);
   out.rules.handshake_target = f.time("handshake_target", 500ms, 1ms);
   out.rules.dial_timeout = f.time("dial_timeout", 2s, 1ms);
-  if (out.rules.dial_timeout < out.rules.handshake_target) f.bad("dial_timeout", "is under the handshake target");
+  if (out.rules.dial_timeout < out.rules.handshake_target)
+    f.bad("dial_timeout", "is under the handshake target");
   out.rules.effect = effect_of(f.word("effect", "repeatable", {"repeatable", "referenced", "once-only"}));
   out.rules.reach = reach_of(f.word("reach", "all", {"all", "zone", "cell"}));
   out.rules.memory = f.time("memory", 2s);
@@ -185,10 +190,12 @@
   out.line = line;
   if (!out.where.empty()) {
     const std::string_view befalls =
-        std::find_if(fault_kinds().begin(), fault_kinds().end(), [&](const auto& k) { return k.name == out.kind; })
-            ->befalls;
+        std::find_if(fault_kinds().begin(), fault_kinds().end(), [&](const auto& k) {
+          return k.name == out.kind;
+        })->befalls;
     bool there = false;
-    if (befalls == "zone") there = std::find(fleet.zones.begin(), fleet.zones.end(), out.where) != fleet.zones.end();
+    if (befalls == "zone")
+      there = std::find(fleet.zones.begin(), fleet.zones.end(), out.where) != fleet.zones.end();
     const auto among = [&](const char* prefix, unsigned count) {
       for (unsigned i = 0; i < count; ++i) there = there || out.where == prefix + std::to_string(i);
     };
@@ -210,8 +217,8 @@
       if (!at->contains(name)) at->insert(name, toml::table{});
       at = at->get(name)->as_table();
       if (!at)
-        throw BadFile(file + ":" + std::to_string(key.source().begin.line) + ": variant: '" + std::string(key.str()) +
-                      "' goes through what is no table");
+        throw BadFile(file + ":" + std::to_string(key.source().begin.line) + ": variant: '" +
+                      std::string(key.str()) + "' goes through what is no table");
     }
     value.visit([&](const auto& v) { at->insert_or_assign(rest, v); });
   }
@@ -274,7 +281,8 @@
     return read(toml::parse_file(path), path, variant);
   } catch (const toml::parse_error& e) {
     const auto line = e.source().begin.line;
-    throw BadFile(path + ":" + std::to_string(std::max<unsigned>(line, 1)) + ": file: " + std::string(e.description()));
+    throw BadFile(path + ":" + std::to_string(std::max<unsigned>(line, 1)) +
+                  ": file: " + std::string(e.description()));
   }
 }
 
@@ -282,7 +290,8 @@
   try {
     return read(toml::parse(text, name), name, variant);
   } catch (const toml::parse_error& e) {
-    throw BadFile(name + ":" + std::to_string(e.source().begin.line) + ": file: " + std::string(e.description()));
+    throw BadFile(name + ":" + std::to_string(e.source().begin.line) +
+                  ": file: " + std::string(e.description()));
   }
 }
 
--- a/src/lab/plan.h
+++ b/src/lab/plan.h
@@ -88,8 +88,8 @@
   std::string kind;
   std::optional<Micros> at, every;
   Micros lasts;
-  double share;  // of the things that it befalls at a time
-  double size;   // of what it does, as its kind says
+  double share;       // of the things that it befalls at a time
+  double size;        // of what it does, as its kind says
   std::string where;  // a zone, a host or a node by name; empty: chosen by chance
   unsigned line;      // in the file
 };
@@ -98,7 +98,8 @@
  public:
   // Throws BadFile. `changes` are keys with dots and the values that take the place of the file's.
   static Experiment of_file(const std::string& path, const std::string& variant = "");
-  static Experiment of_text(const std::string& text, const std::string& name, const std::string& variant = "");
+  static Experiment of_text(const std::string& text, const std::string& name,
+                            const std::string& variant = "");
 
   std::string name, about;
   Micros lasts;
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -63,18 +63,21 @@
     std::string out = text("<svg viewBox=\"0 0 %g %g\" role=\"img\">", kWidth, height_);
     for (const RunSet::Mark& m : marks) {
       const double from = x(std::min(m.at, lasts_)), to = x(std::min(m.until, lasts_));
-      out += text("<rect class=\"fault\" x=\"%.1f\" y=\"%g\" width=\"%.1f\" height=\"%.1f\"><title>", from, kTop,
-                  std::max(to - from, 1.5), height_ - kTop - kBottom) +
+      out += text("<rect class=\"fault\" x=\"%.1f\" y=\"%g\" width=\"%.1f\" height=\"%.1f\"><title>", from,
+                  kTop, std::max(to - from, 1.5), height_ - kTop - kBottom) +
              escaped(m.what) + "</title></rect>";
     }
     const double dy = step_for(most_, 4);
     for (double v = 0; v <= most_ * 1.0001; v += dy) {
-      out += text("<line class=\"grid\" x1=\"%g\" x2=\"%g\" y1=\"%.1f\" y2=\"%.1f\"/>", kLeft, kWidth - kRight, y(v), y(v));
-      out += text("<text class=\"tick\" x=\"%g\" y=\"%.1f\" text-anchor=\"end\">%g</text>", kLeft - 6, y(v) + 4, v);
+      out += text("<line class=\"grid\" x1=\"%g\" x2=\"%g\" y1=\"%.1f\" y2=\"%.1f\"/>", kLeft,
+                  kWidth - kRight, y(v), y(v));
+      out += text("<text class=\"tick\" x=\"%g\" y=\"%.1f\" text-anchor=\"end\">%g</text>", kLeft - 6,
+                  y(v) + 4, v);
     }
     const double dx = step_for(lasts_, 10);
     for (double t = 0; t <= lasts_ * 1.0001; t += dx)
-      out += text("<text class=\"tick\" x=\"%.1f\" y=\"%g\" text-anchor=\"middle\">%g s</text>", x(t), height_ - kBottom + 17, t);
+      out += text("<text class=\"tick\" x=\"%.1f\" y=\"%g\" text-anchor=\"middle\">%g s</text>", x(t),
+                  height_ - kBottom + 17, t);
     out += text("<text class=\"tick\" x=\"%g\" y=\"%g\">", kLeft, kTop - 3) + escaped(unit_) + "</text>";
     for (const Line& l : lines) {
       std::string path;
@@ -84,11 +87,14 @@
           pen = false;
           continue;
         }
-        path += text("%s%.1f %.1f", pen ? "L" : "M", x(static_cast<double>(i) + 0.5), y(std::min(l.values[i], most_)));
+        path += text("%s%.1f %.1f", pen ? "L" : "M", x(static_cast<double>(i) + 0.5),
+                     y(std::min(l.values[i], most_)));
         pen = true;
       }
-      out += text("<path fill=\"none\" stroke=\"%s\" stroke-width=\"%g\" stroke-opacity=\"%g\" stroke-linejoin=\"round\" d=\"",
-                  l.colour.c_str(), l.width, l.opacity) +
+      out += text(
+                 "<path fill=\"none\" stroke=\"%s\" stroke-width=\"%g\" stroke-opacity=\"%g\" "
+                 "stroke-linejoin=\"round\" d=\"",
+                 l.colour.c_str(), l.width, l.opacity) +
              path + "\"><title>" + escaped(l.name) + "</title></path>";
     }
     return out + "</svg>";
@@ -142,25 +148,28 @@
                 y(std::pow(10, p)) + 4, std::pow(10, p < 3 ? p : p - 3), p < 3 ? "ms" : "s");
   }
   for (std::size_t i = 0; i < count; ++i)
-    out += text("<text class=\"tick\" x=\"%.1f\" y=\"%g\" text-anchor=\"middle\">%g%%</text>", x(i), kHeight - kBottom + 17,
-                sets.front()->to_up[i].first * 100);
+    out += text("<text class=\"tick\" x=\"%.1f\" y=\"%g\" text-anchor=\"middle\">%g%%</text>", x(i),
+                kHeight - kBottom + 17, sets.front()->to_up[i].first * 100);
   for (std::size_t s = 0; s < sets.size(); ++s) {
     std::string path, dots;
     for (std::size_t i = 0; i < sets[s]->to_up.size(); ++i) {
       const double ms = sets[s]->to_up[i].second;
       path += text("%s%.1f %.1f", i ? "L" : "M", x(i), y(ms));
-      dots += text("<circle cx=\"%.1f\" cy=\"%.1f\" r=\"2.6\" fill=\"%s\"><title>%g ms</title></circle>", x(i), y(ms),
-                   kColours[s % std::size(kColours)], ms);
+      dots += text("<circle cx=\"%.1f\" cy=\"%.1f\" r=\"2.6\" fill=\"%s\"><title>%g ms</title></circle>",
+                   x(i), y(ms), kColours[s % std::size(kColours)], ms);
     }
-    out += text("<path fill=\"none\" stroke=\"%s\" stroke-width=\"1.8\" d=\"", kColours[s % std::size(kColours)]) + path +
-           "\"/>" + dots;
+    out += text("<path fill=\"none\" stroke=\"%s\" stroke-width=\"1.8\" d=\"",
+                kColours[s % std::size(kColours)]) +
+           path + "\"/>" + dots;
   }
   return out + "</svg>";
 }
 
 std::string table(const std::vector<const RunSet*>& sets) {
   std::string out =
-      "<div class=\"wide\"><table><thead><tr><th></th><th>service</th><th>sessions</th><th>accepted</th><th>refused</th>"
+      "<div "
+      "class=\"wide\"><table><thead><tr><th></th><th>service</th><th>sessions</th><th>accepted</"
+      "th><th>refused</th>"
       "<th>torn down</th><th>unanswered</th><th>moved</th><th>broken off</th><th>UP p50</th><th>UP p99</th>"
       "<th>rules</th></tr></thead><tbody>";
   for (const RunSet* s : sets) {
@@ -168,8 +177,9 @@
     for (const char* name : {"sessions", "accepted", "refused", "torn_down", "unanswered", "moved", "broken"})
       out += text("<td>%.0f</td>", s->figure(name));
     out += text("<td>%.1f ms</td><td>%.1f ms</td>", s->figure("up_p50_ms"), s->figure("up_p99_ms"));
-    out += s->broken() ? text("<td class=\"bad\">%llu broken</td>", static_cast<unsigned long long>(s->violations()))
-                       : std::string("<td class=\"good\">kept</td>");
+    out += s->broken()
+               ? text("<td class=\"bad\">%llu broken</td>", static_cast<unsigned long long>(s->violations()))
+               : std::string("<td class=\"good\">kept</td>");
     out += "</tr>";
   }
   return out + "</tbody></table></div>";
@@ -177,13 +187,15 @@
 
 std::string section(const std::vector<const RunSet*>& sets) {
   const RunSet& main = *sets.front();
-  std::string out = "<section><h2>" + escaped(main.experiment) + "</h2><p>" + escaped(main.about) + "</p>" +
-                    text("<p class=\"note\">%llu runs of %g s, seeds %llu to %llu; the rules were looked at %llu "
-                         "times. The shaded times are the faults of seed %llu.</p>",
-                         static_cast<unsigned long long>(main.runs), main.lasts,
-                         static_cast<unsigned long long>(main.first_seed), static_cast<unsigned long long>(main.last_seed),
-                         static_cast<unsigned long long>(main.checks()), static_cast<unsigned long long>(main.first_seed)) +
-                    table(sets);
+  std::string out =
+      "<section><h2>" + escaped(main.experiment) + "</h2><p>" + escaped(main.about) + "</p>" +
+      text(
+          "<p class=\"note\">%llu runs of %g s, seeds %llu to %llu; the rules were looked at %llu "
+          "times. The shaded times are the faults of seed %llu.</p>",
+          static_cast<unsigned long long>(main.runs), main.lasts,
+          static_cast<unsigned long long>(main.first_seed), static_cast<unsigned long long>(main.last_seed),
+          static_cast<unsigned long long>(main.checks()), static_cast<unsigned long long>(main.first_seed)) +
+      table(sets);
   std::vector<Line> service, refused, moved;
   for (std::size_t i = 0; i < sets.size(); ++i) {
     const std::string colour = kColours[i % std::size(kColours)];
@@ -193,27 +205,36 @@
   }
   out += legend(service);
   const double lasts = main.lasts;
-  out += "<h3>Service over time</h3>" + Plot(lasts, 230, 1, "share of the utility asked for").draw(service, main.marks);
+  out += "<h3>Service over time</h3>" +
+         Plot(lasts, 230, 1, "share of the utility asked for").draw(service, main.marks);
   out += "<h3>Sessions refused</h3>" +
          Plot(lasts, 170, most_of(refused, 1), "a second and run").draw(refused, main.marks);
-  out += "<h3>Sessions moved</h3>" + Plot(lasts, 170, most_of(moved, 1), "a second and run").draw(moved, main.marks);
+  out += "<h3>Sessions moved</h3>" +
+         Plot(lasts, 170, most_of(moved, 1), "a second and run").draw(moved, main.marks);
   std::vector<Line> loads;
   for (std::size_t h = 0; h < main.loads.size(); ++h)
     loads.push_back({"s-" + std::to_string(h), kColours[h % std::size(kColours)], main.loads[h], 1.2, 0.75});
-  out += text("<h3>Load of each host, seed %llu, ", static_cast<unsigned long long>(main.first_seed)) + escaped(main.title) +
-         "</h3>" + Plot(lasts, 250, std::min(most_of(loads, 1), 3.0), "load asked over what it can do").draw(loads, main.marks);
+  out += text("<h3>Load of each host, seed %llu, ", static_cast<unsigned long long>(main.first_seed)) +
+         escaped(main.title) + "</h3>" +
+         Plot(lasts, 250, std::min(most_of(loads, 1), 3.0), "load asked over what it can do")
+             .draw(loads, main.marks);
   out += "<h3>Time to UP</h3>" + percentiles(sets);
   if (!main.marks.empty()) {
     out += "<details><summary>Faults of seed " + std::to_string(main.first_seed) + "</summary><ul>";
-    for (const RunSet::Mark& m : main.marks) out += "<li>" + text("%.1f s: ", m.at) + escaped(m.what) + "</li>";
+    for (const RunSet::Mark& m : main.marks)
+      out += "<li>" + text("%.1f s: ", m.at) + escaped(m.what) + "</li>";
     out += "</ul></details>";
   }
   for (const RunSet* s : sets) {
-    if (!s->failed().empty()) out += "<p class=\"bad\">" + escaped(s->title) + ": " + escaped(s->failed()) + "</p>";
+    if (!s->failed().empty())
+      out += "<p class=\"bad\">" + escaped(s->title) + ": " + escaped(s->failed()) + "</p>";
     if (s->first_broken.empty()) continue;
-    out += "<details" + std::string(s == &main ? " open" : "") + "><summary class=\"bad\">Rules broken: " + escaped(s->title) +
-           "</summary><div class=\"wide\"><table><thead><tr><th>seed</th><th>at</th><th>rule</th><th>session</th><th>what</th>"
-           "</tr></thead><tbody>";
+    out +=
+        "<details" + std::string(s == &main ? " open" : "") +
+        "><summary class=\"bad\">Rules broken: " + escaped(s->title) +
+        "</summary><div "
+        "class=\"wide\"><table><thead><tr><th>seed</th><th>at</th><th>rule</th><th>session</th><th>what</th>"
+        "</tr></thead><tbody>";
     for (const RunSet::Broken& b : s->first_broken) {
       out += text("<tr><td>%llu</td><td>%.3f s</td><td>%s</td><td>%s</td><td class=\"text\">",
                   static_cast<unsigned long long>(b.seed), b.at, b.rule.c_str(), b.session.c_str()) +
@@ -242,7 +263,8 @@
 
 std::string report_page(const std::vector<RunSet>& sets) {
   std::string out =
-      "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><meta name=\"viewport\" content=\"width=device-width\">"
+      "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><meta name=\"viewport\" "
+      "content=\"width=device-width\">"
       "<title>flintweir lab</title>" +
       std::string(kStyle) + "<h1>flintweir lab</h1>";
   std::vector<std::string> names;
--- a/src/lab/results.cpp
+++ b/src/lab/results.cpp
@@ -35,7 +35,8 @@
   ++runs;
   took_ += ran.took;
   seconds_ += lasts;
-  if (!ran.failed.empty() && failed_.empty()) failed_ = "seed " + std::to_string(ran.seed) + ": " + ran.failed;
+  if (!ran.failed.empty() && failed_.empty())
+    failed_ = "seed " + std::to_string(ran.seed) + ": " + ran.failed;
   tally_.add(o.tally);
   for (const std::string& name : figure_names()) per_seed_[name].push_back(*lab::figure(o.tally, name));
   hash_value_ = mix(hash_value_ * 31 + o.hash);
@@ -77,7 +78,8 @@
     moved.push_back(s.moved / n);
     came.push_back(s.sessions / n);
   }
-  for (const double share : kShares) to_up.emplace_back(share, static_cast<double>(tally_.to_up.at(share).count()) / 1000);
+  for (const double share : kShares)
+    to_up.emplace_back(share, static_cast<double>(tally_.to_up.at(share).count()) / 1000);
 }
 
 nlohmann::json RunSet::to_json() const {
@@ -90,7 +92,8 @@
                      {"loads", loads},           {"to_up", to_up},         {"failed", failed_}};
   out["broken"] = nlohmann::json::array();
   for (const Broken& b : first_broken)
-    out["broken"].push_back({{"seed", b.seed}, {"at", b.at}, {"rule", b.rule}, {"session", b.session}, {"what", b.what}});
+    out["broken"].push_back(
+        {{"seed", b.seed}, {"at", b.at}, {"rule", b.rule}, {"session", b.session}, {"what", b.what}});
   out["marks"] = nlohmann::json::array();
   for (const Mark& m : marks) out["marks"].push_back({{"at", m.at}, {"until", m.until}, {"what", m.what}});
   return out;
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -15,7 +15,8 @@
 namespace flintweir::lab {
 namespace {
 
-std::vector<Fault> faults_of(const Experiment& e, std::uint64_t seed, const std::optional<std::set<std::size_t>>& only) {
+std::vector<Fault> faults_of(const Experiment& e, std::uint64_t seed,
+                             const std::optional<std::set<std::size_t>>& only) {
   const std::vector<Fault> all = draw_faults(e.faults, e.fleet, e.lasts, seed);
   if (!only) return all;
   std::vector<Fault> some;
@@ -42,7 +43,8 @@
 
 }  // namespace
 
-Ran run_virtual(const Experiment& e, std::uint64_t seed, Keep keep, const std::optional<std::set<std::size_t>>& only) {
+Ran run_virtual(const Experiment& e, std::uint64_t seed, Keep keep,
+                const std::optional<std::set<std::size_t>>& only) {
   return timed(seed, [&](Ran& out) {
     VirtualStage stage(e.carriage, mix(seed + 17), e.node.sockets, balancer_named(e.node.balancer),
                        keep.node_log ? &out.node_log : nullptr);
@@ -58,7 +60,8 @@
   for (const FaultPlan& f : e.faults) {
     for (const FaultKind& k : fault_kinds()) {
       if (f.kind == k.name && k.virtual_only)
-        throw BadFile(e.name + ":1: fault.kind: '" + f.kind + "' needs the virtual network; run it without --real");
+        throw BadFile(e.name + ":1: fault.kind: '" + f.kind +
+                      "' needs the virtual network; run it without --real");
     }
   }
   return timed(seed, [&](Ran& out) {
@@ -68,8 +71,8 @@
   });
 }
 
-void run_seeds(std::uint64_t first, std::uint64_t last, unsigned jobs, const std::function<Ran(std::uint64_t)>& run,
-               const std::function<bool(Ran&&)>& done) {
+void run_seeds(std::uint64_t first, std::uint64_t last, unsigned jobs,
+               const std::function<Ran(std::uint64_t)>& run, const std::function<bool(Ran&&)>& done) {
   std::atomic<std::uint64_t> next{first};
   std::atomic<bool> enough{false};
   std::mutex mutex;
@@ -121,8 +124,8 @@
   std::set<std::size_t> left;
   const std::size_t all = draw_faults(e.faults, e.fleet, e.lasts, seed).size();
   for (std::size_t i = 0; i < all; ++i) left.insert(i);
-  // Parts are left out, ever smaller ones; those of one size are tried together, and the first that still fails
-  // is taken.
+  // Parts are left out, ever smaller ones; those of one size are tried together, and the first that still
+  // fails is taken.
   for (std::size_t part = std::max<std::size_t>(left.size() / 2, 1); !left.empty();) {
     const std::vector<std::size_t> now(left.begin(), left.end());
     std::vector<std::set<std::size_t>> without;
--- a/src/lab/runner.h
+++ b/src/lab/runner.h
@@ -29,16 +29,16 @@
 Ran run_virtual(const Experiment& experiment, std::uint64_t seed, Keep keep = {},
                 const std::optional<std::set<std::size_t>>& only = {});
 // One run in real time against a program. Throws BadFile where the experiment needs what loopback has not.
-Ran run_real(const Experiment& experiment, std::uint64_t seed, Keep keep, const std::vector<std::string>& program,
-             const std::string& folder);
+Ran run_real(const Experiment& experiment, std::uint64_t seed, Keep keep,
+             const std::vector<std::string>& program, const std::string& folder);
 
-// Each seed from first to last, so many at a time; `done` is called in the order of the seeds, by one thread at
-// a time. It returns false to end early.
-void run_seeds(std::uint64_t first, std::uint64_t last, unsigned jobs, const std::function<Ran(std::uint64_t)>& run,
-               const std::function<bool(Ran&&)>& done);
+// Each seed from first to last, so many at a time; `done` is called in the order of the seeds, by one thread
+// at a time. It returns false to end early.
+void run_seeds(std::uint64_t first, std::uint64_t last, unsigned jobs,
+               const std::function<Ran(std::uint64_t)>& run, const std::function<bool(Ran&&)>& done);
 
-// The fewest faults found with which the run still breaks the same rule; by halves, then one by one. `tried` is
-// told after each run. Nothing where the whole run breaks none.
+// The fewest faults found with which the run still breaks the same rule; by halves, then one by one. `tried`
+// is told after each run. Nothing where the whole run breaks none.
 std::optional<std::set<std::size_t>> shrink(const Experiment& experiment, std::uint64_t seed, unsigned jobs,
                                             const std::function<void(std::size_t left, bool fails)>& tried);
 
--- a/src/lab/talk.cpp
+++ b/src/lab/talk.cpp
@@ -10,7 +10,8 @@
 
 std::string line_of(const char* who, SessionNo session, unsigned number, unsigned size) {
   char head[64];
-  std::snprintf(head, sizeof head, "%s %llx %u ", who, static_cast<unsigned long long>(session.value), number);
+  std::snprintf(head, sizeof head, "%s %llx %u ", who, static_cast<unsigned long long>(session.value),
+                number);
   std::string out = head;
   std::uint64_t x = session.value * 0x9e3779b97f4a7c15ull + number;
   while (out.size() + 2 < size) {
--- a/src/lab/virtual_stage.cpp
+++ b/src/lab/virtual_stage.cpp
@@ -8,12 +8,12 @@
 using namespace std::chrono_literals;
 
 constexpr Micros kStart{1'700'000'000'000'000};  // any time far from zero
-constexpr Micros kMends = 2500ms;                // until all that was lost has been sent again, and seen to be
+constexpr Micros kMends = 2500ms;  // until all that was lost has been sent again, and seen to be
 
 }  // namespace
 
-VirtualStage::VirtualStage(Carriage carriage, std::uint64_t seed, std::size_t descriptors, net::MakeBalancer make,
-                           std::string* logged)
+VirtualStage::VirtualStage(Carriage carriage, std::uint64_t seed, std::size_t descriptors,
+                           net::MakeBalancer make, std::string* logged)
     : carriage_(carriage),
       timeline_(kStart),
       fabric_(timeline_, carriage, seed),
--- a/src/lab/virtual_stage.h
+++ b/src/lab/virtual_stage.h
@@ -53,8 +53,8 @@
   std::size_t descriptors_;
   net::MakeBalancer make_;
   std::string* logged_;
-  std::vector<ZoneNo> zones_;              // of machines
-  std::vector<Micros> lost_until_;         // of machines: the end of their last loss
+  std::vector<ZoneNo> zones_;       // of machines
+  std::vector<Micros> lost_until_;  // of machines: the end of their last loss
   std::map<std::pair<std::uint32_t, std::uint32_t>, Micros> cut_until_;
   std::vector<std::unique_ptr<Process>> processes_;
   std::map<std::uint32_t, NodeAt> nodes_;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -10,16 +10,19 @@
 using namespace std::chrono_literals;
 
 constexpr Micros kTick = 100ms;
-constexpr Micros kStartsAgain = 500ms;  // a node or host that is replaced, after its end
+constexpr Micros kStartsAgain = 500ms;             // a node or host that is replaced, after its end
 constexpr Micros kFrontHears[2] = {200ms, 400ms};  // of a node that leaves
 
 nlohmann::json us(Micros t) { return t.count(); }
 
-HostNo host_of(const ListModel::Entry& e) { return {static_cast<std::uint32_t>(std::stoul(e.name.substr(2)))}; }
+HostNo host_of(const ListModel::Entry& e) {
+  return {static_cast<std::uint32_t>(std::stoul(e.name.substr(2)))};
+}
 
 std::vector<ZoneNo> zones_of_nodes(const FleetPlan& fleet) {
   std::vector<ZoneNo> out;
-  for (unsigned i = 0; i < fleet.nodes; ++i) out.push_back({static_cast<std::uint32_t>(i % fleet.zones.size())});
+  for (unsigned i = 0; i < fleet.nodes; ++i)
+    out.push_back({static_cast<std::uint32_t>(i % fleet.zones.size())});
   return out;
 }
 
@@ -59,7 +62,8 @@
 }
 
 Micros World::between(const Micros (&range)[2]) {
-  return range[0] + Micros{static_cast<std::int64_t>(uniform() * static_cast<double>((range[1] - range[0]).count()))};
+  return range[0] +
+         Micros{static_cast<std::int64_t>(uniform() * static_cast<double>((range[1] - range[0]).count()))};
 }
 
 void World::build() {
@@ -92,8 +96,8 @@
     }
     h.capacity = kind->cores * kind->speed * 1e6;
     h.share = kind->cores * kind->speed / mean;
-    h.model = std::make_unique<HostModel>(experiment_.host, experiment_.cold, h.capacity, h.capacity / mean_life,
-                                          mean_load, mix(seed_ + 1000 + i));
+    h.model = std::make_unique<HostModel>(experiment_.host, experiment_.cold, h.capacity,
+                                          h.capacity / mean_life, mean_load, mix(seed_ + 1000 + i));
     hosts_.push_back(std::move(h));
   }
   for (HostUnit& h : hosts_) {
@@ -122,13 +126,11 @@
     start_node(n);
     // Checked from the zone that it serves.
     Crowd& crowd = crowds_[n.zone.value];
-    n.front = std::make_unique<FrontPeer>(*crowd.sockets, *crowd.wakes, experiment_.front.check_every,
-                                          [this, no = n.no](bool answered) {
-                                            if (answered && !nodes_[no.value].leaving)
-                                              return front_.check_answered(no);
-                                            if (!answered)
-                                              front_.check_failed(no, now(), between(experiment_.front.notices));
-                                          });
+    n.front = std::make_unique<FrontPeer>(
+        *crowd.sockets, *crowd.wakes, experiment_.front.check_every, [this, no = n.no](bool answered) {
+          if (answered && !nodes_[no.value].leaving) return front_.check_answered(no);
+          if (!answered) front_.check_failed(no, now(), between(experiment_.front.notices));
+        });
     n.front->begin(stage_.address(n.machine));
   }
   const TrafficPlan& traffic = experiment_.traffic;
@@ -138,7 +140,8 @@
     const std::uint64_t group = traffic.groups ? 1 + mix(seed_ + 7777 + i) % traffic.groups : 0;
     clients_.push_back(std::make_unique<ClientPeer>(
         *crowds_[zone.value].sockets, *crowds_[zone.value].wakes, crowds_[zone.value].machine, zone,
-        ClientModel(traffic, mix(seed_ * 31 + i) | 1, group, mix(seed_ + 100000 + i)), door, checker_, log_, traffic));
+        ClientModel(traffic, mix(seed_ * 31 + i) | 1, group, mix(seed_ + 100000 + i)), door, checker_, log_,
+        traffic));
   }
   for (unsigned i = 0; i < traffic.rude; ++i) {
     const ZoneNo zone{i % zones};
@@ -158,8 +161,9 @@
   h.model->start(now(), cold);
   ++h.turn;
   const Register& known = *this;
-  h.server = std::make_unique<HostServer>(*h.network, *h.model, h.no, h.name, known, checker_, log_, experiment_.host,
-                                          experiment_.traffic, experiment_.cold.tip_after, mix(seed_ + 500000 + h.no.value + 7919 * h.turn));
+  h.server = std::make_unique<HostServer>(*h.network, *h.model, h.no, h.name, known, checker_, log_,
+                                          experiment_.host, experiment_.traffic, experiment_.cold.tip_after,
+                                          mix(seed_ + 500000 + h.no.value + 7919 * h.turn));
   h.server->serve(stage_.address(h.machine));
   h.up = true;
   h.lost = h.leaving = false;
@@ -179,8 +183,8 @@
 }
 
 void World::list_host(const HostUnit& h, Standing standing, Micros late) {
-  list_.change({h.name, net::to_text(stage_.address(h.machine)), experiment_.fleet.zones[h.zone.value], h.cell.value,
-                h.share, standing, h.model->started()},
+  list_.change({h.name, net::to_text(stage_.address(h.machine)), experiment_.fleet.zones[h.zone.value],
+                h.cell.value, h.share, standing, h.model->started()},
                now() + late);
   // Whoever watches hears of it when it is known; a look at that time is enough.
   if (late > 0us)
@@ -191,11 +195,12 @@
 void World::serve_list(NodeUnit& n) {
   n.list_machine = stage_.add_machine({0});
   n.list_network = &stage_.begin(n.list_machine);
-  n.list = std::make_unique<ListServer>(*n.list_network, list_, mood_, [this, no = n.no](const ListModel::Entry& e, Micros written) {
-    const NodeUnit& node = nodes_[no.value];
-    if (!node.up || node.lost) return;
-    checker_.told(no, node.list_machine, host_of(e), e.standing, e.started, written);
-  });
+  n.list = std::make_unique<ListServer>(
+      *n.list_network, list_, mood_, [this, no = n.no](const ListModel::Entry& e, Micros written) {
+        const NodeUnit& node = nodes_[no.value];
+        if (!node.up || node.lost) return;
+        checker_.told(no, node.list_machine, host_of(e), e.standing, e.started, written);
+      });
   n.list->serve(stage_.address(n.list_machine));
 }
 
@@ -211,35 +216,38 @@
                          {"effect", r.effect == Effect::repeatable   ? "repeatable"
                                     : r.effect == Effect::referenced ? "by_key"
                                                                      : "once"},
-                         {"group", r.reach == Reach::all ? "all" : r.reach == Reach::zone ? "zone" : "cell"},
+                         {"group", r.reach == Reach::all    ? "all"
+                                   : r.reach == Reach::zone ? "zone"
+                                                            : "cell"},
                          {"dedupWindow", us(r.memory)},
                          {"utility", r.utility}});
   }
   double target = 1e18;
   for (const ListenerPlan& l : experiment_.traffic.listeners)
     target = std::min(target, static_cast<double>(l.message_target.count()));
-  const nlohmann::json settings{
-      {"balancers", nodes_.size()},
-      {"myZone", n.zone.value},
-      {"failureDomains", experiment_.fleet.zones},
-      {"discovery", "on_request"},
-      {"listeners", listeners},
-      {"ceilings",
-       {{"maxDials", plan.most_dials},
-        {"connectTimeout", us(plan.connect_timeout)},
-        {"probes", plan.probes},
-        {"retryAfter", plan.longest_stay_away > 0us},
-        {"maxRetryAfter", us(plan.longest_stay_away)}}},
-      {"rules",
-       {{"askEvery", us(experiment_.list.ask_every)},
-        {"cold", us(cold.warm_within)},
-        {"coldShare", cold.share},
-        {"overloadFactor", cold.multiple},
-        {"tipAfter", us(cold.tip_after)}}},
-      {"prices", {{"probe", plan.probe_price}, {"crossZone", plan.crossing_price}}},
-      {"familyInfo",
-       {{"groups", experiment_.traffic.groups > 0}, {"tellsDelay", true}, {"messageAim", nlohmann::json::array({target})}}},
-      {"reporting", {{"fields", nlohmann::json::array({"util", "x0"})}}}};
+  const nlohmann::json settings{{"balancers", nodes_.size()},
+                                {"myZone", n.zone.value},
+                                {"failureDomains", experiment_.fleet.zones},
+                                {"discovery", "on_request"},
+                                {"listeners", listeners},
+                                {"ceilings",
+                                 {{"maxDials", plan.most_dials},
+                                  {"connectTimeout", us(plan.connect_timeout)},
+                                  {"probes", plan.probes},
+                                  {"retryAfter", plan.longest_stay_away > 0us},
+                                  {"maxRetryAfter", us(plan.longest_stay_away)}}},
+                                {"rules",
+                                 {{"askEvery", us(experiment_.list.ask_every)},
+                                  {"cold", us(cold.warm_within)},
+                                  {"coldShare", cold.share},
+                                  {"overloadFactor", cold.multiple},
+                                  {"tipAfter", us(cold.tip_after)}}},
+                                {"prices", {{"probe", plan.probe_price}, {"crossZone", plan.crossing_price}}},
+                                {"familyInfo",
+                                 {{"groups", experiment_.traffic.groups > 0},
+                                  {"tellsDelay", true},
+                                  {"messageAim", nlohmann::json::array({target})}}},
+                                {"reporting", {{"fields", nlohmann::json::array({"util", "x0"})}}}};
   char seed[20];
   std::snprintf(seed, sizeof seed, "%llx", static_cast<unsigned long long>(n.seed));
   return nlohmann::json{{"name", "n" + std::to_string(n.no.value)},
@@ -498,7 +506,8 @@
   stage_.run_until(start_ + experiment_.lasts);
   for (NodeUnit& n : nodes_) {
     if (n.up && !n.lost && !n.leaving && !stage_.running(n.no))
-      out_.violations.push_back({Rule::answer, since_start(), {}, "node n" + std::to_string(n.no.value) + " has ended by itself"});
+      out_.violations.push_back(
+          {Rule::answer, since_start(), {}, "node n" + std::to_string(n.no.value) + " has ended by itself"});
   }
   for (const Second& s : out_.seconds) {
     out_.tally.asked += s.asked;
--- a/src/net/kernel_network.cpp
+++ b/src/net/kernel_network.cpp
@@ -135,8 +135,7 @@
 void KernelNetwork::wait(SocketKey key) {
   Entry* const e = sockets_.find(key);
   if (!e) return;
-  e->socket.async_wait(is_read ? Socket::wait_read : Socket::wait_write,
-                       kept([key](std::error_code ec) {
+  e->socket.async_wait(is_read ? Socket::wait_read : Socket::wait_write, kept([key](std::error_code ec) {
                          Entry* const here = Places<Entry>::find(key);
                          if (!here) return;
                          if constexpr (is_read)
--- a/src/net/kernel_network.h
+++ b/src/net/kernel_network.h
@@ -50,8 +50,8 @@
   // With the loop's own executor, which needs no type erased at each wait.
   using Executor = asio::io_context::executor_type;
   using Socket = asio::basic_stream_socket<asio::ip::tcp, Executor>;
-  using Timer =
-      asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Executor>;
+  using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
+                                           asio::wait_traits<std::chrono::steady_clock>, Executor>;
   struct Entry {
     explicit Entry(asio::io_context& io) : socket(io) {}
     Socket socket;
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -10,8 +10,8 @@
 
 namespace flintweir::net {
 
-using MakeBalancer =
-    std::function<std::unique_ptr<Balancer>(const setup::Values& settings, Outlet& outlet, std::uint64_t seed)>;
+using MakeBalancer = std::function<std::unique_ptr<Balancer>(const setup::Values& settings, Outlet& outlet,
+                                                             std::uint64_t seed)>;
 
 class Node final : Sessions::Told, Discovery::Told, Woken, DoorEvents {
  public:
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -98,8 +98,8 @@
   bool up_ = false, finishing_ = false;
 };
 
-// Whatever breaks for a while, bytes come in order and none is lost or made up, both ways; the end comes after
-// the last of them, or not at all.
+// Whatever breaks for a while, bytes come in order and none is lost or made up, both ways; the end comes
+// after the last of them, or not at all.
 TEST(Fabric, CarriesBytesInOrderThroughTroubles) {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     std::mt19937_64 chance(seed);
@@ -207,7 +207,8 @@
       {"name = \"x\"\n\n[feet]\nnodes = 2", "x:3: feet:"},
       {"name = \"x\"\n[[fault]]\nkind = \"meteor\"\nat = \"5s\"", "x:3: fault[0].kind:"},
       {"name = \"x\"\n[[fault]]\nkind = \"host-dies\"", "x:2: fault[0].at:"},
-      {"name = \"x\"\n[[fault]]\nkind = \"host-dies\"\nat = \"1s\"\nwhere = \"s-99\"", "x:5: fault[0].where:"},
+      {"name = \"x\"\n[[fault]]\nkind = \"host-dies\"\nat = \"1s\"\nwhere = \"s-99\"",
+       "x:5: fault[0].where:"},
       {"name = \"x\"\n[[listener]]\nname = \"a\"\ndial_timeout = \"1ms\"", "x:4: listener[0].dial_timeout:"},
       {"name = \"x\"\nname = \"y\"", "x:2: file:"},
       {"[fleet]\nnodes = 1", "x:1: name:"},
@@ -237,8 +238,9 @@
   // And however many run at a time.
   const auto hashes = [&](unsigned jobs) {
     std::vector<std::uint64_t> out;
-    run_seeds(1, 6, jobs, [&](std::uint64_t seed) { return run_virtual(e, seed); },
-              [&](Ran&& ran) { return out.push_back(ran.outcome.hash), true; });
+    run_seeds(
+        1, 6, jobs, [&](std::uint64_t seed) { return run_virtual(e, seed); },
+        [&](Ran&& ran) { return out.push_back(ran.outcome.hash), true; });
     return out;
   };
   EXPECT_EQ(hashes(1), hashes(4));
@@ -262,8 +264,9 @@
     return nlohmann::json::parse(text).at(0).at("hash").get<std::string>();
   };
   EXPECT_EQ(hash("1"), hash("8"));
-  for (const char* words : {"run no/such/file.toml", "run --seeds 9..1", "compare " FLINTWEIR_EXPERIMENTS
-                            "/calm.toml --base no-such-variant", "report /no/such/folder"}) {
+  for (const char* words :
+       {"run no/such/file.toml", "run --seeds 9..1",
+        "compare " FLINTWEIR_EXPERIMENTS "/calm.toml --base no-such-variant", "report /no/such/folder"}) {
     const auto [text, status] = tool(words);
     EXPECT_EQ(status, 2) << words;
     EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 1) << text;
@@ -274,16 +277,19 @@
 class Days : public testing::TestWithParam<const char*> {};
 TEST_P(Days, KeepEveryRule) {
   const Experiment e = experiment(GetParam());
-  run_seeds(1, FLINTWEIR_LAB_SEEDS, 4, [&](std::uint64_t seed) { return run_virtual(e, seed); }, [&](Ran&& ran) {
-    EXPECT_EQ(broken(ran), "");
-    EXPECT_GT(ran.outcome.tally.accepted, 0u);
-    return true;
-  });
+  run_seeds(
+      1, FLINTWEIR_LAB_SEEDS, 4, [&](std::uint64_t seed) { return run_virtual(e, seed); },
+      [&](Ran&& ran) {
+        EXPECT_EQ(broken(ran), "");
+        EXPECT_GT(ran.outcome.tally.accepted, 0u);
+        return true;
+      });
 }
 INSTANTIATE_TEST_SUITE_P(Of, Days,
                          testing::Values("all_drop", "burst", "calm", "groups", "hosts_die", "hosts_hang",
-                                         "list_troubles", "lost_machines", "mix", "node_killed", "nodes_restart",
-                                         "overload", "rolling_deploy", "rude_clients", "zone_cut"),
+                                         "list_troubles", "lost_machines", "mix", "node_killed",
+                                         "nodes_restart", "overload", "rolling_deploy", "rude_clients",
+                                         "zone_cut"),
                          [](const auto& info) { return std::string(info.param); });
 
 struct Once {
@@ -297,11 +303,12 @@
 }
 INSTANTIATE_TEST_SUITE_P(
     Seeds, OnceBroken,
-    testing::Values(Once{"mix", 1, "an answer of which only a part was taken was never said in full"},
-                    Once{"mix", 93, "half a line from a host that fell silent kept its client from being moved"},
-                    Once{"rolling_deploy", 5, "cold hosts' own load was left out of what the fleet takes"},
-                    Once{"hosts_die", 19, "arrivals over loads that still grow made cold budgets too large"},
-                    Once{"mix", 792, "parts of a cold budget made more than one after a node had been away"}));
+    testing::Values(
+        Once{"mix", 1, "an answer of which only a part was taken was never said in full"},
+        Once{"mix", 93, "half a line from a host that fell silent kept its client from being moved"},
+        Once{"rolling_deploy", 5, "cold hosts' own load was left out of what the fleet takes"},
+        Once{"hosts_die", 19, "arrivals over loads that still grow made cold budgets too large"},
+        Once{"mix", 792, "parts of a cold budget made more than one after a node had been away"}));
 
 TEST(Lab, BaselinesPlayTheSameDay) {
   Experiment e = Experiment::of_text(kBuiltinDay, "day");
@@ -335,7 +342,8 @@
   e.faults.push_back({"host-hangs", 3s, {}, 2s, 0, 0, "", 0});
   e.faults.push_back({"node-killed", 5s, {}, 1s, 0, 0, "", 1});
   e.faults.push_back({"clients-drop", 8s, {}, 1s, 0.5, 0, "", 2});
-  const auto folder = std::filesystem::temp_directory_path() / ("flintweir-lab-test-" + std::to_string(getpid()));
+  const auto folder =
+      std::filesystem::temp_directory_path() / ("flintweir-lab-test-" + std::to_string(getpid()));
   std::filesystem::create_directories(folder);
   const Ran ran = run_real(e, 1, {}, {FLINTWEIR_PROGRAM}, folder.string());
   std::filesystem::remove_all(folder);
