Drop what the lab never uses, and count troubles of the list in one place

Found on rereading: a client's walk of its load (the host does that), counters and flags that nobody reads, a rest and an end of a session that were the same, the names of the list's troubles written twice.

--- a/src/lab/checker.cpp
+++ b/src/lab/checker.cpp
@@ -112,9 +112,12 @@
 void Checker::cold_sent(HostNo host, SessionNo id, double load, Micros window, Micros now) {
   Host& h = hosts_[host.value];
   const Session* const s = find(id);
-  const auto told =
-      s ? nodes_[s->node.value].told_start.find(host.value) : nodes_.begin()->second.told_start.end();
-  const bool knows = s && told != nodes_[s->node.value].told_start.end() && told->second.started == h.started;
+  bool knows = false;
+  if (s) {
+    const auto& starts = nodes_[s->node.value].told_start;
+    const auto told = starts.find(host.value);
+    knows = told != starts.end() && told->second.started == h.started;
+  }
   while (!h.cold_sent.empty() && now - h.cold_sent.front().at > window) h.cold_sent.pop_front();
   h.cold_sent.push_back({now, load, knows});
 }
--- a/src/lab/client_model.cpp
+++ b/src/lab/client_model.cpp
@@ -9,12 +9,12 @@
 
 using namespace std::chrono_literals;
 
-Micros ClientModel::begin(Micros) {
+Micros ClientModel::begin() {
   state_ = State::resting;
   return scaled(plan_.pause, uniform());
 }
 
-Micros ClientModel::rest(Micros) {
+Micros ClientModel::ended() {
   state_ = State::resting;
   return scaled(plan_.pause, std::min(exponential(), 5.0));
 }
@@ -65,7 +65,7 @@
 }
 
 Micros ClientModel::broken(Micros now) {
-  if (now >= session_.until) return ended(now);
+  if (now >= session_.until) return ended();
   state_ = State::coming;
   tries_ = 0;
   session_.retry = false;
@@ -73,12 +73,4 @@
   return plan_.returns[0] + scaled(plan_.returns[1] - plan_.returns[0], uniform());
 }
 
-Micros ClientModel::ended(Micros now) { return rest(now); }
-
-double ClientModel::drifts(double load, Micros since) {
-  const double usual = plan_.load * listener().load;
-  const double step = plan_.drift * std::sqrt(seconds(since)) * (2 * uniform() - 1);
-  return std::clamp(load * (1 + step), usual / 4, usual * 4);
-}
-
 }  // namespace flintweir::lab
--- a/src/lab/client_model.h
+++ b/src/lab/client_model.h
@@ -31,7 +31,7 @@
   bool wants(Micros now) const { return state_ != State::resting && now < session_.until; }
 
   // Each tells how long to wait for the next call of due().
-  Micros begin(Micros now);  // at the start of a run: part of a pause
+  Micros begin();  // at the start of a run: part of a pause
   // A pause or a wait is over. True: connect and ask now.
   bool due(Micros now);
   void asked() { state_ = State::asking; }
@@ -41,21 +41,18 @@
   // Its open connection broke, or it was told to move.
   Micros broken(Micros now);
   // It has had what it wanted, or that time is over.
-  Micros ended(Micros now);
+  Micros ended();
   // Called by others to come at once, if it rests.
   bool wake(Micros now);
 
   Micros patience() const { return listener().rules.dial_timeout; }
   double uniform() { return std::generate_canonical<double, 32>(chance_); }
   double exponential() { return -std::log(1 - uniform()); }
-  // The load of its connection so long after it was last asked; a walk round its usual one.
-  double drifts(double load, Micros since);
   unsigned line_size() {
     return plan_.line[0] + static_cast<unsigned>(uniform() * (plan_.line[1] - plan_.line[0] + 1));
   }
 
  private:
-  Micros rest(Micros now);
   void want(Micros now);
   Micros scaled(Micros mean, double by) const {
     return Micros{static_cast<std::int64_t>(static_cast<double>(mean.count()) * by)};
--- a/src/lab/client_peer.cpp
+++ b/src/lab/client_peer.cpp
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-void ClientPeer::begin() { wait(model_.begin(wakes_.now())); }
+void ClientPeer::begin() { wait(model_.begin()); }
 
 void ClientPeer::wait(Micros in) {
   ++turn_;
@@ -190,7 +190,7 @@
     stream_.close();
     if (model_.state() == ClientModel::State::open) {
       shut();
-      wait(model_.ended(now));
+      wait(model_.ended());
     }
     return;
   }
@@ -230,7 +230,7 @@
       }
       if (model_.state() == ClientModel::State::resting) counted_ = false;
       if (model_.due(now)) return ask();
-      return wait(model_.ended(now));
+      return wait(model_.ended());
     case Due::patience:
       if (phase_ == Phase::connecting) {
         log_.line(now, "unconnected node=n%u", node_.value);
@@ -252,7 +252,7 @@
       return wakes_.after(kLinger, *this, token(Due::linger));
     case Due::linger:
       shut();
-      return wait(model_.ended(now));
+      return wait(model_.ended());
   }
 }
 
--- a/src/lab/client_peer.h
+++ b/src/lab/client_peer.h
@@ -47,12 +47,10 @@
   void come();  // at once, if it rests
   bool drop();  // breaks its connection, if it has one, and comes again
   void stop() { stream_.close(); }
-  bool open() const { return phase_ == Phase::open; }
   bool wants(Micros now) const { return model_.wants(now); }
   double utility() const { return model_.listener().rules.utility; }
   // Whether its connection does what it is for.
   bool well(Micros now) const;
-  ZoneNo zone() const { return zone_; }
 
  private:
   enum class Phase { idle, connecting, asking, open, ending };
--- a/src/lab/host_server.cpp
+++ b/src/lab/host_server.cpp
@@ -43,7 +43,6 @@
     c.replies.clear();
     c.out.clear();
     c.said = 0;
-    c.ended = false;
     c.loaded_at = c.last_reply = 0us;
     c.stream.adopt(next.socket, c);
     c.stream.want_read();
@@ -90,7 +89,6 @@
   const Micros now = wakes_.now();
   if (line == "PING") return void(c.out.say("PONG\r\n"));
   if (line == "STATS") {
-    ++probes_;
     const HostModel::Report& r = model_.report(now);
     char text[96];
     std::snprintf(text, sizeof text, "PONG util=%.4f,x0=%.4f,inflight=%u\r\n", r.busy, r.load, r.connections);
@@ -201,7 +199,6 @@
   }
   checker_.host_ends(c.call, how, now);
   c.phase = Call::Phase::leaving;
-  c.ended = true;
   if (!c.out.say(last) || c.stream.at_end()) {
     c.stream.close();
     return free(c);
--- a/src/lab/host_server.h
+++ b/src/lab/host_server.h
@@ -35,8 +35,6 @@
   void drain();                        // sends its clients away as the plan says
   void resume();                       // after it has hung
   void die();                          // breaks everything off
-  double load() const { return model_.asked(); }
-  std::uint64_t probes() const { return probes_; }
 
  private:
   struct Call final : net::StreamEvents {
@@ -57,7 +55,6 @@
     Micros loaded_at{0}, last_reply{0};
     std::deque<unsigned> replies;  // sizes
     unsigned said = 0;
-    bool ended = false;  // by this host
   };
   enum class Due : std::uint64_t { answer, reply, leave, away, give_up };
   void knocked() override;
@@ -89,7 +86,7 @@
   Micros tip_after_;
   std::knuth_b chance_;
   Slab<Call> calls_;
-  std::uint64_t receipts_ = 0, probes_ = 0;
+  std::uint64_t receipts_ = 0;
 };
 
 }  // namespace flintweir::lab
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -327,6 +327,12 @@
   }
 }
 
+unsigned* World::list_trouble(const std::string& kind) {
+  const char* const kinds[] = {"list-down", "list-malformed", "list-slow", "list-stale"};
+  const auto found = std::find(std::begin(kinds), std::end(kinds), kind);
+  return found == std::end(kinds) ? nullptr : &list_trouble_[found - std::begin(kinds)];
+}
+
 void World::list_mood() {
   const bool stale = list_trouble_[3] > 0;
   mood_.down = list_trouble_[0] > 0;
@@ -430,9 +436,7 @@
     }
     return;
   } else {
-    const char* const kinds[] = {"list-down", "list-malformed", "list-slow", "list-stale"};
-    for (int i = 0; i < 4; ++i)
-      if (f.kind == kinds[i]) ++list_trouble_[i];
+    if (unsigned* lasting = list_trouble(f.kind)) ++*lasting;
     if (f.kind == "list-slow") mood_.slow = Micros{static_cast<std::int64_t>(f.size * 1e6)};
     if (f.kind == "list-stale") list_.freeze(now());
     list_mood();
@@ -477,9 +481,7 @@
     return start_node(n);
   }
   if (f.kind.starts_with("zone-")) return cut(f.kind, {f.target}, false);
-  const char* const kinds[] = {"list-down", "list-malformed", "list-slow", "list-stale"};
-  for (int i = 0; i < 4; ++i)
-    if (f.kind == kinds[i]) --list_trouble_[i];
+  if (unsigned* lasting = list_trouble(f.kind)) --*lasting;
   list_mood();
 }
 
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -92,6 +92,7 @@
   void begin(const Fault& f);
   void end(const Fault& f, std::uint64_t turn);
   void cut(const std::string& kind, ZoneNo zone, bool on);
+  unsigned* list_trouble(const std::string& kind);  // none: it is no trouble of the list
   void list_mood();
   void tick();
 
