Fill cold hosts by chance where a node's part is under a session; weigh sessions by cores

(1) ColdGuard::room asked for a whole session within the node's part of the budget: with 100 nodes a part is less than one, and all round down. per_share_ was 0 besides, since a node that has just lost its clients has no own load. (2) take_means: carried / (nodes * own_load) with an own load of one light session took each for 0.1 to 0.2 of a host, and with a copy of its group for all of it. Ruled out by the same trace: the list (told within 2 s), probes (the hosts passed over had been asked), descriptors.

Now chance decides on what is left of a session, once a window; the rate is what fills a host over its warm-up, if that is more than turnover; the node's part is its own load over a while against what the fleet carries over the same while; and a session takes no more of a host than of one core. The lab's hosts take the same rate.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -84,14 +84,21 @@
   bool cold(Micros now, Micros started) const {
     return started > Micros{0} && now - started < rule_.warm_within;
   }
-  // `rate`: what this node's part of the warm host takes a second when full, in usual sessions.
-  bool room(Micros now, Micros started, double rate, double cost, const RecentSum& sent) const {
+  // What a second fills of a host, where so much of all load ends of itself in one: a cold host takes
+  // connections as fast as fills it over its warm-up, also where they live far longer.
+  double filling(double turnover) const { return std::max(turnover, 1 / seconds(rule_.warm_within)); }
+  // `rate`: what this node's part of the warm host takes a second when full, in load. Where the part is less
+  // than the session `chance`, drawn for each window, decides, so that all nodes' parts still make one. Guards
+  // against a host that stays empty until it is warm, as each of many nodes may send less than one session.
+  bool room(Micros now, Micros started, double rate, double cost, const RecentSum& sent, double chance) const {
     const double budget = kCaution * rule_.multiple * warmth(now - started) * rate * seconds(rule_.window);
-    return sent.since(now - rule_.window) + cost <= budget;
+    const double before = sent.since(now - rule_.window);
+    return before + cost <= budget || (before <= 0 && chance * cost <= kCautionByChance * budget);
   }
 
  private:
-  static constexpr double kCaution = 0.75;  // the rate is an estimate from few sessions
+  // The rate is an estimate from few sessions; and chance strays from what it makes on the whole.
+  static constexpr double kCaution = 0.75, kCautionByChance = 0.67;
   ColdRule rule_;
 };
 
@@ -126,6 +133,8 @@
   SilenceJudge silence;
   double probe_due = 0;  // a probe is sent when it reaches one
   Micros moved_at = kNever, asked_at{0};
+  Micros drawn_at = kNever;  // when `chance` was drawn, for what is left of a cold host's budget
+  double chance = 0;
   Micros aside_until = kNever, last_pause{0};
 
   // A failure after the last pause doubles the pause for which the host is passed over. Being accepted proves
@@ -228,6 +237,7 @@
         guard_(cold),
         ended_load_(4 * cold.warm_within),
         load_time_(4 * cold.warm_within),
+        full_time_(4 * cold.warm_within),
         list_(list),
         crossing_price_(prices.crossing),
         pace_(prices.probe),
@@ -321,6 +331,7 @@
     if (Host* h = hosts_.find(s->host)) h->own_load += load - s->load;
     s->load = load;
     usual_[s->taken.listener.value].add(load, 0.98);
+    told_ = true;
   }
 
   // Work piled up at a host makes its messages late long after its reported load has fallen.
@@ -441,26 +452,34 @@
 
   // The mean load of the hosts in use, for new ones and for comparison.
   void take_means() {
-    double load = 0, known = 0, own = 0, all = 0, own_load = 0, carried = 0, warm = 0, groups = 0, seen = 0;
+    double load = 0, known = 0, own = 0, all = 0, own_load = 0, carried = 0, groups = 0, seen = 0,
+           unasked = 0;
+    full_ = 0;
     for (const Host& h : hosts_) {
       if (!h.usable()) continue;
+      const bool cold = guard_.cold(now_, h.started);
       all += 1;
       own += h.own;
       groups += static_cast<double>(h.groups.kinds());
       own_load += h.own_load;
-      if (!h.forecast.known()) continue;
+      if (!h.forecast.known()) {
+        unasked += cold ? 0 : 1;  // a cold one is taken to be empty yet
+        continue;
+      }
       known += 1;
       load += load_of(h);
       carried += h.forecast.raw() * h.share;
       seen += h.own_load - h.sent.at(now_);
-      const bool cold = guard_.cold(now_, h.started);
-      warm += h.forecast.raw() * h.share * (cold ? guard_.warmth(now_ - h.started) : 1);
+      full_ += h.forecast.raw() * h.share * (cold ? guard_.warmth(now_ - h.started) : 1);
     }
-    // This node's part of what a full host of usual size takes a second: the part of its load that ends of itself
-    // in a second, times this node's part of the load that fills it. Neither grows in a rush, while loads still
-    // build up, or when another node's clients come here; and all nodes' parts make one.
-    const double lived = load_time_.at(now_);
-    if (warm > 0) per_share_ = lived > 0 ? ended_load_.at(now_) / lived * std::max(seen, 0.0) / warm : 0;
+    // This node's part of what a full host of usual size takes a second: what fills of it in one, times this
+    // node's part of the load that fills it, both over a while, as a node of many holds next to nothing at
+    // most moments. Neither grows in a rush, while loads still build up, or when another node's clients come
+    // here; and all nodes' parts make one.
+    if (known > 0) full_ *= (known + unasked) / known;
+    const double lived = load_time_.at(now_), filled = full_time_.at(now_);
+    if (filled > 0)
+      per_share_ = lived > 0 ? guard_.filling(ended_load_.at(now_) / lived) * lived / filled : 0;
     mean_known_ = known > 0;
     mean_load_ = known > 0 ? load / known : 0;
     mean_own_ = all > 0 ? own / all : 0;
@@ -474,6 +493,9 @@
     const bool shown = known < 1 || carried > 0 || seen > own_load / 2;
     const double alone = shown ? std::min(carried / (nodes_ * own_load), most) : most;
     per_load_ = std::min((full() ? nodes_ : 1) * alone, 2 * most);
+    // No host does less than one core does. Guards against a node that holds one or two sessions of all the
+    // fleet's, and takes each for a good part of a host, and the hosts that it sends them to for full.
+    if (told_) per_load_ = std::min(per_load_, kOneCore);
   }
 
   void set_aside(Host& h) {
@@ -499,20 +521,24 @@
     const bool before = std::exchange(suspect_, more_ill > 0);
     if (suspect_ && !before) out_.log("most hosts look ill, using them all the same");
     against_.clear();
-    for (const Host& h : hosts_) against_.push_back(reasons(h, s, dials, held));
+    for (Host& h : hosts_) against_.push_back(reasons(h, s, dials, held));
     if (s.taken.group) keep_together(*s.taken.group);
     return rotation_.choose(hosts_, against_);
   }
 
   static bool no_room(const Host& h, double load) { return h.shedding || h.suspended || load >= kFullAt; }
 
-  unsigned reasons(const Host& h, const Session& s, const Dials& dials, bool held) {
+  unsigned reasons(Host& h, const Session& s, const Dials& dials, bool held) {
     if (!h.usable() || !dials.at(s, h)) return barred;
     unsigned against = 0;
     if (guard_.cold(now_, h.started)) {
       // A node that has just started doesn't know what it sent before.
       if (now_ - began_ < guard_.window()) return barred;
-      if (!guard_.room(now_, h.started, per_share_ * h.share, s.load, h.cold_sent)) return barred;
+      if (h.drawn_at == kNever || now_ - h.drawn_at >= guard_.window()) {
+        h.drawn_at = now_;
+        h.chance = std::generate_canonical<double, 32>(chance_);
+      }
+      if (!guard_.room(now_, h.started, per_share_ * h.share, s.load, h.cold_sent, h.chance)) return barred;
       const double warm = guard_.warmth(now_ - h.started);
       if (std::generate_canonical<double, 32>(chance_) > warm) against |= fresh;
     }
@@ -646,8 +672,9 @@
       out_.watch();
     }
     probe_every_ = pace_.interval(now_, began_, hosts_.size());
+    full_time_.add(now_, full_ * seconds(kBeat));
     for (Host& h : hosts_) {
-      load_time_.add(now_, h.own_load * seconds(kBeat));
+      if (full_ > 0) load_time_.add(now_, h.own_load * seconds(kBeat));
       h.sent.fade_by(probe_every_);
       if (!pace_.allowed() || !h.usable() || (h.probe_due += ratio(kBeat, probe_every_)) < 1) continue;
       h.probe_due -= 1;
@@ -747,7 +774,7 @@
 
   static constexpr unsigned kMostPatience = 64;
   static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2.0 / 3, kMostCopy = 8,
-                          kDear = 4, kHeavy = 2, kFewOfGroup = 2, kPriorOwn = 8;
+                          kDear = 4, kHeavy = 2, kOneCore = 1e-6, kFewOfGroup = 2, kPriorOwn = 8;
 
   Outlet& out_;
   std::knuth_b chance_;
@@ -756,7 +783,8 @@
   std::vector<Listener> listeners_;
   DialLimits dial_limits_;
   ColdGuard guard_;
-  FadingSum ended_load_, load_time_;  // of own sessions that ended of themselves; and of all, in load seconds
+  // Of own sessions that ended of themselves; of all, in load seconds; and the hosts that all load fills.
+  FadingSum ended_load_, load_time_, full_time_;
   ListRule list_;
   double crossing_price_;
   ProbePace pace_;
@@ -773,8 +801,8 @@
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, full_at_ = kNever,
                   list_wait_ = kProbeEvery;
-  bool listing_whole_ = false, mean_known_ = false, suspect_ = false, sees_groups_ = false;
-  double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, mean_session_ = 0, per_share_ = 0;
+  bool listing_whole_ = false, mean_known_ = false, suspect_ = false, sees_groups_ = false, told_ = false;
+  double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, mean_session_ = 0, per_share_ = 0, full_ = 0;
   unsigned beats_ = 0, patience_ = 1;
 };
 
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -96,8 +96,10 @@
     }
     h.capacity = kind->cores * kind->speed * 1e6;
     h.share = kind->cores * kind->speed / mean;
-    h.model = std::make_unique<HostModel>(experiment_.host, experiment_.cold, h.capacity,
-                                          h.capacity / mean_life, mean_load, part_seed(seed_, 2, i));
+    h.model =
+        std::make_unique<HostModel>(experiment_.host, experiment_.cold, h.capacity,
+                                    h.capacity / std::min(mean_life, seconds(experiment_.cold.warm_within)),
+                                    mean_load, part_seed(seed_, 2, i));
     hosts_.push_back(std::move(h));
   }
   for (HostUnit& h : hosts_) {
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -389,6 +389,85 @@
   EXPECT_GT(most, 0u);
 }
 
+// Guards against a cold host that stays empty until it is warm, as the part of each of a hundred nodes is
+// less than one session: chance decides, and what all send together stays within the rule, day after day.
+TEST(Cold, IsFilledByManyNodesWhosePartsAreLessThanASession) {
+  constexpr unsigned kMany = 100, kEach = 2;
+  constexpr double kFull = 90, kLoad = 50'000;  // sessions that fill a warm host, and the load of one
+  constexpr HostId fresh{4};
+  unsigned in_all = 0;
+  for (std::uint64_t day = 0; day < 5; ++day) {
+    std::deque<Three> nodes;
+    for (std::uint64_t seed = 1; seed <= kMany; ++seed) {
+      nodes.emplace_back(1000 * day + seed).nodes = kMany;
+      nodes.back().restart();
+    }
+    std::mt19937_64 chance(day);
+    std::uniform_int_distribution<std::size_t> any(0, kMany - 1);
+    std::deque<Micros> sent;
+    const auto step = [&] {  // the warm hosts are full
+      for (Three& w : nodes) {
+        w.pass(100ms);
+        for (const HostId h : std::exchange(w.probes, {}))
+          w.report(h, h == fresh ? 0.1 : kMany * kEach / 3 / kFull);
+      }
+    };
+    for (Three& w : nodes) {
+      for (unsigned i = 0; i < kEach; ++i) {
+        const SessId id = w.arrive(0);
+        w.accept(id);
+        w.clients.at(id).handle.load_is(kLoad);
+      }
+    }
+    for (int i = 0; i < 150; ++i) step();
+    for (Three& w : nodes) {
+      w.hosts[fresh] = {ZoneId{0}, CellId{0}};
+      w.change(fresh, Standing::in, w.now);
+    }
+    const Micros started = nodes[0].now;
+    for (int i = 0; i < 60 && !testing::Test::HasFailure(); ++i) {
+      step();
+      for (int n = 0; n < 20; ++n) {
+        Three& w = nodes[any(chance)];
+        const SessId id = w.arrive(0);
+        if (w.clients.at(id).dials.empty()) continue;
+        const bool cold = w.placed(id) == fresh;
+        w.accept(id);
+        if (!cold) continue;
+        sent.push_back(w.now);
+        ++in_all;
+      }
+      while (!sent.empty() && nodes[0].now - sent.front() > World::kCold.window) sent.pop_front();
+      const double age = static_cast<double>((nodes[0].now - started).count()) / 10e6;
+      EXPECT_LE(static_cast<double>(sent.size()),
+                World::kCold.multiple * (0.3 + 0.7 * age) * kFull / 10 * 2 + 1)
+          << "day " << day;
+    }
+  }
+  EXPECT_GT(in_all, 5 * 20u);
+}
+
+// Guards against a node that holds one light session of all the fleet's, and takes the next few for so much
+// of a host that all hosts look full.
+TEST(Load, OfASessionIsNoMoreThanItsPartOfOneCore) {
+  Three w(3);
+  w.nodes = 100;
+  w.restart();
+  for (int i = 0; i < 30; ++i) {
+    w.pass(100ms);
+    for (const HostId h : std::exchange(w.probes, {})) w.report(h, 0.5);
+  }
+  const auto serve = [&](unsigned listener, double load) {
+    const SessId id = w.arrive(listener);
+    w.accept(id);
+    w.clients.at(id).handle.load_is(load);
+    return id;
+  };
+  w.finish(serve(1, 50'000), Ending::finished);
+  serve(0, 500);
+  for (int i = 0; i < 6; ++i) EXPECT_FALSE(w.clients.at(w.arrive(1)).dials.empty());
+}
+
 TEST(Cold, GetsNothingFromANodeThatHasJustStarted) {
   World w(5);
   w.hosts[a] = {ZoneId{0}, CellId{0}, Standing::in, 0us, w.now - 1s};
