Ask hosts of own sessions eight times as often as others where probes are dear

With 100 nodes each node asks each host once in 15 s, so that none of those that have a session there knows; the hosts that it has nothing on are asked as often. Ruled out: relief itself, which moves within a second of a report. At fault: one interval for all hosts in beat(). The same price now goes first where own sessions are; the others are asked an eighth as often. Where all are asked each second nothing changes.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -87,10 +87,11 @@
   // What a second fills of a host, where so much of all load ends of itself in one: a cold host takes
   // connections as fast as fills it over its warm-up, also where they live far longer.
   double filling(double turnover) const { return std::max(turnover, 1 / seconds(rule_.warm_within)); }
-  // `rate`: what this node's part of the warm host takes a second when full, in load. Where the part is less
-  // than the session `chance`, drawn for each window, decides, so that all nodes' parts still make one. Guards
-  // against a host that stays empty until it is warm, as each of many nodes may send less than one session.
-  bool room(Micros now, Micros started, double rate, double cost, const RecentSum& sent, double chance) const {
+  // `rate`: what this node's part of the warm host takes a second when full, in load. Where that is less than
+  // the session `chance`, drawn for each window, decides, so that all nodes' parts still make one. Guards
+  // against a host that stays empty until it is warm, as each of many nodes may send under one session.
+  bool room(Micros now, Micros started, double rate, double cost, const RecentSum& sent,
+            double chance) const {
     const double budget = kCaution * rule_.multiple * warmth(now - started) * rate * seconds(rule_.window);
     const double before = sent.since(now - rule_.window);
     return before + cost <= budget || (before <= 0 && chance * cost <= kCautionByChance * budget);
@@ -110,9 +111,9 @@
   explicit ProbePace(std::optional<double> price) : price_(price), taken_(2 * kQuietRest) {}
   bool allowed() const { return price_.has_value(); }
   void took(Micros now) { taken_.add(now, 1); }
-  Micros interval(Micros now, Micros since, std::size_t hosts) const {
+  Micros interval(Micros now, Micros since, double hosts) const {
     const double rate = 1 / seconds(kQuietRest) + taken_.per_second(now, since, 2 * kProbeEvery);
-    const double wanted = price_.value_or(0) * static_cast<double>(hosts) / (kShare * rate);
+    const double wanted = price_.value_or(0) * hosts / (kShare * rate);
     if (wanted < seconds(kCurrent)) return kProbeEvery;  // little is won by a little longer
     return std::min(Micros{std::llround(wanted * 1e6)}, 100 * kProbeEvery);
   }
@@ -513,7 +514,7 @@
     bool held = false;
     for (Host& h : hosts_) {
       if (!h.usable()) continue;
-      h.seems_ill = now_ < h.aside_until || h.silence.unusual(now_, probe_every_) > kUnusual;
+      h.seems_ill = now_ < h.aside_until || h.silence.unusual(now_, every(h)) > kUnusual;
       more_ill += h.seems_ill ? 1 : -1;
       held = held || h.holds(s.taken.group);
     }
@@ -634,6 +635,11 @@
     out_.dial(s.id, h->id, limit);
   }
 
+  Micros every(const Host& h) const {
+    if (probe_every_ <= kCurrent || h.own || h.dialing) return own_every_;
+    return Micros{std::llround(static_cast<double>(own_every_.count()) / kIdleProbes)};
+  }
+
   void hold(SlabKey key, Session& s) {
     if (!std::exchange(s.waiting, true))
       out_.wake(std::min(kBeat, s.give_up_at - now_), WakeId{key.packed()});
@@ -671,12 +677,19 @@
       ask_list_at_ = kNever;
       out_.watch();
     }
-    probe_every_ = pace_.interval(now_, began_, hosts_.size());
+    probe_every_ = own_every_ = pace_.interval(now_, began_, static_cast<double>(hosts_.size()));
+    if (probe_every_ > kCurrent) {
+      // The same price buys more where own sessions are. Guards against a host that stays overloaded since
+      // none of the many nodes that each have a session there asks it in time.
+      double asked = 0;
+      for (const Host& h : hosts_) asked += h.own || h.dialing ? 1 : kIdleProbes;
+      own_every_ = std::max(kCurrent, pace_.interval(now_, began_, asked));
+    }
     full_time_.add(now_, full_ * seconds(kBeat));
     for (Host& h : hosts_) {
       if (full_ > 0) load_time_.add(now_, h.own_load * seconds(kBeat));
-      h.sent.fade_by(probe_every_);
-      if (!pace_.allowed() || !h.usable() || (h.probe_due += ratio(kBeat, probe_every_)) < 1) continue;
+      h.sent.fade_by(every(h));
+      if (!pace_.allowed() || !h.usable() || (h.probe_due += ratio(kBeat, every(h))) < 1) continue;
       h.probe_due -= 1;
       out_.probe(h.id);
     }
@@ -774,7 +787,8 @@
 
   static constexpr unsigned kMostPatience = 64;
   static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2.0 / 3, kMostCopy = 8,
-                          kDear = 4, kHeavy = 2, kOneCore = 1e-6, kFewOfGroup = 2, kPriorOwn = 8;
+                          kDear = 4, kHeavy = 2, kOneCore = 1e-6, kIdleProbes = 0.125, kFewOfGroup = 2,
+                          kPriorOwn = 8;
 
   Outlet& out_;
   std::knuth_b chance_;
@@ -788,7 +802,7 @@
   ListRule list_;
   double crossing_price_;
   ProbePace pace_;
-  Micros probe_every_ = kProbeEvery;
+  Micros probe_every_ = kProbeEvery, own_every_ = kProbeEvery;
   Rotation rotation_;
   std::vector<FadingMean> usual_;
   ClientLoads sent_away_;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -241,6 +241,25 @@
   for (int i = 0; i < 6; ++i) EXPECT_NE(w.settle(), c);
 }
 
+// Guards against a host that stays overloaded since none of the nodes that each have a session there asks it
+// in time: where probes are dear the same price goes first to the hosts of own sessions.
+TEST(Probes, GoFirstWhereOwnSessionsAre) {
+  Three w(9);
+  for (unsigned i = 4; i <= 50; ++i) w.hosts[HostId{i}] = {ZoneId{0}, CellId{0}};
+  w.probe_price = 0.002;
+  w.restart();
+  w.pass(1s);
+  const SessId id = w.arrive(0);
+  w.pass(400ms);
+  w.accept(id);
+  w.probes.clear();
+  w.pass(300s);
+  const auto there = std::count(w.probes.begin(), w.probes.end(), w.placed(id));
+  const auto others = static_cast<std::ptrdiff_t>(w.probes.size()) - there;
+  EXPECT_GE(there, 4 * others / 49);
+  EXPECT_GE(others, 49 / 2);
+}
+
 // Many hosts, few sessions and a price on probes: as many probes as the sessions can pay for.
 TEST(Probes, AreSeldomWhereSessionsAreFew) {
   Three w(9);
