--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -363,13 +363,8 @@
     sessions_.each([&](SlabKey key, const Session& s) {
       if (s.state == State::held && s.host == id) held_.push_back(key);
     });
-    for (const SlabKey key : held_) {
-      Session* s = sessions_.find(key);
-      if (!s) continue;
-      // Guards against dials into a silent zone, which each of many nodes would have to find out alone.
-      if (!answered) s->did_not_hear(id);
-      place(key, *s);
-    }
+    for (const SlabKey key : held_)
+      if (Session* s = sessions_.find(key)) place(key, *s);
   }
 
   void list_begins(bool whole) override {
--- a/src/session.h
+++ b/src/session.h
@@ -26,8 +26,6 @@
   HostId host;
   Micros dialed_at{0};
   std::array<HostId, 6> tried{};
-  std::array<HostId, 4> unheard{};  // asked for it before a dial, with no answer; the latest ones
-  unsigned unheard_of = 0;
   // The first dial that may have run, and where.
   bool may_have_run = false;
   Micros ran_at{0};
@@ -51,14 +49,9 @@
     ran_zone = zone;
     ran_cell = cell;
   }
-  void did_not_hear(HostId h) { unheard[unheard_of++ % unheard.size()] = h; }
-  bool has_tried(HostId h) const { return among(tried, dials, h) || among(unheard, unheard_of, h); }
-
- private:
-  template <class Hosts>
-  static bool among(const Hosts& hosts, unsigned count, HostId h) {
-    const auto end = hosts.begin() + std::min<std::size_t>(count, hosts.size());
-    return std::find(hosts.begin(), end, h) != end;
+  bool has_tried(HostId h) const {
+    const auto end = tried.begin() + std::min<std::size_t>(dials, tried.size());
+    return std::find(tried.begin(), end, h) != end;
   }
 };
 
