Pause after a call to discovery that breaks off late, as after any other failure

Seen with a new test of a node that starts from nothing while discovery fails: after a reset of its call, 0.5 s old, it asked again within 0.2 ms. HttpGet::broken takes any end of a kept connection for one that crossed the question and asks anew at once. One node does no harm by that; where discovery is swamped it breaks off the calls of all, and all come again in that moment. Only an end within 50 ms of the question is now taken so; an idle end is noticed while idle. Ruled out: list_failed, whose pauses were kept after 503 and after rubbish.

--- a/src/net/http_get.cpp
+++ b/src/net/http_get.cpp
@@ -3,7 +3,10 @@
 namespace flintweir::net {
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr std::size_t kLongestBody = 16u << 20;
+constexpr Micros kCrossing = 50ms;  // a round trip and a little
 
 }  // namespace
 
@@ -49,6 +52,7 @@
   http_parser_init(&parser_, HTTP_RESPONSE);
   parser_.data = this;
   wakes_.after(within, *this, ++token_);
+  asked_at_ = wakes_.now();
   kept_ = stream_.open();
   if (kept_) return send();
   if (!stream_.connect(at_, *this)) wakes_.after(Micros{0}, *this, token_);
@@ -95,8 +99,10 @@
 void HttpGet::broken(Stream&) {
   stream_.close();
   if (!asking_) return;
-  // A kept connection may have ended while it was idle: asked again on a new one, once.
-  if (std::exchange(kept_, false)) {
+  // A kept connection may have ended before the question was there: asked again on a new one, once. One that
+  // ends later has been heard. Guards against all nodes asking again in the moment in which a service that is
+  // swamped breaks their calls off, without the pause that is due.
+  if (std::exchange(kept_, false) && wakes_.now() - asked_at_ < kCrossing) {
     sent_ = 0;
     if (!stream_.connect(at_, *this)) wakes_.after(Micros{0}, *this, token_);
     return;
--- a/src/net/http_get.h
+++ b/src/net/http_get.h
@@ -47,6 +47,7 @@
   std::string request_, body_;
   std::size_t sent_ = 0;
   std::uint64_t token_ = 0;
+  Micros asked_at_{0};
   bool asking_ = false, kept_ = false, whole_ = false;
 };
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -618,6 +618,33 @@
   accepted();
 }
 
+// Guards against a node that starts from nothing while discovery fails, as after a crash of most nodes at
+// once: it answers its clients in time, asks no faster than its pauses allow, and serves from the first list
+// on.
+TEST_F(Node, ServesFromTheFirstListOnHoweverDiscoveryFailedBefore) {
+  start(0);
+  hosts.emplace_back();
+  Peer call = discovery.take();
+  for (const char* how : {"503 Service Unavailable", "reset", "200 OK"}) {
+    asked(call);
+    Peer client = open();
+    EXPECT_EQ(client.line(1500ms), "BUSY") << how;
+    const auto failed = Steady::now();
+    if (std::string_view(how) == "reset") {
+      call.reset();
+      call = discovery.take();
+    } else {
+      tell(call, "{}", how);
+      EXPECT_TRUE(readable(call.fd(), kPatience));
+    }
+    EXPECT_GE(Steady::now() - failed, 400ms) << how;
+  }
+  asked(call);
+  tell(call, list(7, true, target("s-0", hosts[0].port())));
+  asked(call);  // its next call says that it has taken the list
+  accepted();
+}
+
 TEST_F(Node, FollowsDiscoveryToItsNewAddressOnReload) {
   start(2);
   auto [client, host] = accepted();
