Let connections kept for probes give way where hosts turn sessions away

The kept connection is closed when a session is turned away or not connected there, and for 10 s each question has its own. A test on sockets holds it.

--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -122,6 +122,7 @@
 
 void Link::dial_ended(Ending how) {
   log_end(code_of(how));
+  if (how == Ending::turned_away || how == Ending::unconnected) sessions_.probes_.give_way(at_);
   if (!inherited_) {
     sessions_.balancer_now();
     return handle_.ended(dial_no(), how, false);
--- a/src/net/probes.cpp
+++ b/src/net/probes.cpp
@@ -3,6 +3,13 @@
 #include "net/heads.h"
 
 namespace flintweir::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Micros kGivesWay = 10s;
+
+}  // namespace
 
 void Probes::ask(HostId host, const Address* at) {
   const auto [it, fresh] = by_host_.try_emplace(host.value);
@@ -18,6 +25,18 @@
   by_host_.erase(it);
 }
 
+void Probes::give_way(HostId host) {
+  const auto it = by_host_.find(host.value);
+  if (it != by_host_.end()) probes_.find(it->second)->give_way();
+}
+
+// Guards against a hundred nodes whose kept connections fill the host's table while their sessions are turned
+// away.
+void Probes::Probe::give_way() {
+  keeps_from_ = probes_.wakes_.now() + kGivesWay;
+  if (!asking_) stream_.close();
+}
+
 void Probes::Probe::drop() {
   ++token_;
   asking_ = false;
@@ -65,10 +84,10 @@
   const bool pong = said(without_end(*line), rest) == Says::pong;
   const LoadReport report = pong ? load_report(rest) : LoadReport{};
   stream_.in().drop(line->size());
-  if (!pong || stream_.at_end()) stream_.close();
+  if (!pong || stream_.at_end() || probes_.wakes_.now() < keeps_from_) stream_.close();
   // What nobody asked for is no answer to the next question.
   if (!asking_) return stream_.close();
-  stream_.want_read();
+  if (stream_.open()) stream_.want_read();
   end(pong, report);
 }
 
--- a/src/net/probes.h
+++ b/src/net/probes.h
@@ -26,6 +26,8 @@
   // Answered by one call of probed(), in a later turn.
   void ask(HostId host, const Address* at);
   void forget(HostId host);
+  // The host may be short of connections: sessions go first. None is kept open there for a while.
+  void give_way(HostId host);
 
  private:
   class Probe final : StreamEvents, Woken {
@@ -33,6 +35,7 @@
     explicit Probe(Probes& probes) : probes_(probes), stream_(probes.sockets_) {}
     void ask(HostId host, const Address* at);
     void drop();
+    void give_way();
 
    private:
     void connected(Stream&, bool failed) override;
@@ -48,6 +51,7 @@
     Stream stream_;
     HostId host_;
     Address at_;
+    Micros keeps_from_{0};
     std::uint64_t token_ = 0;
     std::size_t sent_ = 0;
     bool asking_ = false, kept_ = false;  // kept: the connection has answered before
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -715,6 +715,25 @@
   EXPECT_EQ(last, "(end)");
 }
 
+// Guards against hosts whose tables are full of connections kept for probes while sessions are turned away.
+TEST_F(Node, GivesUpTheConnectionKeptForProbesWhereAHostIsFull) {
+  start(1, true);
+  Peer probe = dialled().second;
+  EXPECT_EQ(probe.line(), "STATS");
+  probe.say("PONG util=0.2,x0=0.1\r\n");
+  Peer client = open();
+  Peer host = dialled().second;
+  EXPECT_EQ(host.line().substr(0, 5), "OPEN ");
+  host.say("BUSY\r\n");
+  EXPECT_EQ(probe.line(), "(end)");
+  for (int i = 0; i < 2; ++i) {  // it asks on, by a connection for each question
+    Peer next = dialled().second;
+    EXPECT_EQ(next.line(), "STATS");
+    next.say("PONG x0=0.1\r\n");
+    EXPECT_EQ(next.line(), "(end)");
+  }
+}
+
 // Late answers mean work piled up at a host, whatever load it reports: it gets nothing new for a while.
 TEST_F(Node, TellsTheModuleOfLateAnswers) {
   start(2, true);
