--- a/src/lab/plan.h
+++ b/src/lab/plan.h
@@ -19,6 +19,8 @@
   std::vector<std::string> zones;
   unsigned nodes, hosts;
   std::vector<Kind> kinds;
+  // Hosts are spread over the zones in turn.
+  const std::string& zone_of_host(std::size_t host) const { return zones[host % zones.size()]; }
 };
 
 // How a host that has just started differs from a warm one.
@@ -90,7 +92,7 @@
   Micros lasts;
   double share;       // of the things that it befalls at a time
   double size;        // of what it does, as its kind says
-  std::string where;  // a zone, a host or a node by name; empty: chosen by chance
+  std::string where;  // a zone, a host or a node by name, hosts also by their zone; empty: chosen by chance
   unsigned line;      // in the file
 };
 
