--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -645,6 +645,25 @@
   accepted();
 }
 
+// Guards against a node that starts from an old list, all of whose hosts are gone, while discovery takes
+// seconds to answer: it answers each client in time all the while, and serves by the new list.
+TEST_F(Node, AnswersInTimeWhereAllHostsOfItsOldListAreGone) {
+  start(2);
+  for (Door& gone : hosts) gone.shut();
+  Peer call = discovery.take();
+  asked(call);
+  for (const auto until = Steady::now() + 2500ms; Steady::now() < until; readable(-1, 50ms)) {
+    Peer client = open();
+    EXPECT_EQ(client.line(2050ms), "BUSY");
+  }
+  EXPECT_FALSE(readable(call.fd(), 0ms)) << "the call that is out is the only one";
+  EXPECT_FALSE(discovery.knocked(0ms));
+  hosts.emplace_back();
+  tell(call, list(9, true, target("s-2", hosts[2].port())));
+  asked(call);
+  accepted();
+}
+
 TEST_F(Node, FollowsDiscoveryToItsNewAddressOnReload) {
   start(2);
   auto [client, host] = accepted();
