Work out the two probe intervals once a beat, and say a host's zone in one place

On rereading: every() divided anew for each host at each choice, and 'own or dialling' stood twice; the lab's World worked out a host's zone beside FleetPlan.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -635,10 +635,8 @@
     out_.dial(s.id, h->id, limit);
   }
 
-  Micros every(const Host& h) const {
-    if (probe_every_ <= kCurrent || h.own || h.dialing) return own_every_;
-    return Micros{std::llround(static_cast<double>(own_every_.count()) / kIdleProbes)};
-  }
+  static bool holds_own(const Host& h) { return h.own || h.dialing; }
+  Micros every(const Host& h) const { return holds_own(h) ? own_every_ : idle_every_; }
 
   void hold(SlabKey key, Session& s) {
     if (!std::exchange(s.waiting, true))
@@ -677,13 +675,15 @@
       ask_list_at_ = kNever;
       out_.watch();
     }
-    probe_every_ = own_every_ = pace_.interval(now_, began_, static_cast<double>(hosts_.size()));
+    probe_every_ = own_every_ = idle_every_ =
+        pace_.interval(now_, began_, static_cast<double>(hosts_.size()));
     if (probe_every_ > kCurrent) {
       // The same price buys more where own sessions are. Guards against a host that stays overloaded since
       // none of the many nodes that each have a session there asks it in time.
       double asked = 0;
-      for (const Host& h : hosts_) asked += h.own || h.dialing ? 1 : kIdleProbes;
+      for (const Host& h : hosts_) asked += holds_own(h) ? 1 : kIdleProbes;
       own_every_ = std::max(kCurrent, pace_.interval(now_, began_, asked));
+      idle_every_ = Micros{std::llround(static_cast<double>(own_every_.count()) / kIdleProbes)};
     }
     full_time_.add(now_, full_ * seconds(kBeat));
     for (Host& h : hosts_) {
@@ -802,7 +802,7 @@
   ListRule list_;
   double crossing_price_;
   ProbePace pace_;
-  Micros probe_every_ = kProbeEvery, own_every_ = kProbeEvery;
+  Micros probe_every_ = kProbeEvery, own_every_ = kProbeEvery, idle_every_ = kProbeEvery;
   Rotation rotation_;
   std::vector<FadingMean> usual_;
   ClientLoads sent_away_;
--- a/src/lab/faults.cpp
+++ b/src/lab/faults.cpp
@@ -48,7 +48,7 @@
     std::vector<std::uint32_t> all;
     for (std::uint32_t i = 0; i < count; ++i)
       if (p.where.empty() || name_of(what, i, fleet) == p.where ||
-          (what == "host" && fleet.zone_of_host(i) == p.where))
+          (what == "host" && fleet.zones[fleet.zone_of_host(i)] == p.where))
         all.push_back(i);
     for (std::size_t i = all.size(); i > 1; --i) std::swap(all[i - 1], all[chance() % i]);
     if (p.at) {
--- a/src/lab/plan.h
+++ b/src/lab/plan.h
@@ -20,7 +20,9 @@
   unsigned nodes, hosts;
   std::vector<Kind> kinds;
   // Hosts are spread over the zones in turn.
-  const std::string& zone_of_host(std::size_t host) const { return zones[host % zones.size()]; }
+  std::uint32_t zone_of_host(std::uint32_t host) const {
+    return host % static_cast<std::uint32_t>(zones.size());
+  }
 };
 
 // How a host that has just started differs from a warm one.
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -83,7 +83,7 @@
     HostUnit h;
     h.no = {i};
     h.name = "s-" + std::to_string(i);
-    h.zone = {i % zones};
+    h.zone = {fleet.zone_of_host(i)};
     h.cell = {i % (2 * zones)};
     h.machine = stage_.add_machine(h.zone);
     double drawn = uniform() * all;
