Use hosts that the list lacks while they answer, where only draining binds

rules.softRemoval reaches the module as ListRule::only_draining_binds. Where it holds, a host called OUT or left out is judged by its signs of life alone: answered probes or accepted dials within an interval and two seconds; where no probe is allowed, own open sessions. It is asked for 20 s after the last sign, then forgotten. Also guards against a list that is late or comes again: what was seen to drain drains until it restarts, and a start is never taken back. Harm it could do: a host that stopped without draining is offered for up to 3 s more. Outlet::forget lets the node keep addresses as long as the module may use them. goal.ninesPart and ninesWanted are checked at load; no decision follows from them.

--- a/benchlink/wire.cpp
+++ b/benchlink/wire.cpp
@@ -275,6 +275,7 @@
     reply_.message("TIMER", who_).number(in.count()).text(std::to_string(wake.value)).end();
   }
   void watch() override { reply_.message("OBSERVE", who_).word("true").end(); }
+  void forget(HostId) override {}  // a node may send to any host that a list of its own has named
   void log(std::string_view line) override { reply_.message("LOG", who_).text(line).end(); }
   void log(std::string_view line, HostId host) override {
     log(std::string(line) + ": " + names_.at(host.value));
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -60,6 +60,7 @@
 class SilenceJudge {
  public:
   void sign(Micros now) { gaps_.sign(now); }
+  bool heard_since(Micros t) const { return gaps_.last() != kNever && gaps_.last() >= t; }
   // Minus the common logarithm of the chance that a gap grows this long.
   double unusual(Micros now, Micros expected) const {
     if (!gaps_.known()) return 0;
@@ -376,6 +377,7 @@
   void listed(HostId id, ZoneId zone, CellId cell, Standing standing, double share, Micros started) override {
     Host* h = hosts_.find(id);
     if (!h) {
+      if (standing == Standing::gone) return;
       h = &hosts_.add(Host(id));
       h->probe_due = std::generate_canonical<double, 32>(chance_);
     } else if (started > h->started) {
@@ -385,15 +387,22 @@
       h->suspended = h->shedding = false;
       h->aside_until = h->delay_at = kNever;
     }
-    h->tell(zone, cell, standing, share, started);
+    h->tell(zone, cell, standing, share, started, list_.only_draining_binds);
+    if (standing == Standing::gone) h->list_lacks_it(now_, list_.only_draining_binds);
   }
 
   void list_ends() override {
     list_wait_ = kProbeEvery;
-    if (!std::exchange(listing_whole_, false)) return;
-    for (Host& h : hosts_)
-      if (!h.listed) h.standing = Standing::gone;
-    hosts_.drop_if([](const Host& h) { return h.standing == Standing::gone && !h.own && !h.dialing; });
+    if (std::exchange(listing_whole_, false))
+      for (Host& h : hosts_)
+        if (!h.listed) h.list_lacks_it(now_, list_.only_draining_binds);
+    hosts_.drop_if([&](const Host& h) {
+      if (h.own || h.dialing || h.off_list == kNever) return false;
+      // Where a list may be wrong, a host that it lacks may come back on it, and one that drained as well.
+      const bool over = h.missing() ? !worth_asking(h) : now_ - h.off_list >= forget_after();
+      if (over) out_.forget(h.id);
+      return over;
+    });
   }
 
   // Many nodes may fail at once: each waits longer after each failure, by chance, yet well within ask_every.
@@ -406,6 +415,16 @@
  private:
   static constexpr Micros kBeat = kProbeEvery / kBeatsPerProbe;
 
+  Micros forget_after() const { return list_.only_draining_binds ? 10 * kQuietRest : Micros{0}; }
+  // A host that the list lacks is believed by its signs of life alone; no more are looked for after a while.
+  bool worth_asking(const Host& h) const {
+    return !h.missing() || h.silence.heard_since(now_ - 2 * kQuietRest) || now_ - h.off_list < 2 * kQuietRest;
+  }
+  bool vouched(const Host& h) const {
+    if (!h.missing()) return true;
+    return pace_.allowed() ? h.silence.heard_since(now_ - every(h) - kCurrent) : h.own > 0;
+  }
+
   Micros spread(Micros over) {
     return Micros{std::uniform_int_distribution<std::int64_t>(0, over.count())(chance_)};
   }
@@ -514,7 +533,7 @@
     bool held = false;
     for (Host& h : hosts_) {
       if (!h.usable()) continue;
-      h.seems_ill = now_ < h.aside_until || h.silence.unusual(now_, every(h)) > kUnusual;
+      h.seems_ill = now_ < h.aside_until || h.silence.unusual(now_, every(h)) > kUnusual || !vouched(h);
       more_ill += h.seems_ill ? 1 : -1;
       held = held || h.holds(s.taken.group);
     }
@@ -689,7 +708,8 @@
     for (Host& h : hosts_) {
       if (full_ > 0) load_time_.add(now_, h.own_load * seconds(kBeat));
       h.sent.fade_by(every(h));
-      if (!pace_.allowed() || !h.usable() || (h.probe_due += ratio(kBeat, every(h))) < 1) continue;
+      if (!pace_.allowed() || !h.usable() || !worth_asking(h)) continue;
+      if ((h.probe_due += ratio(kBeat, every(h))) < 1) continue;
       h.probe_due -= 1;
       out_.probe(h.id);
     }
--- a/src/balance.h
+++ b/src/balance.h
@@ -45,6 +45,7 @@
 struct ListRule {
   bool asked;  // the list answers only when asked
   Micros ask_every;
+  bool only_draining_binds = false;  // a host called gone or left out without it may still be used
 };
 
 // Points of service that each unit for each session costs.
@@ -81,7 +82,8 @@
   virtual void move(SessId sess) = 0;
   virtual void probe(HostId host) = 0;
   virtual void wake(Micros in, WakeId wake) = 0;
-  virtual void watch() = 0;  // asks for the list and for its changes from now on
+  virtual void watch() = 0;              // asks for the list and for its changes from now on
+  virtual void forget(HostId host) = 0;  // nothing will be sent there unless a list names it anew
   virtual void log(std::string_view line) = 0;
   virtual void log(std::string_view line, HostId host) = 0;
 };
--- a/src/host.h
+++ b/src/host.h
@@ -50,6 +50,8 @@
   double share = 1;  // its size beside the others'
   Micros started{0};
   bool listed = false;
+  bool drained = false;      // was listed as draining since it started
+  Micros off_list = kNever;  // since when the list calls it gone or leaves it out
 
   unsigned own = 0;     // own open connections
   double own_load = 0;  // their load, in microseconds of work a second
@@ -59,14 +61,24 @@
   RecentSum cold_sent;
   Micros delay{0}, delay_at = kNever;  // of messages, as last noted
 
-  void tell(ZoneId z, CellId c, Standing now_is, double size, Micros since) {
+  // An older list may come again: a start is never taken back, and where only draining binds nothing but a
+  // restart ends it.
+  void tell(ZoneId z, CellId c, Standing now_is, double size, Micros since, bool only_draining_binds) {
+    listed = true;
+    if (now_is == Standing::gone) return;
+    drained = now_is == Standing::draining || (drained && only_draining_binds && since <= started);
+    standing = drained ? Standing::draining : now_is;
+    off_list = kNever;
     zone = z;
     cell = c;
-    standing = now_is;
     share = size > 0 ? size : 1;
-    started = since;
-    listed = true;
+    started = std::max(started, since);
+  }
+  void list_lacks_it(Micros now, bool only_draining_binds) {
+    if (!only_draining_binds || drained) standing = Standing::gone;
+    if (off_list == kNever) off_list = now;
   }
+  bool missing() const { return usable() && off_list != kNever; }
   bool usable() const { return standing == Standing::in; }
   bool holds(std::optional<GroupId> g) const { return g && groups.of(*g) > 0; }
   void opened(double load, std::optional<GroupId> g) {
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -102,17 +102,13 @@
   // Older than what is known, or changes to a list that this service never gave.
   if (!whole && (!version_ || version < *version_)) return version_.reset(), false;
   Balancer& balancer = told_.balancer_now();
-  if (whole) hosts_.list_begins();
   balancer.list_begins(whole);
   each_target(targets, [&](HostId id, std::string_view name, const Address& at, ZoneId zone, CellId cell,
                            Standing standing, double share, Micros started) {
     balancer.listed(id, zone, cell, standing, share, started);
-    if (standing != Standing::gone) return hosts_.listed(id, name, at);
-    hosts_.gone(id);
-    told_.host_gone(id);
+    if (standing != Standing::gone) hosts_.listed(id, name, at);
   });
   balancer.list_ends();
-  if (whole) hosts_.list_ends([this](HostId id) { told_.host_gone(id); });
   version_ = version;
   return true;
 }
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -14,7 +14,6 @@
   class Told {
    public:
     virtual Balancer& balancer_now() = 0;  // with the time said
-    virtual void host_gone(HostId host) = 0;
 
    protected:
     ~Told() = default;
--- a/src/net/hosts.h
+++ b/src/net/hosts.h
@@ -15,7 +15,6 @@
   struct Host {
     std::string name;
     Address at;
-    bool listed = true;
     bool late = false;  // its messages are
     Micros late_told{0};
   };
@@ -28,24 +27,13 @@
     const Host* h = find(id);
     return h ? h->name.c_str() : "-";
   }
-  // A whole list: hosts that it does not name are gone.
-  void list_begins() {
-    for (auto& [id, host] : hosts_) host.listed = false;
-  }
   void listed(HostId id, std::string_view name, const Address& at) {
     Host& host = hosts_[id.value];
     if (host.name != name) host.name = name;
     host.at = at;
-    host.listed = true;
-  }
-  void gone(HostId id) { hosts_.erase(id.value); }
-  template <class Gone>
-  void list_ends(Gone gone) {
-    std::erase_if(hosts_, [&](const auto& entry) {
-      if (!entry.second.listed) gone(HostId{entry.first});
-      return !entry.second.listed;
-    });
   }
+  // The module has dropped it: what the list lacks may still be of use to it.
+  void forget(HostId id) { hosts_.erase(id.value); }
 
  private:
   std::unordered_map<std::uint64_t, Host> hosts_;
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -29,7 +29,6 @@
   enum Due : std::uint64_t { accept_again, left };
   void watch_list() override { discovery_.watch(); }
   Balancer& balancer_now() override { return sessions_.balancer_now(); }
-  void host_gone(HostId host) override { sessions_.host_gone(host); }
   void woken(std::uint64_t due) override;
   void knocked() override { accept(); }
   void accept();
--- a/src/net/sessions.cpp
+++ b/src/net/sessions.cpp
@@ -63,6 +63,11 @@
   probes_.ask(host, h && sockets_.room(kSpare / 2) ? &h->at : nullptr);
 }
 
+void Sessions::forget(HostId host) {
+  probes_.forget(host);
+  hosts_.forget(host);
+}
+
 void Sessions::probed(HostId host, bool answered, const LoadReport& report) {
   if (!answered) log_line("end probe-failed host=%s", hosts_.name(host));
   balancer_now().probed(host, answered, report);
--- a/src/net/sessions.h
+++ b/src/net/sessions.h
@@ -35,7 +35,6 @@
   void take(SocketKey socket);
   // Ends a connection that asks for nothing, for one that may; false: there is none.
   bool make_room() { return lobby_.show_out_first(); }
-  void host_gone(HostId host) { probes_.forget(host); }
   // From now on nothing new is taken; once fronts have noticed, open sessions are moved, evenly over so long.
   void leave(Micros over);
 
@@ -46,6 +45,7 @@
   void probe(HostId host) override;
   void wake(Micros in, WakeId wake) override { wakes_.after(in, module_wakes_, wake.value); }
   void watch() override { told_.watch_list(); }
+  void forget(HostId host) override;
   void log(std::string_view line) override;
   void log(std::string_view line, HostId host) override;
 
--- a/src/setup/deployment.cpp
+++ b/src/setup/deployment.cpp
@@ -19,28 +19,37 @@
   bad("settings: unknown group '" + std::string(name) + "'");
 }
 
+// The weights of the result. No decision follows from them; a part that asks for no nines says nothing.
+void check_goal(const Values& settings) {
+  if (!settings.has("goal")) return;
+  const Values goal(settings, "goal");
+  const double part = goal.positive_or_zero("ninesPart"), wanted = goal.positive_or_zero("ninesWanted");
+  if (part > 0 && wanted <= 0) bad("settings.goal.ninesWanted is missing or not above zero");
+}
+
 }  // namespace
 
 std::vector<Listener> listeners(const Values& settings) {
   std::vector<Listener> out;
   for (const simdjson::dom::element e : settings.row("listeners")) {
     const Values l(e, "settings: a listener");
-    out.push_back({l.time("handshakeTarget"), l.time("dialTimeout"),
-                         effect_named(l.text("effect", "once")), reach_named(l.text("group", "cell")),
-                         l.time("dedupWindow"), l.real("utility", 1)});
+    out.push_back({l.time("handshakeTarget"), l.time("dialTimeout"), effect_named(l.text("effect", "once")),
+                   reach_named(l.text("group", "cell")), l.time("dedupWindow"), l.real("utility", 1)});
   }
   return out;
 }
 
 std::unique_ptr<Balancer> balancer_for(const Values& settings, Outlet& outlet, std::uint64_t seed) {
   const Values ceilings(settings, "ceilings"), rules(settings, "rules"), prices(settings, "prices");
+  check_goal(settings);
   return make_balancer(
       outlet, seed, static_cast<unsigned>(settings.real("balancers", 1)),
       ZoneId{static_cast<std::uint32_t>(settings.real("myZone", 0))}, listeners(settings),
       DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)), longest_stay_away(settings)},
       ColdRule{rules.time("cold"), rules.real("coldShare", 1), rules.real("overloadFactor", 1),
                rules.time("tipAfter")},
-      ListRule{settings.text("discovery", "") == "on_request", rules.time("askEvery")},
+      ListRule{settings.text("discovery", "") == "on_request", rules.time("askEvery"),
+               rules.yes_or_no("softRemoval", false)},
       Prices{prices.real("crossZone", 0),
              ceilings.yes("probes") ? std::optional(prices.real("probe", 0)) : std::nullopt});
 }
--- a/src/setup/values.h
+++ b/src/setup/values.h
@@ -45,6 +45,18 @@
     bool out;
     return !object_[key].get(out) && out;
   }
+  // Like yes(), but anything else than true or false is refused.
+  bool yes_or_no(std::string_view key, bool other) const {
+    bool out = other;
+    if (has(key) && object_[key].get(out)) bad(path_ + '.' + std::string(key) + " is not true or false");
+    return out;
+  }
+  double positive_or_zero(std::string_view key) const {
+    double out = 0;
+    if (has(key) && (object_[key].get(out) || !std::isfinite(out) || out < 0))
+      bad(path_ + '.' + std::string(key) + " is not a number of zero or more");
+    return out;
+  }
   simdjson::dom::array row(std::string_view key) const {
     simdjson::dom::array out;
     if (object_[key].get(out)) bad(path_ + '.' + std::string(key) + " is not a list");
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -243,6 +243,76 @@
 
 // Guards against a host that stays overloaded since none of the nodes that each have a session there asks it
 // in time: where probes are dear the same price goes first to the hosts of own sessions.
+// Three hosts at a deployment where nothing but a listing as draining binds. Host b has left the list.
+struct Unbound : Three {
+  explicit Unbound(bool b_answers) {
+    only_draining_binds = true;
+    restart();
+    answers(5s, true);
+    change(b, Standing::gone);
+    answers(6s, b_answers);
+  }
+  void answers(Micros over, bool b_too) {
+    for (const Micros end = now + over; now < end;) {
+      pass(100ms);
+      for (const HostId h : std::exchange(probes, {}))
+        if (h != b || b_too) report(h, 0.3);
+    }
+  }
+  unsigned turns_of_b(int turns) {
+    unsigned n = 0;
+    for (int i = 0; i < turns; ++i) n += settle() == b;
+    return n;
+  }
+};
+
+// A list is a statement: a host that goes on answering serves on, whatever calls it gone.
+TEST(List, LacksAHostThatAnswersAndIsStillUsed) { EXPECT_EQ(Unbound(true).turns_of_b(9), 3u); }
+
+TEST(List, LacksAHostThatIsSilentAndIsNotUsed) {
+  Unbound w(false);
+  EXPECT_EQ(w.turns_of_b(9), 0u);
+  w.answers(20s, false);
+  w.tell_all();
+  EXPECT_TRUE(w.forgotten.contains(b));
+  std::erase(w.probes, a);
+  std::erase(w.probes, c);
+  EXPECT_TRUE(w.probes.empty());
+}
+
+// Everything is called gone right after a start: hosts that the older list named are asked, and used again.
+TEST(List, CallsAllHostsGoneAtAStart) {
+  Three w;
+  w.only_draining_binds = true;
+  w.restart();
+  w.balancer->list_begins(true);
+  w.balancer->list_ends();
+  EXPECT_EQ(w.clients.at(w.arrive(0)).dials.size(), 1u);
+}
+
+// Guards rule 3 against an old list that comes again: what was seen to drain drains until it has restarted.
+TEST(List, NamesADrainedHostAgainThatStaysUnused) {
+  Unbound w(true);
+  w.change(b, Standing::draining);
+  w.change(b, Standing::gone);
+  w.change(b, Standing::in);
+  EXPECT_EQ(w.turns_of_b(9), 0u);
+  w.change(b, Standing::in, w.now);
+  w.answers(12s, true);
+  EXPECT_GT(w.turns_of_b(9), 0u);
+}
+
+// Guards rule 4 against an old list that comes again: a cold host that it takes for an old one is cold.
+TEST(List, TakesNoStartBack) {
+  Three w;
+  w.change(b, Standing::in, w.now);
+  w.hosts[b].started = 0us;
+  w.change(b, Standing::in);
+  unsigned turns = 0;
+  for (int i = 0; i < 30; ++i) turns += w.settle() == b;
+  EXPECT_LT(turns, 5u);
+}
+
 TEST(Probes, GoFirstWhereOwnSessionsAre) {
   Three w(9);
   for (unsigned i = 4; i <= 50; ++i) w.hosts[HostId{i}] = {ZoneId{0}, CellId{0}};
@@ -296,6 +366,7 @@
 
 TEST_P(RandomDay, KeepsTheRules) {
   World w(GetParam());
+  w.only_draining_binds = GetParam() % 2;
   std::mt19937_64 chance(GetParam() * 977);
   const auto pick = [&](unsigned n) { return std::uniform_int_distribution<unsigned>(0, n - 1)(chance); };
   for (unsigned i = 1; i <= 6; ++i) w.hosts[HostId{i}] = {ZoneId{i % 2}, CellId{i % 3}};
@@ -331,6 +402,12 @@
       w.change(h, Standing::in, w.now);
     }
     if (pick(50) == 0) w.balancer->list_failed();
+    if (w.only_draining_binds && pick(80) == 0) {  // a list that lies: some running hosts are left out
+      w.balancer->list_begins(true);
+      for (const auto& [id, place] : w.hosts)
+        if (pick(2)) w.tell(id);
+      w.balancer->list_ends();
+    }
     if (pick(400) == 0) w.restart();
     std::erase_if(w.clients, [](const auto& x) {
       return x.second.answered && !x.second.dials.empty() && !x.second.dials.back().out;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -36,6 +36,35 @@
   EXPECT_THROW(wire.answer(batch(3000, R"(["TICK_DUE",3,"0"])")), setup::BadInput);
 }
 
+// A wrong or missing value among the new settings is one clear line.
+TEST(Wire, RefusesSettingsThatSayNothing) {
+  for (const char* wrong : {R"("softRemoval":"yes")", R"("softRemoval":1)"}) {
+    std::string configure = kConfigure;
+    configure.insert(configure.find("\"cold\""), std::string(wrong) + ",");
+    EXPECT_THROW(Wire().answer(batch(1000, configure)), setup::BadInput) << wrong;
+  }
+  for (const char* wrong :
+       {R"({"ninesPart":0.2})", R"({"ninesPart":0.2,"ninesWanted":0})",
+        R"({"ninesPart":"much","ninesWanted":3})", R"({"ninesPart":-1,"ninesWanted":3})"}) {
+    std::string configure = kConfigure;
+    configure.insert(configure.find("\"listeners\""), "\"goal\":" + std::string(wrong) + ",");
+    EXPECT_THROW(Wire().answer(batch(1000, configure)), setup::BadInput) << wrong;
+  }
+}
+
+// Where the settings say that only draining binds, they reach the module.
+TEST(Wire, SendsToAHostCalledGoneOnlyWhereTheSettingsSaySo) {
+  for (const bool soft : {false, true}) {
+    Wire wire;
+    std::string configure = kConfigure;
+    configure.insert(configure.find("\"cold\""), soft ? R"("softRemoval":true,)" : R"("softRemoval":false,)");
+    wire.answer(batch(1000, configure + "," + kHosts));
+    wire.answer(batch(1500, R"(["DIRECTORY",0,[]],["UPDATE",3,2,0,"whole"])"));
+    const std::string reply(wire.answer(batch(2000, R"(["JOB_IN",3,9,0,0,null,2002000,null,null,0])")));
+    EXPECT_EQ(reply.find("ROUTE") != std::string::npos, soft) << reply;
+  }
+}
+
 class BadLine : public testing::TestWithParam<const char*> {};
 
 TEST_P(BadLine, IsNamedPlainly) {
