Leave and pass over hosts that are bad from here: lost, late or unanswered probes and dials

Ruled out: load (spread 1.3 to 2, used 2 to 8 hosts), refusals (none), the list (unchanged). probed() kept the mark of a host whose probes failed, and the judge of silence widens with each gap, so that a third of all probes lost never told against a host; how long a probe took was dropped by the adapter and the node alike.

Way keeps the share of probes and dials of late that came to nothing, or later than a message may (the shortest messageAim, now with each listener). Over 0.3, and more than one, the host is passed over as ill, and its own connections leave in eighths as far as hosts whose way is clearly well have room. Each new spell within 20 s is forgiven more slowly, for hosts that fail by turns.

--- a/benchlink/wire.cpp
+++ b/benchlink/wire.cpp
@@ -224,9 +224,9 @@
   }
 
   void probe_done(Reader& r) {
-    r.number("latency");
+    const Micros took = r.time("latency");
     const std::string_view host = r.text("host");
-    const bool answered = ending_coded(r.number("verdict")) == Ending::finished;
+    const Ending how = ending_coded(r.number("verdict"));
     LoadReport report;
     if (const auto values = r.next()) {
       array row;
@@ -240,7 +240,7 @@
         setup::set_field(report, field, value);
       }
     }
-    balancer_->probed(name(host), answered, report);
+    balancer_->probed(name(host), how, took, report);
   }
 
   void tick_due(Reader& r) {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -74,6 +74,39 @@
   Gaps gaps_;
 };
 
+// What came lately of what this node sent a host: dials, and probes whose answer a message might have waited
+// for. Tells a host that is bad from here, whatever lies between: a lossy or slow way, a host that hangs or
+// fails by turns. Reports say nothing of it: they are few, and light. Each new spell within a while is
+// forgiven more slowly. Could do harm where hosts are slow with load alone; those are suspended besides.
+class Way {
+ public:
+  void fade_by(Micros half) {
+    sent_.fade_by(half);
+    missed_.fade_by(half);
+  }
+  void met(Micros now, bool well) {
+    sent_.add(now, 1);
+    if (!well) missed_.add(now, 1);
+    const double share = missed_.at(now) / (1 + sent_.at(now));
+    if (!bad_ && share > kBad && missed_.at(now) > 1) {  // one alone says little
+      spells_ = bad_until_ == kNever || now - bad_until_ > 2 * kQuietRest ? 0 : std::min(spells_ + 1, 3u);
+      bad_ = true;
+    } else if (bad_ && share < kBad / (2 << spells_)) {
+      bad_ = false;
+      bad_until_ = now;
+    }
+  }
+  bool bad() const { return bad_; }
+  bool clear(Micros now) const { return missed_.at(now) < kBad / 3 * (1 + sent_.at(now)); }
+
+ private:
+  static constexpr double kBad = 0.3;
+  FadingSum sent_{2 * kProbeEvery}, missed_{2 * kProbeEvery};
+  bool bad_ = false;
+  unsigned spells_ = 0;
+  Micros bad_until_ = kNever;
+};
+
 // What a cold host has been sent lately, against this node's part of what would tip it over.
 class ColdGuard {
  public:
@@ -133,6 +166,7 @@
   bool shedding = false;   // broke connections off since its last report
   LoadForecast forecast;
   SilenceJudge silence;
+  Way way;
   double probe_due = 0;  // a probe is sent when it reaches one
   Micros moved_at = kNever, asked_at{0};
   Micros drawn_at = kNever;  // when `chance` was drawn, for what is left of a cold host's budget
@@ -244,7 +278,12 @@
         crossing_price_(prices.crossing),
         pace_(prices.probe),
         rotation_(chance_()),
-        usual_(listeners_.size()) {}
+        usual_(listeners_.size()) {
+    for (const Listener& l : listeners_)
+      if (l.message_target > Micros{0} &&
+          (message_target_ == Micros{0} || l.message_target < message_target_))
+        message_target_ = l.message_target;
+  }
 
   void at(Micros now) override {
     now_ = now;
@@ -282,6 +321,7 @@
     if (Host* h = hosts_.find(s->host)) {
       --h->dialing;
       h->silence.sign(now_);
+      h->way.met(now_, true);
     }
     patience_ = std::max(1u, patience_ / 2);
     if (s->state == State::dialing) open(*s);
@@ -310,8 +350,10 @@
       if (how == Ending::finished)
         h->silence.sign(now_);
       else if (how != Ending::cancelled && how != Ending::unsent &&
-               !(how == Ending::timed_out && patience_ > 1))
+               !(how == Ending::timed_out && patience_ > 1)) {
         set_aside(*h);  // where dials time out elsewhere too, the host is not what fails
+        if (how == Ending::timed_out || how == Ending::unconnected) h->way.met(now_, false);
+      }
     }
     if (how == Ending::timed_out) patience_ = std::min(2 * patience_, kMostPatience);
     const bool proven = how == Ending::turned_away || how == Ending::unconnected || how == Ending::unsent;
@@ -355,9 +397,12 @@
     if (s->state == State::held) place(key, *s);
   }
 
-  void probed(HostId id, bool answered, const LoadReport& r) override {
+  void probed(HostId id, Ending how, Micros took, const LoadReport& r) override {
     Host* h = hosts_.find(id);
     if (!h) return;
+    const bool answered = how == Ending::finished;
+    if (how != Ending::erred && how != Ending::turned_away)  // these came back: the way is well
+      h->way.met(now_, answered && (message_target_ == Micros{0} || took <= message_target_));
     if (answered) note_report(*h, r);  // a failed probe keeps the mark
     if (!std::exchange(h->asking, false)) return;
     held_.clear();
@@ -384,6 +429,7 @@
       // A host that restarted has lost what was known of it.
       h->forecast = {};
       h->silence = {};
+      h->way = {};
       h->suspended = h->shedding = false;
       h->aside_until = h->delay_at = kNever;
     }
@@ -533,9 +579,9 @@
     bool held = false;
     for (Host& h : hosts_) {
       if (!h.usable()) continue;
-      h.seems_ill = now_ < h.aside_until || h.silence.unusual(now_, every(h)) > kUnusual || !vouched(h);
+      h.seems_ill = ill_now(h);
       more_ill += h.seems_ill ? 1 : -1;
-      held = held || h.holds(s.taken.group);
+      held = held || (!h.seems_ill && h.holds(s.taken.group));
     }
     // When most look ill, the judgement is suspect; else a host that fails is no way out where all are full.
     const bool before = std::exchange(suspect_, more_ill > 0);
@@ -546,6 +592,9 @@
     return rotation_.choose(hosts_, against_);
   }
 
+  bool ill_now(const Host& h) const {
+    return now_ < h.aside_until || h.way.bad() || h.silence.unusual(now_, every(h)) > kUnusual || !vouched(h);
+  }
   static bool no_room(const Host& h, double load) { return h.shedding || h.suspended || load >= kFullAt; }
 
   unsigned reasons(Host& h, const Session& s, const Dials& dials, bool held) {
@@ -708,11 +757,13 @@
     for (Host& h : hosts_) {
       if (full_ > 0) load_time_.add(now_, h.own_load * seconds(kBeat));
       h.sent.fade_by(every(h));
+      h.way.fade_by(2 * every(h));
       if (!pace_.allowed() || !h.usable() || !worth_asking(h)) continue;
       if ((h.probe_due += ratio(kBeat, every(h))) < 1) continue;
       h.probe_due -= 1;
       out_.probe(h.id);
     }
+    leave_bad_ways();
     // A host on its way out is the heaviest there can be: own connections leave it, a part at each beat.
     for (Host& h : hosts_)
       if (h.standing == Standing::draining && h.own) move_off(h, h.own_load / kBeatsPerProbe, Leaving::drain);
@@ -722,12 +773,37 @@
     }
   }
 
+  // Connections are as badly served over a bad way as the probes are. They leave for hosts that are well from
+  // here as far as those have room, of which this node takes no more than its part twice over: as many as
+  // half of all nodes may see the same.
+  void leave_bad_ways() {
+    if (per_load_ <= 0 || std::none_of(hosts_.begin(), hosts_.end(),
+                                       [](const Host& h) { return h.own && h.usable() && h.way.bad(); }))
+      return;
+    double room = 0;
+    for (const Host& h : hosts_) {
+      const double load = h.usable() ? load_of(h) : 1;
+      // Where all ways turn bad, one is the first: the others must not take its connections.
+      if (!ill_now(h) && h.way.clear(now_) && !no_room(h, load))
+        room += (kFullAt - load) * h.share / per_load_;
+    }
+    room = 2 * room / nodes_ - under_way_.at(now_);
+    for (Host& h : hosts_) {
+      if (!h.own || !h.usable() || !h.way.bad() || h.suspended) continue;
+      const double load = std::min(h.own_load / kBeatsPerProbe, room);
+      if (load <= 0) continue;
+      under_way_.add(now_, load);
+      room -= load;
+      move_off(h, load, Leaving::drain);
+    }
+  }
+
   // The paper's two schedules: heaviest with lightest on overload, else now and then toward a light one.
   void even_out() {
     take_means();
     order_.clear();
     for (Host& h : hosts_) {
-      if (h.usable() && h.forecast.known()) order_.push_back(&h);
+      if (h.usable() && h.forecast.known() && !h.way.bad()) order_.push_back(&h);
     }
     std::stable_sort(order_.begin(), order_.end(),
                      [&](const Host* a, const Host* b) { return load_of(*a) < load_of(*b); });
@@ -815,6 +891,7 @@
   unsigned nodes_;
   ZoneId zone_;
   std::vector<Listener> listeners_;
+  Micros message_target_{0};  // the shortest
   DialLimits dial_limits_;
   ColdGuard guard_;
   // Of own sessions that ended of themselves; of all, in load seconds; and the hosts that all load fills.
@@ -826,6 +903,7 @@
   Rotation rotation_;
   std::vector<FadingMean> usual_;
   ClientLoads sent_away_;
+  FadingSum under_way_{kProbeEvery};  // load moved off bad ways that is not back yet
   HostsById<Host> hosts_;
   std::vector<Host*> order_;
   std::vector<std::pair<double, Session*>> leaving_;
--- a/src/balance.h
+++ b/src/balance.h
@@ -28,6 +28,7 @@
   Reach reach;
   Micros memory;  // how long a host remembers a referenced session, from its dial
   double utility;
+  Micros message_target{0};  // a message later than that serves nobody; zero where nothing says so
 };
 
 struct DialLimits {
@@ -115,7 +116,8 @@
   virtual Sess take(SessId sess, const Taken& taken) = 0;
   virtual Sess inherit(SessId sess, const Taken& taken, HostId host) = 0;  // open already, by dial 0
   virtual void woken(WakeId wake) = 0;
-  virtual void probed(HostId host, bool answered, const LoadReport& report) = 0;
+  // A probe ended, as a dial may: finished, with its report, or erred, turned_away, timed_out and the like.
+  virtual void probed(HostId host, Ending how, Micros took, const LoadReport& report) = 0;
 
   virtual void list_begins(bool whole) = 0;
   virtual void listed(HostId host, ZoneId zone, CellId cell, Standing standing, double share,
--- a/src/lab/baselines.cpp
+++ b/src/lab/baselines.cpp
@@ -81,7 +81,7 @@
       }
     });
   }
-  void probed(HostId, bool, const LoadReport&) override {}
+  void probed(HostId, Ending, Micros, const LoadReport&) override {}
   void list_begins(bool whole) override {
     whole_ = whole;
     if (whole)
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -28,14 +28,11 @@
 // What messages may take, where delays are the module's to know.
 Micros message_target(const setup::Values& settings) {
   if (!settings.has("familyInfo")) return 0us;
-  const setup::Values family(settings, "familyInfo");
-  if (!family.yes("tellsDelay")) return 0us;
-  double least = 0;
-  for (const auto e : family.row("messageAim")) {
-    double aim;
-    if (!e.get(aim) && aim > 0 && (least == 0 || aim < least)) least = aim;
-  }
-  return Micros{static_cast<std::int64_t>(least)};
+  if (!setup::Values(settings, "familyInfo").yes("tellsDelay")) return 0us;
+  Micros least{0};
+  for (const Listener& l : setup::listeners(settings))
+    if (l.message_target > 0us && (least == 0us || l.message_target < least)) least = l.message_target;
+  return least;
 }
 
 HeadReader head_reader(const setup::Values& settings) {
--- a/src/net/probes.cpp
+++ b/src/net/probes.cpp
@@ -46,6 +46,7 @@
 void Probes::Probe::ask(HostId host, const Address* at) {
   if (std::exchange(asking_, true)) return;  // the answer under way serves both
   host_ = host;
+  asked_at_ = probes_.wakes_.now();
   // A host may come back at a new address.
   if (at && at_ != *at) stream_.close();
   if (at) at_ = *at;
@@ -88,7 +89,7 @@
   // What nobody asked for is no answer to the next question.
   if (!asking_) return stream_.close();
   if (stream_.open()) stream_.want_read();
-  end(pong, report);
+  end(pong ? Ending::finished : Ending::erred, report);
 }
 
 void Probes::Probe::broken(Stream&) {
@@ -100,19 +101,19 @@
     if (!stream_.connect(at_, *this)) probes_.wakes_.after(Micros{0}, *this, token_);
     return;
   }
-  end(false, {});
+  end(Ending::broken, {});
 }
 
 void Probes::Probe::woken(std::uint64_t token) {
   if (token != token_ || !asking_) return;
   stream_.close();  // an answer that comes later must not be taken for the next one's
-  end(false, {});
+  end(Ending::timed_out, {});
 }
 
-void Probes::Probe::end(bool answered, const LoadReport& report) {
+void Probes::Probe::end(Ending how, const LoadReport& report) {
   ++token_;
   asking_ = false;
-  probes_.told_.probed(host_, answered, report);
+  probes_.told_.probed(host_, how, probes_.wakes_.now() - asked_at_, report);
 }
 
 }  // namespace flintweir::net
--- a/src/net/probes.h
+++ b/src/net/probes.h
@@ -15,7 +15,7 @@
  public:
   class Told {
    public:
-    virtual void probed(HostId host, bool answered, const LoadReport& report) = 0;
+    virtual void probed(HostId host, Ending how, Micros took, const LoadReport& report) = 0;
 
    protected:
     ~Told() = default;
@@ -45,13 +45,13 @@
     void woken(std::uint64_t token) override;
     void send();
     void send_rest();
-    void end(bool answered, const LoadReport& report);
+    void end(Ending how, const LoadReport& report);
 
     Probes& probes_;
     Stream stream_;
     HostId host_;
     Address at_;
-    Micros keeps_from_{0};
+    Micros asked_at_{0}, keeps_from_{0};
     std::uint64_t token_ = 0;
     std::size_t sent_ = 0;
     bool asking_ = false, kept_ = false;  // kept: the connection has answered before
--- a/src/net/sessions.cpp
+++ b/src/net/sessions.cpp
@@ -68,9 +68,9 @@
   hosts_.forget(host);
 }
 
-void Sessions::probed(HostId host, bool answered, const LoadReport& report) {
-  if (!answered) log_line("end probe-failed host=%s", hosts_.name(host));
-  balancer_now().probed(host, answered, report);
+void Sessions::probed(HostId host, Ending how, Micros took, const LoadReport& report) {
+  if (how != Ending::finished) log_line("end probe-failed host=%s", hosts_.name(host));
+  balancer_now().probed(host, how, took, report);
 }
 
 void Sessions::log(std::string_view line) {
--- a/src/net/sessions.h
+++ b/src/net/sessions.h
@@ -57,7 +57,7 @@
     Sessions& sessions;
     void (Sessions::*call)(std::uint64_t);
   };
-  void probed(HostId host, bool answered, const LoadReport& report) override;
+  void probed(HostId host, Ending how, Micros took, const LoadReport& report) override;
   void wake_module(std::uint64_t wake) { balancer_now().woken(WakeId{wake}); }
   void dial_again(std::uint64_t key);
   void move_next(std::uint64_t);
--- a/src/setup/deployment.cpp
+++ b/src/setup/deployment.cpp
@@ -19,6 +19,19 @@
   bad("settings: unknown group '" + std::string(name) + "'");
 }
 
+// By listener; those that the settings don't name have none.
+std::vector<Micros> message_targets(const Values& settings) {
+  std::vector<Micros> out;
+  if (!settings.has("familyInfo")) return out;
+  const Values family(settings, "familyInfo");
+  if (!family.has("messageAim")) return out;
+  for (const simdjson::dom::element e : family.row("messageAim")) {
+    double aim;
+    out.push_back(!e.get(aim) && aim > 0 && aim < 1e15 ? Micros{std::llround(aim)} : Micros{0});
+  }
+  return out;
+}
+
 // The weights of the result. No decision follows from them; a part that asks for no nines says nothing.
 void check_goal(const Values& settings) {
   if (!settings.has("goal")) return;
@@ -31,10 +44,12 @@
 
 std::vector<Listener> listeners(const Values& settings) {
   std::vector<Listener> out;
+  const std::vector<Micros> messages = message_targets(settings);
   for (const simdjson::dom::element e : settings.row("listeners")) {
     const Values l(e, "settings: a listener");
     out.push_back({l.time("handshakeTarget"), l.time("dialTimeout"), effect_named(l.text("effect", "once")),
-                   reach_named(l.text("group", "cell")), l.time("dedupWindow"), l.real("utility", 1)});
+                   reach_named(l.text("group", "cell")), l.time("dedupWindow"), l.real("utility", 1),
+                   out.size() < messages.size() ? messages[out.size()] : Micros{0}});
   }
   return out;
 }
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -313,6 +313,75 @@
   EXPECT_LT(turns, 5u);
 }
 
+// Host b is bad from this node: of its probes every third comes to something, or each takes so long.
+struct BadWay : Three {
+  void pass_with(std::set<HostId> bad, Micros over, bool lost) {
+    for (const Micros end = now + over; now < end;) {
+      pass(100ms);
+      for (const HostId h : std::exchange(probes, {})) {
+        if (!bad.contains(h) || (lost && ++asked[h] % 3 == 0))
+          report(h, 0.3);
+        else if (lost)
+          balancer->probed(h, Ending::timed_out, 300ms, {});
+        else
+          report(h, 0.3, 150ms);
+      }
+    }
+  }
+  unsigned moved_from(HostId h) {
+    unsigned n = 0;
+    for (const auto& [id, c] : clients) n += c.moved && c.dials.back().host == h;
+    return n;
+  }
+  unsigned turns_of_b(int turns) {
+    unsigned n = 0;
+    for (int i = 0; i < turns; ++i) n += settle() == b;
+    return n;
+  }
+  std::map<HostId, unsigned> asked;
+};
+
+// Guards against connections left where two of three messages get no answer while the host looks light.
+TEST(Way, ThatLosesIsLeftAndPassedOver) {
+  BadWay w;
+  w.pass_with({b}, 8s, true);
+  EXPECT_GE(w.moved_from(b), 5u);
+  EXPECT_EQ(w.moved_from(a) + w.moved_from(c), 0u);
+  EXPECT_EQ(w.turns_of_b(9), 0u);
+}
+
+// The same where every answer comes, too late for a message.
+TEST(Way, ThatIsSlowIsLeftAndPassedOver) {
+  BadWay w;
+  w.pass_with({b}, 8s, false);
+  EXPECT_GE(w.moved_from(b), 5u);
+  EXPECT_EQ(w.turns_of_b(9), 0u);
+}
+
+// Where all ways are bad there is nowhere to go: nobody is moved, and new sessions still get a host.
+TEST(Way, IsBornWhereNoneIsBetter) {
+  BadWay w;
+  w.pass_with({a, b, c}, 8s, true);
+  EXPECT_EQ(w.moved_from(a) + w.moved_from(b) + w.moved_from(c), 0u);
+  EXPECT_EQ(w.clients.at(w.arrive(0)).dials.size(), 1u);
+}
+
+// Guards against a host that fails by turns and is believed again at once each time.
+TEST(Way, IsBelievedMoreSlowlyEachTime) {
+  BadWay w;
+  std::vector<Micros> until;
+  for (int spell = 0; spell < 3; ++spell) {
+    w.pass_with({b}, 5s, false);
+    const Micros well_at = w.now;
+    while (w.now < well_at + 30s && w.turns_of_b(4) == 0) w.pass_with({}, 200ms, false);
+    until.push_back(w.now - well_at);
+  }
+  EXPECT_LT(until[0], 8s);
+  EXPECT_GT(until[1], until[0]);
+  EXPECT_GT(until[2], until[1]);
+  EXPECT_LT(until[2], 20s);
+}
+
 TEST(Probes, GoFirstWhereOwnSessionsAre) {
   Three w(9);
   for (unsigned i = 4; i <= 50; ++i) w.hosts[HostId{i}] = {ZoneId{0}, CellId{0}};
--- a/tests/world.h
+++ b/tests/world.h
@@ -41,7 +41,7 @@
 };
 
 inline std::vector<Listener> all_kinds() {
-  const auto kind = [](Effect e, Reach r) { return Listener{500ms, 2s, e, r, 1s, 1}; };
+  const auto kind = [](Effect e, Reach r) { return Listener{500ms, 2s, e, r, 1s, 1, 100ms}; };
   return {kind(Effect::repeatable, Reach::all), kind(Effect::referenced, Reach::all),
           kind(Effect::referenced, Reach::zone), kind(Effect::referenced, Reach::cell),
           kind(Effect::once_only, Reach::all)};
@@ -115,10 +115,10 @@
     c.open = c.answered = true;
     c.handle.accepted(DialNo{static_cast<std::uint32_t>(c.dials.size() - 1)});
   }
-  void report(HostId id, double load) {
+  void report(HostId id, double load, Micros took = 1ms) {
     LoadReport r;
     r.load = load;
-    balancer->probed(id, true, r);
+    balancer->probed(id, Ending::finished, took, r);
   }
   // Time goes on; dials run into their limits and wake-ups come due.
   void pass(Micros by) {
