Count a light session sent to a cold host as a usual one

Logged with each dial: the parts of all nodes' budgets summed to 2.1 cores, which is right for that kind (3 cores of 0.68 to 0.92); but the dials cost 2,400 to 22,000 us/s each, at a mean of 30,000 to 40,000 a session. Light listeners' sessions filled the budget by their load, while a cold host takes sessions as fast as usual ones fill it. Ruled out: the count of nodes, turnover (under the floor of the warm-up at all but none), starts told late.

ColdGuard::room and what it sums get the larger of the session's load and the node's mean (Decisions::cold_cost). Test: 23 light sessions sent before, 7 now.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -595,6 +595,10 @@
   bool ill_now(const Host& h) const {
     return now_ < h.aside_until || h.way.bad() || h.silence.unusual(now_, every(h)) > kUnusual || !vouched(h);
   }
+  // Setting a session up is work too: a light one costs a cold host as much as any. Guards against many light
+  // ones that are sent at once since their load is small.
+  double cold_cost(const Session& s) const { return std::max(s.load, mean_session_); }
+
   static bool no_room(const Host& h, double load) { return h.shedding || h.suspended || load >= kFullAt; }
 
   unsigned reasons(Host& h, const Session& s, const Dials& dials, bool held) {
@@ -607,7 +611,7 @@
         h.drawn_at = now_;
         h.chance = std::generate_canonical<double, 32>(chance_);
       }
-      if (!guard_.room(now_, h.started, per_share_ * h.share, s.load, h.cold_sent, h.chance)) return barred;
+      if (!guard_.room(now_, h.started, per_share_ * h.share, cold_cost(s), h.cold_sent, h.chance)) return barred;
       const double warm = guard_.warmth(now_ - h.started);
       if (std::generate_canonical<double, 32>(chance_) > warm) against |= fresh;
     }
@@ -694,7 +698,7 @@
       h->asked_at = now_;
       return hold(key, s);
     }
-    if (guard_.cold(now_, h->started)) h->cold_sent.add(now_, s.load, now_ - guard_.window());
+    if (guard_.cold(now_, h->started)) h->cold_sent.add(now_, cold_cost(s), now_ - guard_.window());
     const Micros limit = dials.limit(s, now_, patience_);
     s.dialed(h->id, now_);
     ++h->dialing;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -614,6 +614,34 @@
 
 // Guards against a node that holds one light session of all the fleet's, and takes the next few for so much
 // of a host that all hosts look full.
+// Rule 4 with sessions of unlike load. Guards against many light ones that are sent to a cold host at once as
+// their load is small: setting each up is work too, and a host fills with usual ones (found by a hunt on
+// flapping hosts: 18 dials by 21 nodes within 1.5 s, five times what the host could then do).
+TEST(Cold, TakesALightSessionForAUsualOne) {
+  Three w;
+  for (const unsigned listener : {0u, 1u}) {
+    for (int i = 0; i < 10; ++i) {
+      const SessId id = w.arrive(listener);
+      w.accept(id);
+      w.clients.at(id).handle.load_is(listener == 0 ? 5'000 : 100'000);
+    }
+  }
+  for (int i = 0; i < 300; ++i) {
+    w.pass(100ms);
+    for (const HostId h : std::exchange(w.probes, {})) w.report(h, 0.6);
+  }
+  w.hosts[HostId{4}] = {ZoneId{0}, CellId{0}};
+  w.change(HostId{4}, Standing::in, w.now);
+  w.report(HostId{4}, 0);
+  for (int i = 0; i < 100; ++i) {
+    w.pass(20ms);
+    w.accept(w.arrive(0));
+  }
+  // A full host takes 28 usual ones from this node, and a tenth of them a second; cold, three times a third.
+  EXPECT_GE(w.sent_to(HostId{4}), 1u);
+  EXPECT_LE(w.sent_to(HostId{4}), 8u);
+}
+
 TEST(Load, OfASessionIsNoMoreThanItsPartOfOneCore) {
   Three w(3);
   w.nodes = 100;
