Leave hosts that report twice what they can do; count a group's best hosts among good ways

Such a host was relieved by the paper's pairs down to the pair's mean, still 4 times what it can do, once in 2 s. An answer that reports twice what the host can do now counts as one that came to nothing, so that such hosts are left in eighths and forgiven slowly.

A group's bound (design.md) was counted over all hosts, and its best ones were all behind the slow way.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -402,7 +402,8 @@
     if (!h) return;
     const bool answered = how == Ending::finished;
     if (how != Ending::erred && how != Ending::turned_away)  // these came back: the way is well
-      h->way.met(now_, answered && (message_target_ == Micros{0} || took <= message_target_));
+      h->way.met(now_, answered && (message_target_ == Micros{0} || took <= message_target_) &&
+                           r.load.value_or(0) < kCrippled);
     if (answered) note_report(*h, r);  // a failed probe keeps the mark
     if (!std::exchange(h->asking, false)) return;
     held_.clear();
@@ -647,7 +648,9 @@
     bool held = false;
     double home = 0, count = 1, own = kPriorOwn;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      ranks_.push_back(hosts_[i].usable() ? rank(group, hosts_[i]) : 0);
+      // Guards against a group whose best hosts are all ill: it has no place, and its sessions are refused.
+      const bool counts = hosts_[i].usable() && (suspect_ || !hosts_[i].way.bad());
+      ranks_.push_back(counts ? rank(group, hosts_[i]) : 0);
       count += hosts_[i].groups.of(group);
       own += hosts_[i].own;
       held = held || (sees_groups_ && (against_[i] & ~minor) == best && hosts_[i].holds(group));
@@ -793,7 +796,8 @@
     }
     room = 2 * room / nodes_ - under_way_.at(now_);
     for (Host& h : hosts_) {
-      if (!h.own || !h.usable() || !h.way.bad() || h.suspended) continue;
+      // A suspended one is the paper's to relieve, unless so much is asked of it that it serves nobody.
+      if (!h.own || !h.usable() || !h.way.bad() || (h.suspended && h.forecast.raw() < kCrippled)) continue;
       const double load = std::min(h.own_load / kBeatsPerProbe, room);
       if (load <= 0) continue;
       under_way_.add(now_, load);
@@ -888,7 +892,7 @@
   static constexpr unsigned kMostPatience = 64;
   static constexpr double kAlone = 1e9, kUnusual = 8, kCrowded = 1.25, kCopy = 2.0 / 3, kMostCopy = 8,
                           kDear = 4, kHeavy = 2, kOneCore = 1e-6, kIdleProbes = 0.125, kFewOfGroup = 2,
-                          kPriorOwn = 8;
+                          kPriorOwn = 8, kCrippled = 2;
 
   Outlet& out_;
   std::knuth_b chance_;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -164,6 +164,26 @@
   EXPECT_LE(used.size(), 4u);
 }
 
+// Guards against holding a group's sessions back while hosts have room, as its best hosts are bad from here.
+TEST(Groups, GoElsewhereWhereTheirHostsAreBadFromHere) {
+  for (std::uint64_t group = 1; group <= 60; ++group) {
+    Three w(group);
+    for (unsigned i = 4; i <= 12; ++i) w.hosts[HostId{i}] = {ZoneId{0}, CellId{0}};
+    w.restart();
+    for (int i = 0; i < 40; ++i) w.settle();
+    // Half of the hosts are bad from here: for one group in eight all of its best.
+    for (int i = 0; i < 60; ++i) {
+      w.pass(100ms);
+      for (const HostId h : std::exchange(w.probes, {}))
+        if (h.value > 6)
+          w.balancer->probed(h, Ending::timed_out, 300ms, {});
+        else
+          w.report(h, 0.62);
+    }
+    EXPECT_FALSE(w.clients.at(w.arrive(0, GroupId{group})).dials.empty()) << group;
+  }
+}
+
 TEST(Mover, MovesFromHeavyOnly) {
   Three w;
   w.loads(1.0, 0.2, 0.3);
@@ -366,6 +386,18 @@
   EXPECT_EQ(w.clients.at(w.arrive(0)).dials.size(), 1u);
 }
 
+// Guards against sessions left on a host that hangs: it answers probes, and reports many times what it can do.
+// The mean of the pair would leave it at several times what it can do.
+TEST(Way, ToAHostThatIsCrippledIsLeft) {
+  BadWay w;
+  for (int i = 0; i < 40; ++i) {
+    w.pass(100ms);
+    for (const HostId h : std::exchange(w.probes, {})) w.report(h, h == b ? 9 : 0.3);
+  }
+  EXPECT_GE(w.moved_from(b), 9u);
+  EXPECT_EQ(w.turns_of_b(9), 0u);
+}
+
 // Guards against a host that fails by turns and is believed again at once each time.
 TEST(Way, IsBelievedMoreSlowlyEachTime) {
   BadWay w;
