Move no more than the lighter host has room for; let heavy sessions go only from a full fleet

Mover::share now stops at the lighter's room unless the heavier is past what it can do, where it serves nobody; heavy sessions go only while the mean is at 0.7 or more.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -148,7 +148,7 @@
   Micros interval(Micros now, Micros since, double hosts) const {
     const double rate = 1 / seconds(kQuietRest) + taken_.per_second(now, since, 2 * kProbeEvery);
     const double wanted = price_.value_or(0) * hosts / (kShare * rate);
-    if (wanted < seconds(kCurrent)) return kProbeEvery;  // little is won by a little longer
+    if (wanted < seconds(kCurrent)) return kProbeEvery;
     return std::min(Micros{std::llround(wanted * 1e6)}, 100 * kProbeEvery);
   }
 
@@ -249,12 +249,14 @@
 };
 
 // Heavy to light: which share of its own load on the heavier of two hosts a node moves off. Every node that
-// sees the pair moves the same share of its own, which together is what the mean asks.
+// sees the pair moves the same share of its own, which together is what the mean asks. No more than the
+// lighter has room for, unless the heavier serves nobody: what is moved beyond that is refused, again and
+// again.
 class Mover {
  public:
   static double share(double heavy, double light) {
     const double aim = std::max((heavy + light) / 2, kFullAt);
-    return heavy > aim ? (heavy - aim) / heavy : 0;
+    return heavy > aim ? std::min(heavy - aim, std::max(kFullAt - light, heavy - 1)) / heavy : 0;
   }
 };
 
@@ -777,7 +779,7 @@
       if (h.standing == Standing::draining && h.own) move_off(h, h.own_load / kBeatsPerProbe, Leaving::drain);
     if (++beats_ % kBeatsPerProbe == 0) {
       even_out();
-      let_go_heavy();
+      if (mean_load_ >= kFullAt) let_go_heavy();
     }
   }
 
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -216,6 +216,18 @@
   EXPECT_LE(moved, 45u);
 }
 
+// Guards against sessions that are moved where there is no room, and are refused, moved and refused again.
+TEST(Mover, MovesNoMoreThanTheLighterHasRoomFor) {
+  unsigned moved = 0;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Three w(seed);
+    w.loads(0.95, 0.69, 0.69);
+    w.pass(1s);
+    for (const auto& [id, client] : w.clients) moved += client.moved;
+  }
+  EXPECT_LE(moved, 20u);
+}
+
 TEST(Mover, LeavesADrainingHost) {
   Three w;
   w.change(a, Standing::draining);
