Lab: lossy, slow and one-sided ways, hosts that fail by turns, lists that call hosts gone

Lost bytes are sent again after a doubling wait, as TCP does; the checker excuses such a way like a cut one.

--- a/src/lab/fabric.cpp
+++ b/src/lab/fabric.cpp
@@ -7,8 +7,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr Micros kAgain = 200ms;  // lost packets are sent again so long after a link is back
-constexpr Micros kSynAgain = 1s;  // and those that open a connection, as often as that
+constexpr Micros kAgain = 200ms;   // lost packets are sent again so long after a link is back
+constexpr Micros kMostAgain = 8s;  // a link that loses all is given up on after that
+constexpr Micros kSynAgain = 1s;   // and those that open a connection, as often as that
 constexpr std::size_t kBacklog = 4096;
 
 }  // namespace
@@ -45,9 +46,23 @@
 
 Micros Fabric::travel(MachineNo from, MachineNo to) {
   const double more = carriage_.jitter * std::generate_canonical<double, 32>(chance_);
-  return Micros{static_cast<std::int64_t>(static_cast<double>(latency(from, to).count()) * (1 + more))};
+  Micros out{static_cast<std::int64_t>(static_cast<double>(latency(from, to).count()) * (1 + more))};
+  const auto bad = bad_.find(std::minmax(from.value, to.value));
+  if (bad == bad_.end()) return out;
+  out += bad->second.longer;
+  for (Micros again = kAgain; again < kMostAgain; again *= 2) {
+    if (std::generate_canonical<double, 32>(chance_) >= bad->second.lost) break;
+    out += again;
+  }
+  return out;
 }
 
+void Fabric::worsen(MachineNo a, MachineNo b, Micros longer, double lost) {
+  bad_[std::minmax(a.value, b.value)] = {longer, lost};
+}
+
+void Fabric::ease(MachineNo a, MachineNo b) { bad_.erase(std::minmax(a.value, b.value)); }
+
 bool Fabric::blocked(MachineNo from, MachineNo to) const {
   if (from == to) return false;
   const Machine &a = machines_[from.value], &b = machines_[to.value];
--- a/src/lab/fabric.h
+++ b/src/lab/fabric.h
@@ -52,6 +52,10 @@
   void cut(ZoneNo from, ZoneNo to);
   void mend(ZoneNo from, ZoneNo to);
   bool blocked(MachineNo from, MachineNo to) const;
+  // Between the two, both ways, until eased: so much longer, and so large a share of what is sent has to be
+  // sent again, after a wait that doubles each time.
+  void worsen(MachineNo a, MachineNo b, Micros longer, double lost);
+  void ease(MachineNo a, MachineNo b);
 
  private:
   friend class Process;
@@ -97,6 +101,11 @@
   std::knuth_b chance_;
   std::vector<Machine> machines_;
   std::set<std::pair<std::uint32_t, std::uint32_t>> cuts_;
+  struct Bad {
+    Micros longer;
+    double lost;
+  };
+  std::map<std::pair<std::uint32_t, std::uint32_t>, Bad> bad_;  // by machines, the lower number first
   std::vector<std::weak_ptr<Wire>> wires_;
 };
 
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -96,6 +96,7 @@
   ListPlan out;
   pair_of(f, "late", out.late, 500ms, 2s);
   out.ask_every = f.time("ask_every", 10s, 100ms);
+  out.only_draining_binds = f.yes("only_draining_binds", false);
   f.done();
   return out;
 }
@@ -306,20 +307,29 @@
       {"host-slow", "host", false, "its cores do a share `size` of their work"},
       {"host-resets", "host", false, "it breaks off a share `size` of the connections that come"},
       {"host-lost", "host", true, "its machine says nothing more, and is restarted when the fault is over"},
+      {"host-flaps", "host", false, "it hangs and recovers by turns of `size` seconds"},
       {"hosts-deploy", "host", false, "they drain, end, and start again cold, one after the other"},
       {"node-killed", "node", false, "it is killed, and started again when the fault is over"},
       {"node-restarts", "node", false, "they are told to leave, one after the other, and started again"},
       {"node-lost", "node", true, "its machine says nothing more, and is restarted when the fault is over"},
+      {"node-lossy", "node", true, "a share `size` of what goes between it and every other host gets lost"},
+      {"node-slow", "node", true, "what goes between it and every other host takes `size` seconds longer"},
       {"node-reload", "node", false, "it reads its configuration again"},
       {"zone-cut", "zone", true, "nothing passes between it and the other zones, either way"},
       {"zone-deaf", "zone", true, "nothing from the other zones reaches it; what it sends arrives"},
       {"zone-mute", "zone", true, "nothing that it sends reaches the other zones"},
+      {"zone-lossy", "zone", true,
+       "a share `size` of what goes between its nodes or hosts and others gets lost"},
+      {"zone-slow", "zone", true,
+       "what goes between its nodes or hosts and others takes `size` seconds longer"},
       {"clients-drop", "client", false, "a share `share` of the clients drops at once and comes again"},
       {"clients-burst", "client", false, "a share `share` of the resting clients comes at once"},
       {"list-down", "list", false, "discovery takes no calls"},
       {"list-slow", "list", false, "it answers `size` seconds later"},
       {"list-stale", "list", false, "it goes on telling what it knew when the fault began"},
       {"list-malformed", "list", false, "its answers are cut off or nonsense"},
+      {"list-shrinks", "list", false,
+       "it calls a share `size` of the running hosts gone, then names them again"},
       {"list-moves", "list", false, "it moves to another address for good; nodes get a reload"},
   };
   return kinds;
--- a/src/lab/plan.h
+++ b/src/lab/plan.h
@@ -50,6 +50,7 @@
 struct ListPlan {
   Micros late[2];
   Micros ask_every;
+  bool only_draining_binds;  // a host called gone or left out may still be used
 };
 
 struct FrontPlan {
--- a/src/lab/stage.h
+++ b/src/lab/stage.h
@@ -38,6 +38,8 @@
   virtual void restore(MachineNo) {}
   virtual void cut(ZoneNo /*from*/, ZoneNo /*to*/) {}
   virtual void mend(ZoneNo /*from*/, ZoneNo /*to*/) {}
+  virtual void worsen(MachineNo, MachineNo, Micros /*longer*/, double /*lost*/) {}
+  virtual void ease(MachineNo, MachineNo) {}
 };
 
 }  // namespace flintweir::lab
--- a/src/lab/virtual_stage.cpp
+++ b/src/lab/virtual_stage.cpp
@@ -101,6 +101,16 @@
   fabric_.mend(from, to);
 }
 
+void VirtualStage::worsen(MachineNo a, MachineNo b, Micros longer, double lost) {
+  bad_until_[std::minmax(a.value, b.value)] = Micros::max();
+  fabric_.worsen(a, b, longer, lost);
+}
+
+void VirtualStage::ease(MachineNo a, MachineNo b) {
+  bad_until_[std::minmax(a.value, b.value)] = now();
+  fabric_.ease(a, b);
+}
+
 Micros VirtualStage::longest(MachineNo a, MachineNo b) const {
   const double most = static_cast<double>(fabric_.latency(a, b).count()) * (1 + carriage_.jitter);
   return Micros{static_cast<std::int64_t>(most) + 1};
@@ -113,6 +123,8 @@
   for (const auto& way : {std::pair(x, y), {y, x}}) {
     if (const auto it = cut_until_.find(way); it != cut_until_.end()) until = std::max(until, it->second);
   }
+  if (const auto it = bad_until_.find(std::minmax(a.value, b.value)); it != bad_until_.end())
+    until = std::max(until, it->second);
   return until == Micros::min() || (until != Micros::max() && until + kMends < since);
 }
 
--- a/src/lab/virtual_stage.h
+++ b/src/lab/virtual_stage.h
@@ -34,6 +34,8 @@
   void restore(MachineNo machine) override;
   void cut(ZoneNo from, ZoneNo to) override;
   void mend(ZoneNo from, ZoneNo to) override;
+  void worsen(MachineNo a, MachineNo b, Micros longer, double lost) override;
+  void ease(MachineNo a, MachineNo b) override;
 
   Micros longest(MachineNo a, MachineNo b) const override;
   bool sound(MachineNo a, MachineNo b, Micros since) const override;
@@ -55,7 +57,7 @@
   std::string* logged_;
   std::vector<ZoneNo> zones_;       // of machines
   std::vector<Micros> lost_until_;  // of machines: the end of their last loss
-  std::map<std::pair<std::uint32_t, std::uint32_t>, Micros> cut_until_;
+  std::map<std::pair<std::uint32_t, std::uint32_t>, Micros> cut_until_, bad_until_;
   std::vector<std::unique_ptr<Process>> processes_;
   std::map<std::uint32_t, NodeAt> nodes_;
 };
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -92,6 +92,8 @@
   void begin(const Fault& f);
   void end(const Fault& f, std::uint64_t turn);
   void cut(const std::string& kind, ZoneNo zone, bool on);
+  void worsen(const Fault& f, bool on);
+  void shrink_list(const Fault& f);
   unsigned* list_trouble(const std::string& kind);  // none: it is no trouble of the list
   void list_mood();
   void tick();
@@ -117,6 +119,7 @@
   std::vector<std::unique_ptr<RudePeer>> rude_;
   std::vector<Asked> asked_;  // by number, from one
   std::map<std::pair<std::uint32_t, std::uint32_t>, unsigned> cuts_;
+  std::map<std::pair<std::uint32_t, std::uint32_t>, unsigned> worse_;  // ways between a node and a host
 };
 
 }  // namespace flintweir::lab
