Work out the shortest message target, ways made worse and moved sessions in one place each

Reread of the change. HostFacts::tell follows a listing as gone itself instead of leaving a second call to its caller. Which hosts are left is one test in leave_bad_ways, where its guard and its loop had two. The lab's test for faults of ways stood in begin() and end() in two spellings, and its count of overlapping faults in cut() and worsen(). No assertion changes but in form.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -148,7 +148,7 @@
   Micros interval(Micros now, Micros since, double hosts) const {
     const double rate = 1 / seconds(kQuietRest) + taken_.per_second(now, since, 2 * kProbeEvery);
     const double wanted = price_.value_or(0) * hosts / (kShare * rate);
-    if (wanted < seconds(kCurrent)) return kProbeEvery;
+    if (wanted < seconds(kCurrent)) return kProbeEvery;  // little is won by a little longer
     return std::min(Micros{std::llround(wanted * 1e6)}, 100 * kProbeEvery);
   }
 
@@ -271,6 +271,7 @@
         nodes_(std::max(1u, nodes)),
         zone_(zone),
         listeners_(std::move(listeners)),
+        message_target_(shortest_message_target(listeners_)),
         dial_limits_(dials),
         guard_(cold),
         ended_load_(4 * cold.warm_within),
@@ -280,12 +281,7 @@
         crossing_price_(prices.crossing),
         pace_(prices.probe),
         rotation_(chance_()),
-        usual_(listeners_.size()) {
-    for (const Listener& l : listeners_)
-      if (l.message_target > Micros{0} &&
-          (message_target_ == Micros{0} || l.message_target < message_target_))
-        message_target_ = l.message_target;
-  }
+        usual_(listeners_.size()) {}
 
   void at(Micros now) override {
     now_ = now;
@@ -436,8 +432,7 @@
       h->suspended = h->shedding = false;
       h->aside_until = h->delay_at = kNever;
     }
-    h->tell(zone, cell, standing, share, started, list_.only_draining_binds);
-    if (standing == Standing::gone) h->list_lacks_it(now_, list_.only_draining_binds);
+    h->tell(zone, cell, standing, share, started, now_, list_.only_draining_binds);
   }
 
   void list_ends() override {
@@ -651,7 +646,7 @@
     bool held = false;
     double home = 0, count = 1, own = kPriorOwn;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      // Guards against a group whose best hosts are all ill: it has no place, and its sessions are refused.
+      // Guards against a group whose best hosts are all bad from here: it has no place, and waits in vain.
       const bool counts = hosts_[i].usable() && (suspect_ || !hosts_[i].way.bad());
       ranks_.push_back(counts ? rank(group, hosts_[i]) : 0);
       count += hosts_[i].groups.of(group);
@@ -787,9 +782,11 @@
   // here as far as those have room, of which this node takes no more than its part twice over: as many as
   // half of all nodes may see the same.
   void leave_bad_ways() {
-    if (per_load_ <= 0 || std::none_of(hosts_.begin(), hosts_.end(),
-                                       [](const Host& h) { return h.own && h.usable() && h.way.bad(); }))
-      return;
+    // A suspended one is the paper's to relieve, unless so much is asked of it that it serves nobody.
+    const auto is_left = [](const Host& h) {
+      return h.own && h.usable() && h.way.bad() && (!h.suspended || h.forecast.raw() >= kCrippled);
+    };
+    if (per_load_ <= 0 || std::none_of(hosts_.begin(), hosts_.end(), is_left)) return;
     double room = 0;
     for (const Host& h : hosts_) {
       const double load = h.usable() ? load_of(h) : 1;
@@ -799,10 +796,8 @@
     }
     room = 2 * room / nodes_ - under_way_.at(now_);
     for (Host& h : hosts_) {
-      // A suspended one is the paper's to relieve, unless so much is asked of it that it serves nobody.
-      if (!h.own || !h.usable() || !h.way.bad() || (h.suspended && h.forecast.raw() < kCrippled)) continue;
       const double load = std::min(h.own_load / kBeatsPerProbe, room);
-      if (load <= 0) continue;
+      if (!is_left(h) || load <= 0) continue;
       under_way_.add(now_, load);
       room -= load;
       move_off(h, load, Leaving::drain);
@@ -904,7 +899,7 @@
   unsigned nodes_;
   ZoneId zone_;
   std::vector<Listener> listeners_;
-  Micros message_target_{0};  // the shortest
+  Micros message_target_;  // the shortest
   DialLimits dial_limits_;
   ColdGuard guard_;
   // Of own sessions that ended of themselves; of all, in load seconds; and the hosts that all load fills.
--- a/src/balance.h
+++ b/src/balance.h
@@ -31,6 +31,15 @@
   Micros message_target{0};  // a message later than that serves nobody; zero where nothing says so
 };
 
+// Of all listeners; zero where none has one.
+inline Micros shortest_message_target(const std::vector<Listener>& listeners) {
+  Micros least{0};
+  for (const Listener& l : listeners)
+    if (l.message_target > Micros{0} && (least == Micros{0} || l.message_target < least))
+      least = l.message_target;
+  return least;
+}
+
 struct DialLimits {
   unsigned most;             // dials of one session
   Micros longest_stay_away;  // zero where clients cannot be told when to come back
--- a/src/host.h
+++ b/src/host.h
@@ -63,9 +63,10 @@
 
   // An older list may come again: a start is never taken back, and where only draining binds nothing but a
   // restart ends it.
-  void tell(ZoneId z, CellId c, Standing now_is, double size, Micros since, bool only_draining_binds) {
+  void tell(ZoneId z, CellId c, Standing now_is, double size, Micros since, Micros now,
+            bool only_draining_binds) {
     listed = true;
-    if (now_is == Standing::gone) return;
+    if (now_is == Standing::gone) return list_lacks_it(now, only_draining_binds);
     drained = now_is == Standing::draining || (drained && only_draining_binds && since <= started);
     standing = drained ? Standing::draining : now_is;
     off_list = kNever;
--- a/src/lab/client_peer.cpp
+++ b/src/lab/client_peer.cpp
@@ -160,7 +160,7 @@
 
 bool ClientPeer::well(Micros now) const {
   if (phase_ != Phase::open) return false;
-  const Micros target = model_.listener().message_target;
+  const Micros target = model_.listener().rules.message_target;
   return last_took_ <= target && (unanswered_.empty() || now - unanswered_.front() <= target);
 }
 
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -125,7 +125,7 @@
   out.rules.utility = f.number("utility", 1, 0, 1e6);
   out.load = f.number("load", 1, 0.001, 1000);
   out.life = f.number("life", 1, 0.001, 1000);
-  out.message_target = f.time("message_target", 150ms);
+  out.rules.message_target = f.time("message_target", 150ms);
   f.done();
   return out;
 }
@@ -154,7 +154,7 @@
     all += out.listeners.back().share;
   }
   if (out.listeners.empty())
-    out.listeners.push_back({"chat", 1, {500ms, 2s, Effect::repeatable, Reach::all, 2s, 1}, 1, 1, 150ms});
+    out.listeners.push_back({"chat", 1, {500ms, 2s, Effect::repeatable, Reach::all, 2s, 1, 150ms}, 1, 1});
   else if (all <= 0)
     listeners.back().bad("share", "no listener has a share over zero");
   return out;
--- a/src/lab/plan.h
+++ b/src/lab/plan.h
@@ -62,7 +62,6 @@
   double share;
   Listener rules;  // as the node is told
   double load, life;
-  Micros message_target;
 };
 
 struct TrafficPlan {
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -26,6 +26,15 @@
   return out;
 }
 
+// Of the ways between nodes and hosts, or some of them.
+bool worsens_ways(const std::string& kind) {
+  return kind.ends_with("-lossy") || kind == "node-slow" || kind == "zone-slow";
+}
+
+// Counts faults of one kind that befall the same thing; whether another lasts, so that this one, as it begins
+// or ends, changes nothing.
+bool overlaps(unsigned& lasting, bool begins) { return begins ? lasting++ > 0 : --lasting > 0; }
+
 }  // namespace
 
 World::World(const Experiment& experiment, Stage& stage, std::uint64_t seed, const std::vector<Fault>& faults,
@@ -226,7 +235,7 @@
   }
   double target = 1e18;
   for (const ListenerPlan& l : experiment_.traffic.listeners)
-    target = std::min(target, static_cast<double>(l.message_target.count()));
+    target = std::min(target, static_cast<double>(l.rules.message_target.count()));
   const nlohmann::json settings{{"balancers", nodes_.size()},
                                 {"myZone", n.zone.value},
                                 {"failureDomains", experiment_.fleet.zones},
@@ -321,9 +330,8 @@
   for (std::uint32_t other = 0; other < experiment_.fleet.zones.size(); ++other) {
     if (other == zone.value) continue;
     const auto way = [&](ZoneNo from, ZoneNo to) {
-      unsigned& count = cuts_[{from.value, to.value}];
-      if (on && count++ == 0) stage_.cut(from, to);
-      if (!on && --count == 0) stage_.mend(from, to);
+      if (overlaps(cuts_[{from.value, to.value}], on)) return;
+      on ? stage_.cut(from, to) : stage_.mend(from, to);
     };
     if (kind != "zone-deaf") way(zone, {other});
     if (kind != "zone-mute") way({other}, zone);
@@ -337,11 +345,12 @@
     for (const HostUnit& h : hosts_) {
       if (of_node && (n.no.value != f.target || h.no.value % 2 == f.target % 2)) continue;
       if (!of_node && (n.zone == h.zone || (n.zone.value != f.target && h.zone.value != f.target))) continue;
-      unsigned& count = worse_[{n.no.value, h.no.value}];
-      if (on && count++ == 0)
+      if (overlaps(worse_[{n.no.value, h.no.value}], on)) continue;
+      if (!on)
+        stage_.ease(n.machine, h.machine);
+      else
         stage_.worsen(n.machine, h.machine, Micros{slow ? std::llround(f.size * 1e6) : 0},
                       slow ? 0 : std::min(f.size, 1.0));
-      if (!on && --count == 0) stage_.ease(n.machine, h.machine);
     }
   }
 }
@@ -435,8 +444,7 @@
     turn = h->turn;
   } else if (f.kind == "hosts-deploy") {
     return deploy(*h);
-  } else if (f.kind == "node-lossy" || f.kind == "node-slow" || f.kind == "zone-lossy" ||
-             f.kind == "zone-slow") {
+  } else if (worsens_ways(f.kind)) {
     worsen(f, true);
   } else if (f.kind == "list-shrinks") {
     return shrink_list(f);
@@ -492,7 +500,7 @@
 
 void World::end(const Fault& f, std::uint64_t turn) {
   log_.line(now(), "over %s", to_text(f, experiment_.fleet).c_str());
-  if (f.kind.ends_with("-lossy") || f.kind == "node-slow" || f.kind == "zone-slow") return worsen(f, false);
+  if (worsens_ways(f.kind)) return worsen(f, false);
   if (f.kind.starts_with("host-")) {
     HostUnit& h = hosts_[f.target];
     if (h.turn != turn) return;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -29,10 +29,7 @@
 Micros message_target(const setup::Values& settings) {
   if (!settings.has("familyInfo")) return 0us;
   if (!setup::Values(settings, "familyInfo").yes("tellsDelay")) return 0us;
-  Micros least{0};
-  for (const Listener& l : setup::listeners(settings))
-    if (l.message_target > 0us && (least == 0us || l.message_target < least)) least = l.message_target;
-  return least;
+  return shortest_message_target(setup::listeners(settings));
 }
 
 HeadReader head_reader(const setup::Values& settings) {
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -36,6 +36,12 @@
     accept(id);
     return placed(id);
   }
+  // How many of so many sessions are placed there.
+  unsigned turns_of(HostId host, int sessions) {
+    unsigned n = 0;
+    for (int i = 0; i < sessions; ++i) n += settle() == host;
+    return n;
+  }
 };
 
 TEST(Rotation, TakesEachHostInTurn) {
@@ -172,14 +178,12 @@
     w.restart();
     for (int i = 0; i < 40; ++i) w.settle();
     // Half of the hosts are bad from here: for one group in eight all of its best.
-    for (int i = 0; i < 60; ++i) {
-      w.pass(100ms);
-      for (const HostId h : std::exchange(w.probes, {}))
-        if (h.value > 6)
-          w.balancer->probed(h, Ending::timed_out, 300ms, {});
-        else
-          w.report(h, 0.62);
-    }
+    w.pass_asked(6s, [&](HostId h) {
+      if (h.value > 6)
+        w.balancer->probed(h, Ending::timed_out, 300ms, {});
+      else
+        w.report(h, 0.62);
+    });
     EXPECT_FALSE(w.clients.at(w.arrive(0, GroupId{group})).dials.empty()) << group;
   }
 }
@@ -188,14 +192,9 @@
   Three w;
   w.loads(1.0, 0.2, 0.3);
   w.pass(1s);
-  unsigned moved = 0;
-  for (const auto& [id, client] : w.clients) {
-    if (!client.moved) continue;
-    ++moved;
-    EXPECT_EQ(client.dials.back().host, a);
-  }
-  EXPECT_GE(moved, 2u);
-  EXPECT_LE(moved, 5u);
+  EXPECT_EQ(w.moved(), w.moved(a));
+  EXPECT_GE(w.moved(), 2u);
+  EXPECT_LE(w.moved(), 5u);
 }
 
 // Guards against a crowd of nodes that each round their part of a move up to a session: together they would
@@ -223,7 +222,7 @@
     Three w(seed);
     w.loads(0.95, 0.69, 0.69);
     w.pass(1s);
-    for (const auto& [id, client] : w.clients) moved += client.moved;
+    moved += w.moved();
   }
   EXPECT_LE(moved, 20u);
 }
@@ -291,8 +290,6 @@
   for (int i = 0; i < 6; ++i) EXPECT_NE(w.settle(), c);
 }
 
-// Guards against a host that stays overloaded since none of the nodes that each have a session there asks it
-// in time: where probes are dear the same price goes first to the hosts of own sessions.
 // Three hosts at a deployment where nothing but a listing as draining binds. Host b has left the list.
 struct Unbound : Three {
   explicit Unbound(bool b_answers) {
@@ -303,25 +300,18 @@
     answers(6s, b_answers);
   }
   void answers(Micros over, bool b_too) {
-    for (const Micros end = now + over; now < end;) {
-      pass(100ms);
-      for (const HostId h : std::exchange(probes, {}))
-        if (h != b || b_too) report(h, 0.3);
-    }
-  }
-  unsigned turns_of_b(int turns) {
-    unsigned n = 0;
-    for (int i = 0; i < turns; ++i) n += settle() == b;
-    return n;
+    pass_asked(over, [&](HostId h) {
+      if (h != b || b_too) report(h, 0.3);
+    });
   }
 };
 
 // A list is a statement: a host that goes on answering serves on, whatever calls it gone.
-TEST(List, LacksAHostThatAnswersAndIsStillUsed) { EXPECT_EQ(Unbound(true).turns_of_b(9), 3u); }
+TEST(List, LacksAHostThatAnswersAndIsStillUsed) { EXPECT_EQ(Unbound(true).turns_of(b, 9), 3u); }
 
 TEST(List, LacksAHostThatIsSilentAndIsNotUsed) {
   Unbound w(false);
-  EXPECT_EQ(w.turns_of_b(9), 0u);
+  EXPECT_EQ(w.turns_of(b, 9), 0u);
   w.answers(20s, false);
   w.tell_all();
   EXPECT_TRUE(w.forgotten.contains(b));
@@ -346,10 +336,10 @@
   w.change(b, Standing::draining);
   w.change(b, Standing::gone);
   w.change(b, Standing::in);
-  EXPECT_EQ(w.turns_of_b(9), 0u);
+  EXPECT_EQ(w.turns_of(b, 9), 0u);
   w.change(b, Standing::in, w.now);
   w.answers(12s, true);
-  EXPECT_GT(w.turns_of_b(9), 0u);
+  EXPECT_GT(w.turns_of(b, 9), 0u);
 }
 
 // Guards rule 4 against an old list that comes again: a cold host that it takes for an old one is cold.
@@ -358,35 +348,20 @@
   w.change(b, Standing::in, w.now);
   w.hosts[b].started = 0us;
   w.change(b, Standing::in);
-  unsigned turns = 0;
-  for (int i = 0; i < 30; ++i) turns += w.settle() == b;
-  EXPECT_LT(turns, 5u);
+  EXPECT_LT(w.turns_of(b, 30), 5u);
 }
 
 // Host b is bad from this node: of its probes every third comes to something, or each takes so long.
 struct BadWay : Three {
   void pass_with(std::set<HostId> bad, Micros over, bool lost) {
-    for (const Micros end = now + over; now < end;) {
-      pass(100ms);
-      for (const HostId h : std::exchange(probes, {})) {
-        if (!bad.contains(h) || (lost && ++asked[h] % 3 == 0))
-          report(h, 0.3);
-        else if (lost)
-          balancer->probed(h, Ending::timed_out, 300ms, {});
-        else
-          report(h, 0.3, 150ms);
-      }
-    }
-  }
-  unsigned moved_from(HostId h) {
-    unsigned n = 0;
-    for (const auto& [id, c] : clients) n += c.moved && c.dials.back().host == h;
-    return n;
-  }
-  unsigned turns_of_b(int turns) {
-    unsigned n = 0;
-    for (int i = 0; i < turns; ++i) n += settle() == b;
-    return n;
+    pass_asked(over, [&](HostId h) {
+      if (!bad.contains(h) || (lost && ++asked[h] % 3 == 0))
+        report(h, 0.3);
+      else if (lost)
+        balancer->probed(h, Ending::timed_out, 300ms, {});
+      else
+        report(h, 0.3, 150ms);
+    });
   }
   std::map<HostId, unsigned> asked;
 };
@@ -395,24 +370,24 @@
 TEST(Way, ThatLosesIsLeftAndPassedOver) {
   BadWay w;
   w.pass_with({b}, 8s, true);
-  EXPECT_GE(w.moved_from(b), 5u);
-  EXPECT_EQ(w.moved_from(a) + w.moved_from(c), 0u);
-  EXPECT_EQ(w.turns_of_b(9), 0u);
+  EXPECT_GE(w.moved(b), 5u);
+  EXPECT_EQ(w.moved(a) + w.moved(c), 0u);
+  EXPECT_EQ(w.turns_of(b, 9), 0u);
 }
 
 // The same where every answer comes, too late for a message.
 TEST(Way, ThatIsSlowIsLeftAndPassedOver) {
   BadWay w;
   w.pass_with({b}, 8s, false);
-  EXPECT_GE(w.moved_from(b), 5u);
-  EXPECT_EQ(w.turns_of_b(9), 0u);
+  EXPECT_GE(w.moved(b), 5u);
+  EXPECT_EQ(w.turns_of(b, 9), 0u);
 }
 
 // Where all ways are bad there is nowhere to go: nobody is moved, and new sessions still get a host.
 TEST(Way, IsBornWhereNoneIsBetter) {
   BadWay w;
   w.pass_with({a, b, c}, 8s, true);
-  EXPECT_EQ(w.moved_from(a) + w.moved_from(b) + w.moved_from(c), 0u);
+  EXPECT_EQ(w.moved(), 0u);
   EXPECT_EQ(w.clients.at(w.arrive(0)).dials.size(), 1u);
 }
 
@@ -420,12 +395,9 @@
 // do. The mean of the pair would leave it at several times what it can do.
 TEST(Way, ToAHostThatIsCrippledIsLeft) {
   BadWay w;
-  for (int i = 0; i < 40; ++i) {
-    w.pass(100ms);
-    for (const HostId h : std::exchange(w.probes, {})) w.report(h, h == b ? 9 : 0.3);
-  }
-  EXPECT_GE(w.moved_from(b), 9u);
-  EXPECT_EQ(w.turns_of_b(9), 0u);
+  w.pass_asked(4s, [&](HostId h) { w.report(h, h == b ? 9 : 0.3); });
+  EXPECT_GE(w.moved(b), 9u);
+  EXPECT_EQ(w.turns_of(b, 9), 0u);
 }
 
 // Guards against a host that fails by turns and is believed again at once each time.
@@ -435,7 +407,7 @@
   for (int spell = 0; spell < 3; ++spell) {
     w.pass_with({b}, 5s, false);
     const Micros well_at = w.now;
-    while (w.now < well_at + 30s && w.turns_of_b(4) == 0) w.pass_with({}, 200ms, false);
+    while (w.now < well_at + 30s && w.turns_of(b, 4) == 0) w.pass_with({}, 200ms, false);
     until.push_back(w.now - well_at);
   }
   EXPECT_LT(until[0], 8s);
@@ -444,6 +416,8 @@
   EXPECT_LT(until[2], 20s);
 }
 
+// Guards against a host that stays overloaded since none of the nodes that each have a session there asks it
+// in time: where probes are dear the same price goes first to the hosts of own sessions.
 TEST(Probes, GoFirstWhereOwnSessionsAre) {
   Three w(9);
   for (unsigned i = 4; i <= 50; ++i) w.hosts[HostId{i}] = {ZoneId{0}, CellId{0}};
@@ -595,9 +569,9 @@
         w.hosts[fresh] = {ZoneId{0}, CellId{0}};
         w.change(fresh, Standing::in, w.now);
       }
-      w.pass(100ms);
-      for (const HostId h : std::exchange(w.probes, {}))
+      w.pass_asked(100ms, [&](HostId h) {
         w.report(h, h == fresh ? 0.1 : step < 150 ? kRate / 3 / kCapacity : 0.9);
+      });
       for (int n = arrivals(chance); n > 0; --n) {
         const SessId id = w.arrive(0);
         if (w.clients.at(id).dials.empty()) continue;
@@ -633,11 +607,8 @@
     std::uniform_int_distribution<std::size_t> any(0, kMany - 1);
     std::deque<Micros> sent;
     const auto step = [&] {  // the warm hosts are full
-      for (Three& w : nodes) {
-        w.pass(100ms);
-        for (const HostId h : std::exchange(w.probes, {}))
-          w.report(h, h == fresh ? 0.1 : kMany * kEach / 3 / kFull);
-      }
+      for (Three& w : nodes)
+        w.pass_asked(100ms, [&](HostId h) { w.report(h, h == fresh ? 0.1 : kMany * kEach / 3 / kFull); });
     };
     for (Three& w : nodes) {
       for (unsigned i = 0; i < kEach; ++i) {
@@ -674,8 +645,6 @@
   EXPECT_GT(in_all, 5 * 20u);
 }
 
-// Guards against a node that holds one light session of all the fleet's, and takes the next few for so much
-// of a host that all hosts look full.
 // Rule 4 with sessions of unlike load. Guards against many light ones that are sent to a cold host at once as
 // their load is small: setting each up is work too, and a host fills with usual ones (found by a hunt on
 // flapping hosts: 18 dials by 21 nodes within 1.5 s, five times what the host could then do).
@@ -688,10 +657,7 @@
       w.clients.at(id).handle.load_is(listener == 0 ? 5'000 : 100'000);
     }
   }
-  for (int i = 0; i < 300; ++i) {
-    w.pass(100ms);
-    for (const HostId h : std::exchange(w.probes, {})) w.report(h, 0.6);
-  }
+  w.pass_asked(30s, [&](HostId h) { w.report(h, 0.6); });
   w.hosts[HostId{4}] = {ZoneId{0}, CellId{0}};
   w.change(HostId{4}, Standing::in, w.now);
   w.report(HostId{4}, 0);
@@ -704,14 +670,13 @@
   EXPECT_LE(w.sent_to(HostId{4}), 8u);
 }
 
+// Guards against a node that holds one light session of all the fleet's, and takes the next few for so much
+// of a host that all hosts look full.
 TEST(Load, OfASessionIsNoMoreThanItsPartOfOneCore) {
   Three w(3);
   w.nodes = 100;
   w.restart();
-  for (int i = 0; i < 30; ++i) {
-    w.pass(100ms);
-    for (const HostId h : std::exchange(w.probes, {})) w.report(h, 0.5);
-  }
+  w.pass_asked(3s, [&](HostId h) { w.report(h, 0.5); });
   const auto serve = [&](unsigned listener, double load) {
     const SessId id = w.arrive(listener);
     w.accept(id);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -16,6 +16,12 @@
 constexpr const char* kHosts =
     R"(["DIRECTORY",0,[["10.0.0.1:80",0,0,0,"IN",1,null]]],["UPDATE",3,1,0,"stale_copy"])";
 
+// The settings with one more entry, before the key named.
+std::string configure_with(const std::string& entry, const std::string& before) {
+  std::string out = kConfigure;
+  return out.insert(out.find('"' + before + '"'), entry + ",");
+}
+
 std::string batch(int t, const std::string& items) {
   return "{\"t\":" + std::to_string(t) + ",\"items\":[" + items + "]}";
 }
@@ -38,27 +44,21 @@
 
 // A wrong or missing value among the new settings is one clear line.
 TEST(Wire, RefusesSettingsThatSayNothing) {
-  for (const char* wrong : {R"("softRemoval":"yes")", R"("softRemoval":1)"}) {
-    std::string configure = kConfigure;
-    configure.insert(configure.find("\"cold\""), std::string(wrong) + ",");
-    EXPECT_THROW(Wire().answer(batch(1000, configure)), setup::BadInput) << wrong;
-  }
-  for (const char* wrong :
-       {R"({"ninesPart":0.2})", R"({"ninesPart":0.2,"ninesWanted":0})",
-        R"({"ninesPart":"much","ninesWanted":3})", R"({"ninesPart":-1,"ninesWanted":3})"}) {
-    std::string configure = kConfigure;
-    configure.insert(configure.find("\"listeners\""), "\"goal\":" + std::string(wrong) + ",");
-    EXPECT_THROW(Wire().answer(batch(1000, configure)), setup::BadInput) << wrong;
-  }
+  for (const char* wrong : {R"("softRemoval":"yes")", R"("softRemoval":1)"})
+    EXPECT_THROW(Wire().answer(batch(1000, configure_with(wrong, "cold"))), setup::BadInput) << wrong;
+  for (const char* wrong : {R"({"ninesPart":0.2})", R"({"ninesPart":0.2,"ninesWanted":0})",
+                            R"({"ninesPart":"much","ninesWanted":3})", R"({"ninesPart":-1,"ninesWanted":3})"})
+    EXPECT_THROW(Wire().answer(batch(1000, configure_with("\"goal\":" + std::string(wrong), "listeners"))),
+                 setup::BadInput)
+        << wrong;
 }
 
 // Where the settings say that only draining binds, they reach the module.
 TEST(Wire, SendsToAHostCalledGoneOnlyWhereTheSettingsSaySo) {
   for (const bool soft : {false, true}) {
     Wire wire;
-    std::string configure = kConfigure;
-    configure.insert(configure.find("\"cold\""), soft ? R"("softRemoval":true,)" : R"("softRemoval":false,)");
-    wire.answer(batch(1000, configure + "," + kHosts));
+    const std::string entry = std::string(R"("softRemoval":)") + (soft ? "true" : "false");
+    wire.answer(batch(1000, configure_with(entry, "cold") + "," + kHosts));
     wire.answer(batch(1500, R"(["DIRECTORY",0,[]],["UPDATE",3,2,0,"whole"])"));
     const std::string reply(wire.answer(batch(2000, R"(["JOB_IN",3,9,0,0,null,2002000,null,null,0])")));
     EXPECT_EQ(reply.find("ROUTE") != std::string::npos, soft) << reply;
--- a/tests/world.h
+++ b/tests/world.h
@@ -4,9 +4,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <vector>
@@ -120,6 +122,21 @@
     r.load = load;
     balancer->probed(id, Ending::finished, took, r);
   }
+  // Time goes on, and what asks for a host's load is answered each 100 ms: answer(host).
+  template <class Answer>
+  void pass_asked(Micros by, Answer answer) {
+    for (const Micros end = now + by; now < end;) {
+      pass(100ms);
+      for (const HostId h : std::exchange(probes, {})) answer(h);
+    }
+  }
+  // Those whom a decision has moved, of one host or of all.
+  unsigned moved(std::optional<HostId> from = {}) const {
+    return static_cast<unsigned>(std::count_if(clients.begin(), clients.end(), [&](const auto& entry) {
+      const Client& c = entry.second;
+      return c.moved && (!from || c.dials.back().host == *from);
+    }));
+  }
   // Time goes on; dials run into their limits and wake-ups come due.
   void pass(Micros by) {
     for (const Micros end = now + by; now < end;) {
