--- a/src/net/address.cpp
+++ b/src/address.cpp
@@ -1,10 +1,10 @@
-#include "net/address.h"
+#include "address.h"
 
 #include <arpa/inet.h>
 
 #include <charconv>
 
-namespace flintweir::net {
+namespace flintweir {
 
 std::optional<Address> address_of(std::string_view text) {
   const std::size_t colon = text.rfind(':');
@@ -29,4 +29,4 @@
   return address.v6 ? '[' + std::string(host) + ']' + port : host + port;
 }
 
-}  // namespace flintweir::net
+}  // namespace flintweir
--- a/src/net/address.h
+++ b/src/address.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace flintweir::net {
+namespace flintweir {
 
 struct Address {
   std::array<std::uint8_t, 16> bytes{};  // the first four where it is not v6
@@ -21,4 +21,4 @@
 std::optional<Address> address_of(std::string_view text);
 std::string to_text(const Address& address);  // the same way back
 
-}  // namespace flintweir::net
+}  // namespace flintweir
--- a/src/lab/baselines.cpp
+++ b/src/lab/baselines.cpp
@@ -195,7 +195,7 @@
 
 }  // namespace
 
-net::MakeBalancer balancer_named(const std::string& name) {
+node::MakeBalancer balancer_named(const std::string& name) {
   if (name == "module") return setup::balancer_for;
   const Way way = name == "random" ? Way::random : name == "round-robin" ? Way::in_turn : Way::fewest;
   return [way](const setup::Values& settings, Outlet& out, std::uint64_t seed) -> std::unique_ptr<Balancer> {
--- a/src/lab/baselines.h
+++ b/src/lab/baselines.h
@@ -5,11 +5,11 @@
 #include <memory>
 #include <string>
 
-#include "net/node.h"
+#include "node/node.h"
 
 namespace flintweir::lab {
 
 // Of "module", "random", "round-robin" or "least-connections".
-net::MakeBalancer balancer_named(const std::string& name);
+node::MakeBalancer balancer_named(const std::string& name);
 
 }  // namespace flintweir::lab
--- a/src/lab/client_peer.h
+++ b/src/lab/client_peer.h
@@ -17,7 +17,7 @@
  public:
   struct Way {
     NodeNo node;
-    net::Address at;
+    Address at;
   };
   virtual std::optional<Way> way_in(ZoneNo zone) = 0;
   virtual SessionNo enter(const ClientModel::Session& session) = 0;
--- a/src/lab/fabric.cpp
+++ b/src/lab/fabric.cpp
@@ -26,8 +26,8 @@
   return {static_cast<std::uint32_t>(machines_.size() - 1)};
 }
 
-net::Address Fabric::address(MachineNo machine, std::uint16_t port) {
-  net::Address out;
+Address Fabric::address(MachineNo machine, std::uint16_t port) {
+  Address out;
   const std::uint32_t n = machine.value + 1;
   out.bytes = {10, static_cast<std::uint8_t>(n >> 16), static_cast<std::uint8_t>(n >> 8),
                static_cast<std::uint8_t>(n)};
@@ -178,7 +178,7 @@
 }
 
 // The first packet of a connection, as often as it takes.
-void Fabric::knock(const WireAt& wire, net::Address to) {
+void Fabric::knock(const WireAt& wire, Address to) {
   Side &from = wire->side[0], &there = wire->side[1];
   if (!from.process) return;
   if (blocked(from.machine, there.machine)) {
@@ -240,7 +240,7 @@
   });
 }
 
-net::Address Process::listen(const net::Address& at) {
+Address Process::listen(const Address& at) {
   if (!fabric_.machines_[machine_.value].doors.emplace(at.port, this).second) {
     throw std::system_error(std::make_error_code(std::errc::address_in_use));
   }
@@ -283,7 +283,7 @@
   return key;
 }
 
-net::SocketKey Process::connect(const net::Address& to, net::SocketEvents& whom) {
+net::SocketKey Process::connect(const Address& to, net::SocketEvents& whom) {
   if (dead_ || open_ >= limit_) return {};
   const auto wire = std::make_shared<Fabric::Wire>();
   const std::uint32_t n = std::uint32_t{to.bytes[1]} << 16 | std::uint32_t{to.bytes[2]} << 8 | to.bytes[3];
--- a/src/lab/fabric.h
+++ b/src/lab/fabric.h
@@ -42,7 +42,7 @@
 
   MachineNo add_machine(ZoneNo zone);
   Timeline& timeline() { return timeline_; }
-  static net::Address address(MachineNo machine, std::uint16_t port);
+  static Address address(MachineNo machine, std::uint16_t port);
   Micros latency(MachineNo a, MachineNo b) const;  // without jitter
 
   // Nothing from or to it arrives, until it is restored. Open connections stay open and silent.
@@ -87,7 +87,7 @@
   void send(const WireAt& wire, int from, Segment::Kind kind, std::string bytes = {}, std::size_t acked = 0);
   void pump(const WireAt& wire, int from);
   void deliver(const WireAt& wire, int to, Segment segment);
-  void knock(const WireAt& wire, net::Address to);
+  void knock(const WireAt& wire, Address to);
   void healed();
   void notify(const WireAt& wire, int side);
 
@@ -125,10 +125,10 @@
 
   Micros now() const override { return fabric_.timeline_.now(); }
   void ring(Micros at, net::Alarm& whom) override;
-  net::Address listen(const net::Address& at) override;
+  Address listen(const Address& at) override;
   void wait_accept(net::DoorEvents& whom) override;
   net::Accepted accept() override;
-  net::SocketKey connect(const net::Address& to, net::SocketEvents& whom) override;
+  net::SocketKey connect(const Address& to, net::SocketEvents& whom) override;
   void tell(net::SocketKey socket, net::SocketEvents& whom) override;
   void wait_read(net::SocketKey socket) override;
   void wait_write(net::SocketKey socket) override;
--- a/src/lab/front_peer.h
+++ b/src/lab/front_peer.h
@@ -13,7 +13,7 @@
   FrontPeer(net::Sockets& sockets, net::Wakes& wakes, Micros every, std::function<void(bool)> told)
       : stream_(sockets), wakes_(wakes), every_(every), told_(std::move(told)) {}
 
-  void begin(const net::Address& at) {
+  void begin(const Address& at) {
     at_ = at;
     check();
   }
@@ -48,7 +48,7 @@
   net::Wakes& wakes_;
   Micros every_;
   std::function<void(bool)> told_;
-  net::Address at_;
+  Address at_;
   std::uint64_t turn_ = 0;
 };
 
--- a/src/lab/host_server.cpp
+++ b/src/lab/host_server.cpp
@@ -26,7 +26,7 @@
       tip_after_(tip_after),
       chance_(static_cast<std::knuth_b::result_type>(seed | 1)) {}
 
-void HostServer::serve(const net::Address& at) {
+void HostServer::serve(const Address& at) {
   sockets_.network().listen(at);
   sockets_.network().wait_accept(*this);
 }
--- a/src/lab/host_server.h
+++ b/src/lab/host_server.h
@@ -31,10 +31,10 @@
              Checker& checker, EventLog& log, const HostPlan& plan, const TrafficPlan& traffic,
              Micros tip_after, std::uint64_t seed);
 
-  void serve(const net::Address& at);  // throws std::system_error
-  void drain();                        // sends its clients away as the plan says
-  void resume();                       // after it has hung
-  void die();                          // breaks everything off
+  void serve(const Address& at);  // throws std::system_error
+  void drain();                   // sends its clients away as the plan says
+  void resume();                  // after it has hung
+  void die();                     // breaks everything off
 
  private:
   struct Call final : net::StreamEvents {
--- a/src/lab/list_server.cpp
+++ b/src/lab/list_server.cpp
@@ -35,7 +35,7 @@
   return out.dump();
 }
 
-void ListServer::serve(const net::Address& at) {
+void ListServer::serve(const Address& at) {
   sockets_.network().listen(at);
   sockets_.network().wait_accept(*this);
 }
--- a/src/lab/list_server.h
+++ b/src/lab/list_server.h
@@ -31,8 +31,8 @@
   ListServer(net::Network& network, const ListModel& list, const ListMood& mood, Told told)
       : sockets_(network, 4096), wakes_(network), list_(list), mood_(mood), told_(std::move(told)) {}
 
-  void serve(const net::Address& at);  // throws std::system_error
-  void changed();                      // the list, or how it behaves
+  void serve(const Address& at);  // throws std::system_error
+  void changed();                 // the list, or how it behaves
   void close_all();
 
  private:
--- a/src/lab/loopback_stage.cpp
+++ b/src/lab/loopback_stage.cpp
@@ -19,7 +19,7 @@
 
 // A port that is free at this address just now. Each machine has an address of its own, so that nobody else
 // of the run can take it.
-std::uint16_t free_port(const net::Address& a) {
+std::uint16_t free_port(const Address& a) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in at{};
   at.sin_family = AF_INET;
@@ -28,7 +28,7 @@
   const bool ok = fd >= 0 && bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 &&
                   getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0;
   if (fd >= 0) ::close(fd);
-  if (!ok) throw std::runtime_error("no port is free at " + net::to_text(a));
+  if (!ok) throw std::runtime_error("no port is free at " + to_text(a));
   return ntohs(at.sin_port);
 }
 
@@ -55,7 +55,7 @@
 MachineNo LoopbackStage::add_machine(ZoneNo) {
   const std::size_t n = addresses_.size() + 1;
   const auto pid = static_cast<unsigned>(getpid());
-  net::Address a;
+  Address a;
   a.bytes = {127, static_cast<std::uint8_t>(64 + pid % 128),
              static_cast<std::uint8_t>((pid / 128 + n / 250) % 256), static_cast<std::uint8_t>(1 + n % 250)};
   a.port = free_port(a);
--- a/src/lab/loopback_stage.h
+++ b/src/lab/loopback_stage.h
@@ -23,7 +23,7 @@
   void at(Micros when, std::function<void()> act) override { timeline_.at(when, std::move(act)); }
   void run_until(Micros end) override;
   MachineNo add_machine(ZoneNo zone) override;
-  net::Address address(MachineNo machine) const override { return addresses_[machine.value]; }
+  Address address(MachineNo machine) const override { return addresses_[machine.value]; }
   net::Network& begin(MachineNo machine) override;
   void end(net::Network& process) override;
   void start_node(NodeNo node, MachineNo machine, const std::string& config) override;
@@ -44,7 +44,7 @@
   Timeline timeline_;
   std::vector<std::string> program_;
   std::string folder_;
-  std::vector<net::Address> addresses_;
+  std::vector<Address> addresses_;
   std::vector<std::unique_ptr<net::KernelNetwork>> networks_;
   std::map<std::uint32_t, pid_t> nodes_;
 };
--- a/src/lab/stage.h
+++ b/src/lab/stage.h
@@ -20,7 +20,7 @@
   virtual void run_until(Micros end) = 0;
 
   virtual MachineNo add_machine(ZoneNo zone) = 0;
-  virtual net::Address address(MachineNo machine) const = 0;
+  virtual Address address(MachineNo machine) const = 0;
   // A process of the lab's own on a machine; it lives until the stage does, or until ended.
   virtual net::Network& begin(MachineNo machine) = 0;
   virtual void end(net::Network& process) = 0;
--- a/src/lab/virtual_stage.cpp
+++ b/src/lab/virtual_stage.cpp
@@ -13,7 +13,7 @@
 }  // namespace
 
 VirtualStage::VirtualStage(Carriage carriage, std::uint64_t seed, std::size_t descriptors,
-                           net::MakeBalancer make, std::string* logged)
+                           node::MakeBalancer make, std::string* logged)
     : carriage_(carriage),
       timeline_(kStart),
       fabric_(timeline_, carriage, seed),
@@ -56,7 +56,7 @@
 void VirtualStage::start_node(NodeNo node, MachineNo machine, const std::string& config) {
   NodeAt& n = nodes_[node.value];
   n.process = std::make_unique<Process>(fabric_, machine, descriptors_);
-  n.node = std::make_unique<net::Node>(*n.process, net::NodeFile::of_text(config), make_);
+  n.node = std::make_unique<node::Node>(*n.process, node::NodeFile::of_text(config), make_);
   n.node->serve();
 }
 
@@ -73,7 +73,7 @@
 }
 
 void VirtualStage::reload_node(NodeNo node, const std::string& config) {
-  if (running(node)) nodes_[node.value].node->reload([&] { return net::NodeFile::of_text(config); });
+  if (running(node)) nodes_[node.value].node->reload([&] { return node::NodeFile::of_text(config); });
 }
 
 bool VirtualStage::running(NodeNo node) {
--- a/src/lab/virtual_stage.h
+++ b/src/lab/virtual_stage.h
@@ -6,14 +6,14 @@
 
 #include "lab/stage.h"
 #include "net/log.h"
-#include "net/node.h"
+#include "node/node.h"
 
 namespace flintweir::lab {
 
 class VirtualStage final : public Stage, net::LogSink {
  public:
   // `descriptors`: that a node's process may hold. What nodes log goes to `logged`, unless that is null.
-  VirtualStage(Carriage carriage, std::uint64_t seed, std::size_t descriptors, net::MakeBalancer make,
+  VirtualStage(Carriage carriage, std::uint64_t seed, std::size_t descriptors, node::MakeBalancer make,
                std::string* logged);
   ~VirtualStage() override;
 
@@ -21,7 +21,7 @@
   void at(Micros when, std::function<void()> act) override { timeline_.at(when, std::move(act)); }
   void run_until(Micros end) override { timeline_.run_until(end); }
   MachineNo add_machine(ZoneNo zone) override;
-  net::Address address(MachineNo machine) const override { return Fabric::address(machine, 8081); }
+  Address address(MachineNo machine) const override { return Fabric::address(machine, 8081); }
   net::Network& begin(MachineNo machine) override;
   void end(net::Network& process) override;
   void start_node(NodeNo node, MachineNo machine, const std::string& config) override;
@@ -45,7 +45,7 @@
  private:
   struct NodeAt {
     std::unique_ptr<Process> process;
-    std::unique_ptr<net::Node> node;
+    std::unique_ptr<node::Node> node;
   };
   void line(const char* text) override;
 
@@ -53,7 +53,7 @@
   Timeline timeline_;
   Fabric fabric_;
   std::size_t descriptors_;
-  net::MakeBalancer make_;
+  node::MakeBalancer make_;
   std::string* logged_;
   std::vector<ZoneNo> zones_;       // of machines
   std::vector<Micros> lost_until_;  // of machines: the end of their last loss
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -194,7 +194,7 @@
 }
 
 void World::list_host(const HostUnit& h, Standing standing, Micros late) {
-  list_.change({h.name, net::to_text(stage_.address(h.machine)), experiment_.fleet.zones[h.zone.value],
+  list_.change({h.name, to_text(stage_.address(h.machine)), experiment_.fleet.zones[h.zone.value],
                 h.cell.value, h.share, standing, h.model->started()},
                now() + late);
   // Whoever watches hears of it when it is known; a look at that time is enough.
@@ -263,8 +263,8 @@
   char seed[20];
   std::snprintf(seed, sizeof seed, "%llx", static_cast<unsigned long long>(n.seed));
   return nlohmann::json{{"name", "n" + std::to_string(n.no.value)},
-                        {"listen", net::to_text(stage_.address(n.machine))},
-                        {"discovery", net::to_text(stage_.address(n.list_machine))},
+                        {"listen", to_text(stage_.address(n.machine))},
+                        {"discovery", to_text(stage_.address(n.list_machine))},
                         {"seed", seed},
                         {"limits", {{"memory_mb", plan.memory_mb}, {"sockets", plan.sockets}}},
                         {"known", nlohmann::json::parse(list_text(list_, 0, now()))},
--- a/src/net/client_conn.cpp
+++ b/src/line/client_conn.cpp
@@ -1,6 +1,6 @@
-#include "net/client_conn.h"
+#include "line/client_conn.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
 
 void ClientConn::begin(SocketKey socket) {
   stream_.adopt(socket, *this);
@@ -136,4 +136,4 @@
   owner_.client_closed();
 }
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/client_conn.h
+++ b/src/line/client_conn.h
@@ -3,12 +3,14 @@
 
 #include <array>
 
-#include "net/lobby.h"
-#include "net/log.h"
+#include "line/lobby.h"
+#include "line/reason.h"
 #include "net/stream.h"
 #include "net/wakes.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
+
+using namespace net;
 
 class ClientOwner {
  public:
@@ -73,4 +75,4 @@
 inline constexpr Micros kDrain = 5 * kLinger;
 inline constexpr std::size_t kMostDrained = 64u << 20;
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/heads.cpp
+++ b/src/line/heads.cpp
@@ -1,4 +1,4 @@
-#include "net/heads.h"
+#include "line/heads.h"
 
 #include <algorithm>
 #include <array>
@@ -7,7 +7,7 @@
 
 #include "setup/deployment.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
 namespace {
 
 // Takes the text up to `mark` off the front of `rest`.
@@ -120,4 +120,4 @@
   return report;
 }
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/heads.h
+++ b/src/line/heads.h
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "balance.h"
-#include "net/open_ids.h"
+#include "line/open_ids.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
 
 // What the settings say about a first line.
 class HeadReader {
@@ -38,4 +38,4 @@
 // Reads `name=value,name=value` as a load report.
 LoadReport load_report(std::string_view text);
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/host_conn.cpp
+++ b/src/line/host_conn.cpp
@@ -1,10 +1,10 @@
-#include "net/host_conn.h"
+#include "line/host_conn.h"
 
 #include <charconv>
 
-#include "net/heads.h"
+#include "line/heads.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
 
 void HostConn::dial(const Address& to, std::string_view head, std::string_view time_left, Micros within) {
   head_ = head;
@@ -107,4 +107,4 @@
   owner_.dial_ended(how);
 }
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/host_conn.h
+++ b/src/line/host_conn.h
@@ -7,7 +7,9 @@
 #include "net/stream.h"
 #include "net/wakes.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
+
+using namespace net;
 
 class HostOwner {
  public:
@@ -55,4 +57,4 @@
   Micros until_{0};
 };
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/hosts.h
+++ b/src/line/hosts.h
@@ -5,10 +5,10 @@
 #include <unordered_map>
 #include <utility>
 
+#include "address.h"
 #include "ids.h"
-#include "net/address.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
 
 class Hosts {
  public:
@@ -39,4 +39,4 @@
   std::unordered_map<std::uint64_t, Host> hosts_;
 };
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/link.cpp
+++ b/src/line/link.cpp
@@ -1,11 +1,12 @@
-#include "net/link.h"
+#include "line/link.h"
 
 #include <algorithm>
 
-#include "net/sessions.h"
+#include "line/sessions.h"
+#include "net/log.h"
 #include "setup/deployment.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
 namespace {
 
 using namespace std::chrono_literals;
@@ -161,4 +162,4 @@
            sessions_.hosts_.name(at_), taken_.listener.value, dials_, static_cast<long long>(ms));
 }
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/link.h
+++ b/src/line/link.h
@@ -2,12 +2,14 @@
 #pragma once
 
 #include "balance.h"
-#include "net/client_conn.h"
-#include "net/host_conn.h"
-#include "net/open_ids.h"
-#include "net/relay.h"
+#include "line/client_conn.h"
+#include "line/host_conn.h"
+#include "line/open_ids.h"
+#include "line/relay.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
+
+using namespace net;
 
 class Sessions;
 
@@ -55,4 +57,4 @@
   bool inherited_ = false, answered_ = false, open_ = false;
 };
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/lobby.h
+++ b/src/line/lobby.h
@@ -4,7 +4,7 @@
 
 #include <cstddef>
 
-namespace flintweir::net {
+namespace flintweir::line {
 
 class Guest {
  public:
@@ -54,4 +54,4 @@
   std::size_t most_, size_ = 0;
 };
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/open_ids.h
+++ b/src/line/open_ids.h
@@ -8,7 +8,7 @@
 
 #include "ids.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
 
 using GivenId = Id<struct GivenIdTag, std::uint64_t>;  // as a client's first line says
 
@@ -47,4 +47,4 @@
   std::vector<GivenId> retired_;
 };
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/probes.cpp
+++ b/src/line/probes.cpp
@@ -1,8 +1,8 @@
-#include "net/probes.h"
+#include "line/probes.h"
 
-#include "net/heads.h"
+#include "line/heads.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
 namespace {
 
 using namespace std::chrono_literals;
@@ -116,4 +116,4 @@
   probes_.told_.probed(host_, how, probes_.wakes_.now() - asked_at_, report);
 }
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/probes.h
+++ b/src/line/probes.h
@@ -4,12 +4,14 @@
 #include <unordered_map>
 
 #include "balance.h"
-#include "net/hosts.h"
+#include "line/hosts.h"
 #include "net/stream.h"
 #include "net/wakes.h"
 #include "slab.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
+
+using namespace net;
 
 class Probes {
  public:
@@ -65,4 +67,4 @@
   std::unordered_map<std::uint64_t, SlabKey> by_host_;
 };
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/relay.cpp
+++ b/src/line/relay.cpp
@@ -1,9 +1,9 @@
-#include "net/relay.h"
+#include "line/relay.h"
 
-#include "net/client_conn.h"
-#include "net/heads.h"
+#include "line/client_conn.h"
+#include "line/heads.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
 namespace {
 
 using namespace std::chrono_literals;
@@ -187,4 +187,4 @@
   owner_.relay_closed();
 }
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/relay.h
+++ b/src/line/relay.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include "balance.h"
-#include "net/log.h"
+#include "line/reason.h"
 #include "net/stream.h"
 #include "net/wakes.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
+
+using namespace net;
 
 class RelayOwner {
  public:
@@ -59,4 +61,4 @@
   Micros asked_at_{0};       // by a client's line that nothing has come back for; zero: none
 };
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/sessions.cpp
+++ b/src/line/sessions.cpp
@@ -1,8 +1,10 @@
-#include "net/sessions.h"
+#include "line/sessions.h"
 
 #include <cstdio>
 
-namespace flintweir::net {
+#include "net/log.h"
+
+namespace flintweir::line {
 
 using namespace std::chrono_literals;
 
@@ -122,4 +124,4 @@
   if (open > 1) wakes_.after(left / static_cast<std::int64_t>(open), move_next_, 0);
 }
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/net/sessions.h
+++ b/src/line/sessions.h
@@ -3,13 +3,13 @@
 #pragma once
 
 #include "balance.h"
-#include "net/heads.h"
-#include "net/hosts.h"
-#include "net/link.h"
-#include "net/probes.h"
+#include "line/heads.h"
+#include "line/hosts.h"
+#include "line/link.h"
+#include "line/probes.h"
 #include "slab.h"
 
-namespace flintweir::net {
+namespace flintweir::line {
 
 // How long things may take on this deployment's network.
 struct Patience {
@@ -93,4 +93,4 @@
   Micros move_from_{0}, leave_by_{0};
 };
 
-}  // namespace flintweir::net
+}  // namespace flintweir::line
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,8 +8,8 @@
 #include <string>
 
 #include "net/kernel_network.h"
-#include "net/node.h"
 #include "net/nowhere.h"
+#include "node/node.h"
 
 namespace {
 
@@ -46,19 +46,19 @@
   sigprocmask(hold ? SIG_BLOCK : SIG_UNBLOCK, &reload, nullptr);
 }
 
-flintweir::net::NodeFile node_file(const std::string& path) {
+flintweir::node::NodeFile node_file(const std::string& path) {
   const auto given = [](const char* variable) {
     const char* value = std::getenv(variable);
     return std::string(value ? value : "");
   };
-  return flintweir::net::NodeFile(path, given("EDGE_LISTEN"), given("EDGE_DISCOVERY"));
+  return flintweir::node::NodeFile(path, given("EDGE_LISTEN"), given("EDGE_DISCOVERY"));
 }
 
 int serve(const std::string& config) {
   std::signal(SIGPIPE, SIG_IGN);
   raise_descriptor_limit();
   flintweir::net::KernelNetwork network;
-  flintweir::net::Node node(network, node_file(config));
+  flintweir::node::Node node(network, node_file(config));
   node.serve();
   network.hear_signals({SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
     if (signal != SIGHUP) return node.leave();
@@ -71,7 +71,7 @@
 
 int check(const std::string& config) {
   flintweir::net::Nowhere nowhere;
-  const flintweir::net::Node node(nowhere, node_file(config));
+  const flintweir::node::Node node(nowhere, node_file(config));
   std::printf("%s: ok\n", config.c_str());
   return 0;
 }
--- a/src/net/network.h
+++ b/src/net/network.h
@@ -7,8 +7,8 @@
 #include <span>
 #include <string_view>
 
+#include "address.h"
 #include "ids.h"
-#include "net/address.h"
 #include "net/places.h"
 
 namespace flintweir::net {
--- a/src/net/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -1,11 +1,11 @@
-#include "net/discovery.h"
+#include "node/discovery.h"
 
 #include <algorithm>
 
 #include "net/log.h"
 #include "setup/deployment.h"
 
-namespace flintweir::net {
+namespace flintweir::node {
 namespace {
 
 using namespace std::chrono_literals;
@@ -113,4 +113,4 @@
   return true;
 }
 
-}  // namespace flintweir::net
+}  // namespace flintweir::node
--- a/src/net/discovery.h
+++ b/src/node/discovery.h
@@ -4,10 +4,13 @@
 #include <simdjson.h>
 
 #include "balance.h"
-#include "net/hosts.h"
+#include "line/hosts.h"
 #include "net/http_get.h"
 
-namespace flintweir::net {
+namespace flintweir::node {
+
+using namespace net;
+using namespace line;
 
 class Discovery final : HttpGet::Told {
  public:
@@ -46,4 +49,4 @@
   bool watching_ = false;
 };
 
-}  // namespace flintweir::net
+}  // namespace flintweir::node
--- a/src/net/node.cpp
+++ b/src/node/node.cpp
@@ -1,4 +1,4 @@
-#include "net/node.h"
+#include "node/node.h"
 
 #include <algorithm>
 
@@ -6,7 +6,7 @@
 #include "net/nowhere.h"
 #include "setup/deployment.h"
 
-namespace flintweir::net {
+namespace flintweir::node {
 namespace {
 
 using namespace std::chrono_literals;
@@ -124,4 +124,4 @@
   wakes_.after(longest_dial_ + 200ms, *this, left);
 }
 
-}  // namespace flintweir::net
+}  // namespace flintweir::node
--- a/src/net/node.h
+++ b/src/node/node.h
@@ -3,12 +3,15 @@
 
 #include <functional>
 
-#include "net/discovery.h"
-#include "net/node_file.h"
-#include "net/sessions.h"
+#include "line/sessions.h"
+#include "node/discovery.h"
+#include "node/node_file.h"
 #include "setup/deployment.h"
 
-namespace flintweir::net {
+namespace flintweir::node {
+
+using namespace net;
+using namespace line;
 
 using MakeBalancer = std::function<std::unique_ptr<Balancer>(const setup::Values& settings, Outlet& outlet,
                                                              std::uint64_t seed)>;
@@ -43,4 +46,4 @@
   Discovery discovery_;
 };
 
-}  // namespace flintweir::net
+}  // namespace flintweir::node
--- a/src/net/node_file.cpp
+++ b/src/node/node_file.cpp
@@ -1,8 +1,8 @@
-#include "net/node_file.h"
+#include "node/node_file.h"
 
 #include "setup/deployment.h"
 
-namespace flintweir::net {
+namespace flintweir::node {
 namespace {
 
 simdjson::dom::element load(simdjson::dom::parser& parser, const std::string& path) {
@@ -46,4 +46,4 @@
   return whole_.has("known") ? std::optional(whole_.need("known")) : std::nullopt;
 }
 
-}  // namespace flintweir::net
+}  // namespace flintweir::node
--- a/src/net/node_file.h
+++ b/src/node/node_file.h
@@ -5,10 +5,10 @@
 
 #include <string>
 
-#include "net/address.h"
+#include "address.h"
 #include "setup/values.h"
 
-namespace flintweir::net {
+namespace flintweir::node {
 
 // Reads the file, and keeps it: settings and the known list are looked at in place.
 class NodeFile {
@@ -35,4 +35,4 @@
   setup::Values whole_;
 };
 
-}  // namespace flintweir::net
+}  // namespace flintweir::node
--- a/tests/flaws.cmake
+++ b/tests/flaws.cmake
@@ -41,21 +41,21 @@
     } nobody;
     sockets_.network().tell(going, nobody);
     if (reset || at_end_ || going.turn % 4 != 0) sockets_.network().close(going, reset);")
-flintweir_flaw(answers-twice overload answer src/net/client_conn.cpp
+flintweir_flaw(answers-twice overload answer src/line/client_conn.cpp
   "  if (!say(line) || all_out())" "  say(line);
   if (!say(line) || all_out())")
 flintweir_flaw(drained-dialled rolling_deploy drain src/balance.cpp
   "    h->tell(zone, cell, standing," "    h->tell(zone, cell, standing == Standing::draining ? h->standing : standing,")
 flintweir_flaw(cold-ignored rolling_deploy cold src/balance.cpp
   "+ cost <= budget ||" "+ cost <= 100 * budget ||")
-flintweir_flaw(byte-lost mix line src/net/relay.cpp
+flintweir_flaw(byte-lost mix line src/line/relay.cpp
   "    bytes.drop(*n);
     seen_ -= std::min(seen_, *n);" "    const std::size_t gone = *n < whole ? *n + 1 : *n;
     bytes.drop(gone);
     seen_ -= std::min(seen_, gone);")
-flintweir_flaw(late-answer mix answer src/net/heads.cpp
+flintweir_flaw(late-answer mix answer src/line/heads.cpp
   "taken.valid_until = now + " "taken.valid_until = now + std::chrono::milliseconds(400) + ")
-flintweir_flaw(session-leak all_drop ended src/net/relay.cpp
+flintweir_flaw(session-leak all_drop ended src/line/relay.cpp
   "    host_->abort();
     return close();" "    return close();"
   "  client_->close();
@@ -67,5 +67,5 @@
   host_->hand_to(nobody);")
 flintweir_flaw(runs-twice hosts_hang effect src/balance.cpp
   "if (!proven) s->ran(" "if (proven) s->ran(")
-flintweir_flaw(silence-borne lost_machines ended src/net/relay.cpp
+flintweir_flaw(silence-borne lost_machines ended src/line/relay.cpp
   "kSilence = 4s" "kSilence = 40s")
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -38,11 +38,11 @@
 class Talker final : net::StreamEvents, net::DoorEvents {
  public:
   Talker(Process& process, std::uint64_t seed) : sockets_(process, 1000), stream_(sockets_), chance_(seed) {}
-  void listen(const net::Address& at) {
+  void listen(const Address& at) {
     sockets_.network().listen(at);
     sockets_.network().wait_accept(*this);
   }
-  void dial(const net::Address& to) { ASSERT_TRUE(stream_.connect(to, *this)); }
+  void dial(const Address& to) { ASSERT_TRUE(stream_.connect(to, *this)); }
   void send(std::size_t bytes) {
     while (to_send.size() < sent_ + bytes) to_send += static_cast<char>('a' + chance_() % 26);
     if (up_) push();
@@ -108,7 +108,7 @@
     const MachineNo a = fabric.add_machine({0}), b = fabric.add_machine({1});
     Process left(fabric, a, 100), right(fabric, b, 100);
     Talker dialler(left, seed), door(right, seed + 1);
-    const net::Address at = Fabric::address(b, 80);
+    const Address at = Fabric::address(b, 80);
     door.listen(at);
     dialler.dial(at);
     for (int i = 0; i < 20; ++i) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -7,14 +7,17 @@
 #include <string>
 #include <vector>
 
-#include "net/address.h"
-#include "net/heads.h"
+#include "address.h"
+#include "line/heads.h"
+#include "line/open_ids.h"
 #include "net/kernel_network.h"
 #include "net/line_buffer.h"
-#include "net/open_ids.h"
 #include "net/wakes.h"
 
 namespace flintweir::net {
+
+using namespace line;
+
 namespace {
 
 using namespace std::chrono_literals;
