--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -292,6 +292,8 @@
     out_.wake(spread(kBeat), WakeId{0});
   }
 
+  void nodes_are(unsigned nodes) override { nodes_ = std::max(1u, nodes); }
+
   Sess take(SessId id, const Taken& taken) override {
     Session fresh(id, taken, usual_load(taken));
     fresh.give_up_at = std::min(now_ + listeners_[taken.listener.value].handshake_target, taken.valid_until);
--- a/src/balance.h
+++ b/src/balance.h
@@ -121,6 +121,8 @@
   virtual ~Balancer() = default;
 
   virtual void at(Micros now) = 0;
+  // So many nodes, this one among them, may be acting; until it is said, the number it was made with stands.
+  virtual void nodes_are(unsigned nodes) = 0;
 
   virtual Sess take(SessId sess, const Taken& taken) = 0;
   virtual Sess inherit(SessId sess, const Taken& taken, HostId host) = 0;  // open already, by dial 0
--- a/src/lab/baselines.cpp
+++ b/src/lab/baselines.cpp
@@ -46,6 +46,7 @@
         most_dials_(most_dials),
         ask_every_(ask_every) {}
 
+  void nodes_are(unsigned) override {}
   void at(Micros now) override {
     now_ = now;
     if (std::exchange(begun_, true)) return;
--- a/src/lab/fabric.cpp
+++ b/src/lab/fabric.cpp
@@ -11,6 +11,7 @@
 constexpr Micros kMostAgain = 8s;  // a link that loses all is given up on after that
 constexpr Micros kSynAgain = 1s;   // and those that open a connection, as often as that
 constexpr std::size_t kBacklog = 4096;
+constexpr std::size_t kLetters = 256;  // that wait at one process; more are lost
 
 }  // namespace
 
@@ -22,7 +23,7 @@
 Fabric::~Fabric() = default;
 
 MachineNo Fabric::add_machine(ZoneNo zone) {
-  machines_.push_back({zone, false, {}});
+  machines_.push_back({zone, false, {}, {}});
   return {static_cast<std::uint32_t>(machines_.size() - 1)};
 }
 
@@ -211,6 +212,70 @@
   process.try_knock();
 }
 
+// Each datagram by itself: nothing holds it up, and nothing mends it.
+void Fabric::carry(MachineNo from, std::uint16_t port, const Address& to, std::string_view bytes) {
+  const std::uint32_t n = static_cast<std::uint32_t>(to.bytes[1]) << 16 |
+                          static_cast<std::uint32_t>(to.bytes[2]) << 8 | to.bytes[3];
+  if (to.v6 || to.bytes[0] != 10 || n == 0 || n > machines_.size()) return;
+  const MachineNo there{n - 1};
+  const auto chance = [this] { return std::generate_canonical<double, 32>(chance_); };
+  const auto it = posts_.find({from.value, there.value});
+  const Post way = it == posts_.end() ? Post() : it->second;
+  if (blocked(from, there) || (way.lost > 0 && chance() < way.lost)) return;
+  for (int copies = way.doubled > 0 && chance() < way.doubled ? 2 : 1; copies > 0; --copies) {
+    Micros in = travel(from, there) + way.longer;
+    if (way.spread > 0us)
+      in += Micros{static_cast<std::int64_t>(static_cast<double>(way.spread.count()) * chance())};
+    timeline_.after(
+        in, [this, from, there, at = to.port, sender = address(from, port), text = std::string(bytes)] {
+          if (blocked(from, there)) return;
+          const auto& boxes = machines_[there.value].boxes;
+          if (const auto box = boxes.find(at); box != boxes.end()) box->second->letter(sender, text);
+        });
+  }
+}
+
+Address Process::open_post(const Address& at) {
+  if (!fabric_.machines_[machine_.value].boxes.emplace(at.port, this).second)
+    throw std::system_error(std::make_error_code(std::errc::address_in_use));
+  box_ = at.port;
+  return at;
+}
+
+void Process::wait_post(net::PostEvents& whom) {
+  at_box_ = &whom;
+  if (!letters_.empty()) letter({}, "");
+}
+
+// An empty one only wakes whoever waits.
+void Process::letter(const Address& from, std::string bytes) {
+  if (letters_.size() < kLetters && !bytes.empty()) letters_.emplace_back(from, std::move(bytes));
+  if (frozen_ || letters_.empty() || !at_box_) return;
+  post([this] {
+    if (net::PostEvents* const whom = std::exchange(at_box_, nullptr)) whom->post_came();
+  });
+}
+
+net::Received Process::receive(char* to, std::size_t size) {
+  if (letters_.empty()) return {0, {}, net::Io::later};
+  const auto [from, bytes] = std::move(letters_.front());
+  letters_.pop_front();
+  const std::size_t n = std::min(size, bytes.size());
+  std::copy_n(bytes.data(), n, to);
+  return {n, from, net::Io::done};
+}
+
+void Process::post(const Address& to, std::string_view bytes) {
+  if (box_ && !dead_) fabric_.carry(machine_, box_, to, bytes);
+}
+
+void Process::freeze(bool on) {
+  frozen_ = on;
+  if (on) return;
+  for (Timeline::Act& act : std::exchange(held_, {})) fabric_.timeline_.after(0us, std::move(act));
+  if (!letters_.empty()) letter({}, "");
+}
+
 Process::Process(Fabric& fabric, MachineNo machine, std::size_t descriptors)
     : fabric_(fabric), machine_(machine), limit_(descriptors) {}
 
@@ -218,6 +283,7 @@
   if (std::exchange(dead_, true)) return;
   *alive_ = false;
   if (door_) fabric_.machines_[machine_.value].doors.erase(door_);
+  if (box_) fabric_.machines_[machine_.value].boxes.erase(box_);
   std::vector<net::SocketKey> open;
   sockets_.each([&](net::SocketKey key, Entry&) { open.push_back(key); });
   for (const net::SocketKey key : open) close(key, true);
@@ -229,14 +295,22 @@
 }
 
 void Process::post(Timeline::Act act) {
-  fabric_.timeline_.after(0us, [alive = alive_, act = std::move(act)] {
-    if (*alive) act();
+  fabric_.timeline_.after(0us, [this, alive = alive_, act = std::move(act)] {
+    if (!*alive) return;
+    frozen_ ? held_.push_back([alive, act] {
+      if (*alive) act();
+    })
+            : act();
   });
 }
 
 void Process::ring(Micros at, net::Alarm& whom) {
   fabric_.timeline_.at(at, [this, alive = alive_, no = ++rings_, &whom] {
-    if (*alive && !stopped_ && no == rings_) whom.rang();
+    if (!*alive) return;
+    const auto rang = [this, alive, no, &whom] {
+      if (*alive && !stopped_ && no == rings_) whom.rang();
+    };
+    frozen_ ? held_.push_back(rang) : rang();
   });
 }
 
--- a/src/lab/fabric.h
+++ b/src/lab/fabric.h
@@ -52,6 +52,13 @@
   void cut(ZoneNo from, ZoneNo to);
   void mend(ZoneNo from, ZoneNo to);
   bool blocked(MachineNo from, MachineNo to) const;
+  // Datagrams from one to the other, this way alone, on top of what the way does to all. Those held up by
+  // chance overtake each other.
+  struct Post {
+    double lost = 0, doubled = 0;
+    Micros longer{0}, spread{0};
+  };
+  void treat_post(MachineNo from, MachineNo to, Post post) { posts_[{from.value, to.value}] = post; }
   // Between the two, both ways, until eased: so much longer, and so large a share of what is sent has to be
   // sent again, after a wait that doubles each time.
   void worsen(MachineNo a, MachineNo b, Micros longer, double lost);
@@ -88,13 +95,14 @@
   void pump(const WireAt& wire, int from);
   void deliver(const WireAt& wire, int to, Segment segment);
   void knock(const WireAt& wire, Address to);
+  void carry(MachineNo from, std::uint16_t port, const Address& to, std::string_view bytes);
   void healed();
   void notify(const WireAt& wire, int side);
 
   struct Machine {
     ZoneNo zone;
     bool lost = false;
-    std::map<std::uint16_t, Process*> doors;
+    std::map<std::uint16_t, Process*> doors, boxes;
   };
   Timeline& timeline_;
   Carriage carriage_;
@@ -105,6 +113,7 @@
     Micros longer;
     double lost;
   };
+  std::map<std::pair<std::uint32_t, std::uint32_t>, Post> posts_;
   std::map<std::pair<std::uint32_t, std::uint32_t>, Bad> bad_;  // by machines, the lower number first
   std::vector<std::weak_ptr<Wire>> wires_;
 };
@@ -117,6 +126,8 @@
   Process(const Process&) = delete;
 
   void kill();
+  // Stopped, as by SIGSTOP, and set going again: what was due meanwhile comes then.
+  void freeze(bool on);
   bool running() const { return !dead_ && !stopped_; }
   bool stopped() const { return stopped_; }  // by its own will
   std::size_t descriptors() const { return open_; }
@@ -136,6 +147,10 @@
   net::Passed write(net::SocketKey socket, std::span<const std::string_view> parts) override;
   void end_sending(net::SocketKey socket) override;
   void close(net::SocketKey socket, bool reset) override;
+  Address open_post(const Address& at) override;
+  void wait_post(net::PostEvents& whom) override;
+  net::Received receive(char* to, std::size_t size) override;
+  void post(const Address& to, std::string_view bytes) override;
   void stop() override { stopped_ = true; }
 
  private:
@@ -146,6 +161,7 @@
     net::SocketEvents* whom = nullptr;
   };
   net::SocketKey open(const Fabric::WireAt& wire, int side, net::SocketEvents* whom);
+  void letter(const Address& from, std::string bytes);
   // Runs later, and only where this process still does then.
   void post(Timeline::Act act);
   void try_knock();
@@ -153,10 +169,13 @@
   Fabric& fabric_;
   MachineNo machine_;
   std::size_t limit_, open_ = 0, most_open_ = 0;
-  bool dead_ = false, stopped_ = false, knocking_ = false;
+  bool dead_ = false, stopped_ = false, knocking_ = false, frozen_ = false;
+  std::vector<Timeline::Act> held_;  // while frozen
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::uint64_t rings_ = 0;
-  std::uint16_t door_ = 0;
+  std::uint16_t door_ = 0, box_ = 0;
+  net::PostEvents* at_box_ = nullptr;
+  std::deque<std::pair<Address, std::string>> letters_;
   net::DoorEvents* at_door_ = nullptr;
   std::deque<Fabric::WireAt> waiting_;
   net::Places<Entry> sockets_;
--- a/src/lab/virtual_stage.cpp
+++ b/src/lab/virtual_stage.cpp
@@ -56,7 +56,7 @@
 void VirtualStage::start_node(NodeNo node, MachineNo machine, const std::string& config) {
   NodeAt& n = nodes_[node.value];
   n.process = std::make_unique<Process>(fabric_, machine, descriptors_);
-  n.node = std::make_unique<node::Node>(*n.process, node::NodeFile::of_text(config), make_);
+  n.node = std::make_unique<node::Node>(*n.process, *node::NodeFile::of_text(config), make_);
   n.node->serve();
 }
 
@@ -73,7 +73,11 @@
 }
 
 void VirtualStage::reload_node(NodeNo node, const std::string& config) {
-  if (running(node)) nodes_[node.value].node->reload([&] { return node::NodeFile::of_text(config); });
+  if (running(node))
+    nodes_[node.value].node->reload([&] {
+      return std::pair(node::NodeFile::of_text(config),
+                       setup::OperatorFile());
+    });
 }
 
 bool VirtualStage::running(NodeNo node) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,8 +5,12 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <memory>
+#include <optional>
 #include <string>
+#include <thread>
 
+#include "members/asker.h"
 #include "net/kernel_network.h"
 #include "net/nowhere.h"
 #include "node/node.h"
@@ -16,14 +20,18 @@
 constexpr const char* kVersion = FLINTWEIR_VERSION;
 
 constexpr const char* kHelp =
-    "usage: flintweir COMMAND [--config FILE]\n"
+    "usage: flintweir COMMAND [--config FILE] [--operator FILE]\n"
     "\n"
-    "  serve      run a node until SIGTERM; SIGHUP reads the configuration again\n"
-    "  check      read a configuration as serve would, and say whether it is right\n"
+    "  serve      run a node until SIGTERM; SIGHUP reads its files again\n"
+    "  check      read the files given as serve would, and say all that is wrong\n"
+    "  members    ask the node at --at ADDRESS (its fleet.address) for its view of the fleet\n"
     "  version    print the version\n"
     "  help       print this\n"
     "\n"
-    "  -c, --config FILE   the configuration; without it the file that EDGE_CONFIG names\n";
+    "  -c, --config FILE     the configuration; without it the file that EDGE_CONFIG names\n"
+    "  -o, --operator FILE   the operator's file; without it the one that EDGE_OPERATOR names, if any\n"
+    "\n"
+    "  members: --json prints one object, --watch goes on each second; ends with 3 where nobody answers\n";
 
 int wrong_use(const std::string& what) {
   std::fprintf(stderr, "flintweir: %s (see 'flintweir help')\n", what.c_str());
@@ -46,51 +54,141 @@
   sigprocmask(hold ? SIG_BLOCK : SIG_UNBLOCK, &reload, nullptr);
 }
 
-flintweir::node::NodeFile node_file(const std::string& path) {
-  const auto given = [](const char* variable) {
-    const char* value = std::getenv(variable);
-    return std::string(value ? value : "");
-  };
-  return flintweir::node::NodeFile(path, given("EDGE_LISTEN"), given("EDGE_DISCOVERY"));
+std::string given(const char* variable) {
+  const char* value = std::getenv(variable);
+  return value ? value : "";
+}
+
+std::unique_ptr<flintweir::node::NodeFile> node_file(const std::string& path) {
+  return std::make_unique<flintweir::node::NodeFile>(path, given("EDGE_LISTEN"), given("EDGE_DISCOVERY"));
+}
+
+flintweir::setup::OperatorFile operator_file(const std::string& path) {
+  return path.empty() ? flintweir::setup::OperatorFile() : flintweir::setup::OperatorFile::read(path);
 }
 
-int serve(const std::string& config) {
+// As the files say; the node serves nobody yet.
+void set_up(flintweir::node::Node& node, const flintweir::node::NodeFile& file,
+            const flintweir::setup::OperatorFile& own) {
+  if (!own.fleet) return;
+  const std::string name = given("EDGE_NAME");
+  node.join(*own.fleet, name.empty() ? file.name() : name, kVersion, file.seed());
+}
+
+int serve(const std::string& config, const std::string& own) {
   std::signal(SIGPIPE, SIG_IGN);
   raise_descriptor_limit();
   flintweir::net::KernelNetwork network;
-  flintweir::node::Node node(network, node_file(config));
+  const auto file = node_file(config);
+  flintweir::node::Node node(network, *file);
+  set_up(node, *file, operator_file(own));
   node.serve();
   network.hear_signals({SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
     if (signal != SIGHUP) return node.leave();
-    node.reload([&] { return node_file(config); });
+    node.reload([&] { return std::pair(node_file(config), operator_file(own)); });
   });
   hold_reloads(false);  // one that came meanwhile is heard now
   network.run();
   return 0;
 }
 
-int check(const std::string& config) {
-  flintweir::net::Nowhere nowhere;
-  const flintweir::node::Node node(nowhere, node_file(config));
-  std::printf("%s: ok\n", config.c_str());
-  return 0;
+int check(const std::string& config, const std::string& own) {
+  std::vector<std::string> wrong;
+  const auto operators =
+      own.empty() ? flintweir::setup::OperatorFile() : flintweir::setup::OperatorFile::of_file(own, wrong);
+  for (const std::string& line : wrong) std::fprintf(stderr, "flintweir: %s\n", line.c_str());
+  if (!config.empty()) {
+    flintweir::net::Nowhere nowhere;
+    const auto file = node_file(config);
+    flintweir::node::Node node(nowhere, *file);
+    if (wrong.empty()) set_up(node, *file, operators);
+    std::printf("%s: ok\n", config.c_str());
+  }
+  if (!own.empty() && wrong.empty()) std::printf("%s: ok\n", own.c_str());
+  return wrong.empty() ? 0 : 1;
+}
+
+// Sends each question up to three times; prints the whole view.
+class Members final : flintweir::net::PostEvents {
+ public:
+  Members(const flintweir::Address& at, bool json) : at_(at), json_(json) {
+    flintweir::Address here;
+    here.v6 = at.v6;
+    network_.open_post(here);
+    network_.wait_post(*this);
+  }
+  bool ask() {
+    using namespace std::chrono_literals;
+    asker_.emplace(static_cast<std::uint64_t>(network_.now().count()));
+    whole_ = false;
+    for (int silent = 0; silent < 3 && !whole_; ++silent) {
+      answered_ = false;
+      network_.post(at_, asker_->question());
+      const auto until = network_.now() + 500ms;
+      while (!answered_ && network_.now() < until) network_.run_for(until - network_.now());
+      if (answered_) silent = -1;
+    }
+    if (whole_) std::fputs((json_ ? to_json(*asker_) : to_table(*asker_)).c_str(), stdout);
+    std::fflush(stdout);
+    return whole_;
+  }
+
+ private:
+  void post_came() override {
+    char bytes[flintweir::members::kLongestDatagram + 1];
+    for (;;) {
+      const auto got = network_.receive(bytes, sizeof bytes);
+      if (got.how == flintweir::net::Io::later) break;
+      if (got.how != flintweir::net::Io::done || got.from != at_) continue;
+      answered_ = true;
+      whole_ = asker_->received({bytes, got.bytes}) || whole_;
+    }
+    network_.wait_post(*this);
+    network_.stop();
+  }
+
+  flintweir::net::KernelNetwork network_;
+  flintweir::Address at_;
+  bool json_, answered_ = false, whole_ = false;
+  std::optional<flintweir::members::Asker> asker_;
+};
+
+int members(const std::string& at, bool json, bool watch) {
+  const auto address = flintweir::address_of(at);
+  if (!address) return wrong_use("--at has to be an address with a port, as in fleet.address");
+  Members view(*address, json);
+  for (;;) {
+    const bool answered = view.ask();
+    if (!answered) std::fprintf(stderr, "flintweir: nobody answers at %s\n", at.c_str());
+    if (!watch) return answered ? 0 : 3;
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+  }
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
   hold_reloads(true);
-  const char* given = std::getenv("EDGE_CONFIG");
-  std::string config = given ? given : "";
-  const option options[] = {{"config", required_argument, nullptr, 'c'},
-                            {"help", no_argument, nullptr, 'h'},
-                            {"version", no_argument, nullptr, 'v'},
-                            {nullptr, 0, nullptr, 0}};
+  std::string config = given("EDGE_CONFIG"), own = given("EDGE_OPERATOR"), at;
+  bool json = false, watch = false;
+  const option options[] = {
+      {"config", required_argument, nullptr, 'c'}, {"operator", required_argument, nullptr, 'o'},
+      {"at", required_argument, nullptr, 'a'},     {"json", no_argument, nullptr, 'j'},
+      {"watch", no_argument, nullptr, 'w'},        {"help", no_argument, nullptr, 'h'},
+      {"version", no_argument, nullptr, 'v'},      {nullptr, 0, nullptr, 0}};
   bool help = false, version = false;
   opterr = 0;
-  for (int o; (o = getopt_long(argc, argv, "c:hv", options, nullptr)) != -1;) {
+  for (int o; (o = getopt_long(argc, argv, "c:o:hv", options, nullptr)) != -1;) {
     if (o == 'c')
       config = optarg;
+    else if (o == 'o')
+      own = optarg;
+    else if (o == 'a')
+      at = optarg;
+    else if (o == 'j')
+      json = true;
+    else if (o == 'w')
+      watch = true;
     else if (o == 'h')
       help = true;
     else if (o == 'v')
@@ -103,10 +201,14 @@
   if (help || command == "help") return std::fputs(kHelp, stdout), 0;
   if (version || command == "version") return std::printf("flintweir %s\n", kVersion), 0;
   if (command.empty()) return wrong_use("no command");
-  if (command != "serve" && command != "check") return wrong_use("unknown command '" + command + "'");
-  if (config.empty()) return wrong_use("no configuration: name one with --config or EDGE_CONFIG");
+  if (command == "members" && at.empty()) return wrong_use("no node to ask: name one with --at");
+  if (command != "members" && command != "serve" && command != "check")
+    return wrong_use("unknown command '" + command + "'");
+  if (config.empty() && (command == "serve" || (command == "check" && own.empty())))
+    return wrong_use("no configuration: name one with --config or EDGE_CONFIG");
   try {
-    return command == "serve" ? serve(config) : check(config);
+    if (command == "members") return members(at, json, watch);
+    return command == "serve" ? serve(config, own) : check(config, own);
   } catch (const std::exception& e) {
     std::fprintf(stderr, "flintweir: %s\n", e.what());
     return 1;
--- /dev/null
+++ b/src/members/view.cpp
@@ -0,0 +1,980 @@
+#include "members/view.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+
+namespace flintweir::members {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Ratios to the interval between two probes.
+constexpr int kLeastDoubt = 4;   // a suspicion that enough others share stands so long before the verdict
+constexpr int kDoubtSpread = 6;  // and one that nobody shares, so many times that
+constexpr int kNewsParts = 3;    // news goes out so often in an interval while there is any
+constexpr int kDeadAsked = 4;    // one of the dead is asked in so many intervals
+constexpr int kSeedFirst = 1, kSeedMost = 8;  // pauses between two rounds of the seeds, jittered
+constexpr int kJoinAlone = 7;    // seeds that are silent for so long: this node is the first of its fleet
+constexpr int kClaimWaits = 5;   // whoever holds this node's name and runs has answered by then
+constexpr int kLeftKept = 200;   // those that left are remembered so long, longer than a datagram travels
+constexpr int kLongestTrip = 4;  // a round trip of that is still waited for
+constexpr int kLearnsDead = 40;  // after it joined a node takes in those that others call failed
+constexpr int kMoveOn = 3;       // a leaving member that answers nothing to so many probes has gone
+// Numbers of others.
+constexpr std::size_t kHelpers = 3;  // asked to try where a member does not answer
+constexpr std::size_t kSharers = 3;  // accusers beside the first that make a verdict quick
+constexpr double kLookers = 6;       // members that look for themselves at once when they hear a suspicion
+constexpr std::size_t kNewsTo = 3;   // members that a round of news goes to
+constexpr int kSpread = 3;           // each word is sent so often for each doubling of the fleet
+constexpr int kMostHealth = 8;       // of one's own bad health: intervals and waits grow by as many times
+constexpr std::size_t kSyncDatagrams = 4;  // of words, in answer to one digest
+constexpr std::size_t kMostHelped = 64;    // questions on others' behalf that are out at a time
+// A node's bytes a second; a burst may take as much as that at once. What must be answered goes first.
+constexpr double kBytesPerSecond = 64 << 10, kBytesKept = 16 << 10;
+
+enum class Due : std::uint64_t {
+  probe = 1,
+  direct,
+  round_over,
+  news,
+  doubts,
+  dead,
+  seeds,
+  alone,
+  claimed,
+  helped
+};
+
+WakeId wake_id(Due due, std::uint64_t turn) { return WakeId{static_cast<std::uint64_t>(due) << 56 | turn}; }
+
+}  // namespace
+
+class View::Impl final : Hearer {
+ public:
+  Impl(Outlet& outlet, std::string fleet, std::string name, Start start, const Address& told,
+       std::string zone, std::string version, std::vector<Address> seeds, Micros interval, Micros forget,
+       std::size_t most, std::uint64_t seed)
+      : outlet_(outlet),
+        fleet_(std::move(fleet)),
+        name_(std::move(name)),
+        interval_(interval),
+        forget_(forget),
+        most_(most),
+        chance_(static_cast<std::knuth_b::result_type>(seed | 1)) {
+    Member& me = members_.try_emplace(name_).first->second.facts;
+    me.start = start;
+    me.standing = Standing::joining;
+    me.address = told;
+    me.zone = std::move(zone);
+    me.version = std::move(version);
+    me.by = name_;
+    this->seeds(std::move(seeds));
+    // A restart's questions are not those of the process before it.
+    nonces_ = mix(seed ^ start.value) >> 9;
+  }
+
+  void at(Micros now) {
+    now_ = std::max(now, now_);
+    // Guards against a process that was stopped and accuses others of its own silence: all that was out is
+    // forgotten, and every doubt begins anew.
+    if (due_ != Micros::max() && now_ > due_ + interval_ / 2) paused(now_ - due_);
+  }
+
+  void begin() {
+    began_ = now_;
+    me().since = now_;
+    refill_at_ = now_;
+    wake(jittered(interval_, 0.5), Due::probe);
+    wake(jittered(interval_ * kDeadAsked, 0.5), Due::dead);
+    if (seeds_.empty()) return join("no seeds");
+    ask_seeds();
+    outlet_.wake(interval_ * kJoinAlone, wake_id(Due::alone, 0));
+  }
+
+  void received(const Address& from, std::string_view bytes) {
+    ++counts_.received;
+    came_from_ = from;
+    tick();
+    if (const Wrong wrong = decode(bytes, fleet_, *this); wrong != Wrong::none) {
+      ++counts_.wrong[static_cast<std::size_t>(wrong)];
+      complain(wrong);
+    }
+  }
+
+  void woken(WakeId wake) {
+    const auto due = static_cast<Due>(wake.value >> 56);
+    const std::uint64_t turn = wake.value & ((1ull << 56) - 1);
+    tick();
+    switch (due) {
+      case Due::probe:
+        return probe();
+      case Due::direct:
+        if (turn == probe_turn_) try_others();
+        return;
+      case Due::round_over:
+        if (turn == probe_turn_) round_over();
+        return;
+      case Due::news:
+        return spread_news();
+      case Due::doubts:
+        return weigh_doubts();
+      case Due::dead:
+        return ask_dead();
+      case Due::seeds:
+        return ask_seeds();
+      case Due::alone:
+        if (me().standing == Standing::joining && !claiming_ && !rival_) join("no seed answers");
+        return;
+      case Due::claimed:
+        if (turn == claim_turn_) claim_over();
+        return;
+      case Due::helped:
+        return help_over(Nonce{turn});
+    }
+  }
+
+  void leave() {
+    Entry& mine = members_.find(name_)->second;
+    if (mine.facts.standing == Standing::joining) {
+      silent_ = true;
+      return;
+    }
+    say_anew(Standing::leaving, name_);
+    // Also to those whom news would reach only after this process has gone.
+    for (const Address& to : some(kNewsTo * 2, {})) send_news(Kind::news, to, next_nonce());
+  }
+
+  void seeds(std::vector<Address> seeds) {
+    seeds_ = std::move(seeds);
+    std::erase(seeds_, me().address);
+    seed_pause_ = Micros{0};  // the next round is the first of these
+  }
+
+  void note(std::string_view note) {
+    if (me().note == note) return;
+    leave_digest(name_, members_.find(name_)->second);
+    me().note = std::string(note.substr(0, kLongestNote));
+    ++me().word;
+    enter_digest(name_, members_.find(name_)->second);
+    if (began_ != kNever) tell(name_);
+  }
+
+  std::uint64_t digest() const { return XXH3_64bits(buckets_.data(), sizeof buckets_); }
+
+  unsigned acting() const {
+    if (me().standing == Standing::joining) return 0;
+    unsigned out = 0;
+    for (const auto& [name, e] : members_) out += e.facts.standing != Standing::left;
+    return out;
+  }
+
+  bool joined() const { return me().standing != Standing::joining; }
+
+  void each(const std::function<void(std::string_view, const Member&)>& visit) const {
+    for (const auto& [name, e] : members_)
+      if (e.facts.standing != Standing::left) visit(name, e.facts);
+  }
+
+  const Counts& counts() const { return counts_; }
+
+ private:
+  struct Entry {
+    Member facts;
+    std::vector<std::string> accusers;  // of a suspicion, the first that was heard of first
+    Micros doubt_from = kNever;
+    bool verdict_said = false;  // another has come to the verdict: the least doubt is enough
+    int sends = 0;              // that its word has left to be spread
+    int missed = 0;             // probes, by this node and in a row
+    Micros told_at = kNever;    // that it is called failed
+  };
+  using Entries = std::map<std::string, Entry, std::less<>>;
+  struct Helped {
+    Nonce asked_as;  // by whom it was asked
+    Address asker;
+  };
+
+  Member& me() { return members_.find(name_)->second.facts; }
+  const Member& me() const { return members_.find(name_)->second.facts; }
+  bool silent() const { return silent_ || rival_; }
+
+  // The clock's own work.
+
+  void wake(Micros in, Due due, std::uint64_t turn = 0) {
+    if (due == Due::probe) due_ = now_ + in;
+    outlet_.wake(in, wake_id(due, turn));
+  }
+
+  void tick() {
+    bytes_left_ = std::min(kBytesKept, bytes_left_ + kBytesPerSecond * seconds(now_ - refill_at_));
+    refill_at_ = now_;
+  }
+
+  void paused(Micros by) {
+    due_ = now_ + interval_;  // the wake that is late comes in a moment
+    probed_.clear();
+    ++probe_turn_;
+    helped_.clear();
+    health_ = std::min(health_ + 1, kMostHealth);
+    for (auto& [name, e] : members_)
+      if (e.facts.standing == Standing::suspected) e.doubt_from += by;
+  }
+
+  Micros jittered(Micros mean, double by) {
+    const double off = (2 * std::generate_canonical<double, 32>(chance_) - 1) * by;
+    return Micros{static_cast<std::int64_t>(static_cast<double>(mean.count()) * (1 + off))};
+  }
+  std::size_t below(std::size_t n) {
+    return std::min(n - 1, static_cast<std::size_t>(std::generate_canonical<double, 32>(chance_) *
+                                                    static_cast<double>(n)));
+  }
+  Nonce next_nonce() { return Nonce{++nonces_}; }  // fits beside a kind in a wake's number
+
+  // Sending.
+
+  From from() const { return {name_, me().start, me().address, digest()}; }
+
+  void send(const Address& to, Writer& writer, bool owed) {
+    const std::string_view bytes = writer.done();
+    // What is not owed leaves a quarter for what is.
+    if (bytes_left_ < (owed ? 0 : kBytesKept / 4)) {
+      ++counts_.unsent;
+      return;
+    }
+    bytes_left_ -= static_cast<double>(bytes.size());
+    ++counts_.sent;
+    counts_.sent_bytes += bytes.size();
+    outlet_.send(to, bytes);
+  }
+
+  static Word word_of(std::string_view name, const Member& m) {
+    return {name, m.start, m.word, m.standing, m.address, m.zone, m.version, m.note, m.by};
+  }
+
+  // A datagram that carries, beside `first`, as much news as fits.
+  void send_news(Kind kind, const Address& to, Nonce nonce, std::string_view first = {}) {
+    Writer writer(kind, fleet_, from(), nonce);
+    if (const auto it = members_.find(first); it != members_.end())
+      writer.add(word_of(first, it->second.facts));
+    // Those least spread first.
+    std::sort(news_.begin(), news_.end(), [this](const std::string& a, const std::string& b) {
+      return members_.find(a)->second.sends > members_.find(b)->second.sends;
+    });
+    for (const std::string& name : news_) {
+      if (name == first) continue;
+      Entry& e = members_.find(name)->second;
+      if (!writer.add(word_of(name, e.facts))) break;
+      --e.sends;
+    }
+    std::erase_if(news_, [this](const std::string& name) { return members_.find(name)->second.sends <= 0; });
+    send(to, writer, kind != Kind::news);
+  }
+
+  void tell(std::string_view name) {
+    Entry& e = members_.find(name)->second;
+    const double doublings = std::log2(static_cast<double>(live_) + 2);
+    if (e.sends <= 0) news_.emplace_back(name);
+    e.sends = kSpread * static_cast<int>(std::ceil(doublings));
+    if (!std::exchange(news_due_, true)) wake(jittered(interval_ / kNewsParts / 2, 0.5), Due::news);
+  }
+
+  void spread_news() {
+    news_due_ = false;
+    if (news_.empty() || silent()) return;
+    for (const Address& to : some(kNewsTo, {})) {
+      if (news_.empty()) break;
+      send_news(Kind::news, to, next_nonce());
+    }
+    news_due_ = true;
+    wake(jittered(interval_ / kNewsParts, 0.2), Due::news);
+  }
+
+  // Members drawn by chance whom a datagram may reach, by their addresses.
+  std::vector<Address> some(std::size_t n, std::string_view but) {
+    std::vector<Address> out;
+    std::set<std::size_t> drawn;
+    for (std::size_t i = 0; !order_.empty() && i < 4 * n && out.size() < n; ++i) {
+      const std::size_t no = below(order_.size());
+      if (!drawn.insert(no).second || order_[no] == but) continue;
+      const auto it = members_.find(order_[no]);
+      if (it != members_.end() && reachable(it->first, it->second)) out.push_back(it->second.facts.address);
+    }
+    return out;
+  }
+
+  bool reachable(std::string_view name, const Entry& e) const {
+    return name != name_ && !final_for_start(e.facts.standing);
+  }
+
+  // The digest: of all that is not gone for good, so that what is forgotten at different times makes no two
+  // views differ.
+
+  static std::size_t bucket(std::string_view name) {
+    return XXH3_64bits(name.data(), name.size()) % kBuckets;
+  }
+  static std::uint64_t digest_of(std::string_view name, const Member& m) {
+    const std::uint64_t own[] = {m.start.value, m.word, static_cast<std::uint64_t>(m.standing),
+                                 m.address.port};
+    std::uint64_t h = XXH3_64bits_withSeed(own, sizeof own, XXH3_64bits(name.data(), name.size()));
+    h = XXH3_64bits_withSeed(m.address.bytes.data(), m.address.bytes.size(), h);
+    return XXH3_64bits_withSeed(m.note.data(), m.note.size(), h);
+  }
+  static bool counts_in_digest(const Member& m) {
+    return !final_for_start(m.standing) && m.standing != Standing::joining;
+  }
+  void leave_digest(std::string_view name, const Entry& e) {
+    if (!counts_in_digest(e.facts)) return;
+    buckets_[bucket(name)] ^= digest_of(name, e.facts);
+    --live_;
+  }
+  void enter_digest(std::string_view name, const Entry& e) {
+    if (!counts_in_digest(e.facts)) return;
+    buckets_[bucket(name)] ^= digest_of(name, e.facts);
+    ++live_;
+  }
+  // Changes one member's facts; all that hangs on them follows.
+  template <class Change>
+  void change(std::string_view name, Change change) {
+    const auto it = members_.find(name);
+    Entry& e = it->second;
+    const Standing was = e.facts.standing;
+    const Start start = e.facts.start;
+    leave_digest(name, e);
+    change(e.facts);
+    enter_digest(name, e);
+    if (e.facts.standing != Standing::suspected) {
+      e.accusers.clear();
+      e.doubt_from = kNever;
+      e.verdict_said = false;
+    }
+    tell(it->first);
+    if (e.facts.standing == was && e.facts.start == start) return;
+    e.missed = 0;
+    e.facts.since = now_;
+    outlet_.changed(it->first, e.facts, false);
+  }
+
+  void take_facts(Member& m, const Word& w, std::string_view by) {
+    m.start = w.start;
+    m.word = w.word;
+    m.standing = w.standing;
+    m.address = w.address;
+    m.zone = w.zone;
+    m.version = w.version;
+    m.note = w.note;
+    m.by = by;
+  }
+
+  // What this node says of itself, over all that was said of it before.
+  void say_anew(Standing standing, std::string_view by) {
+    change(name_, [&](Member& m) {
+      ++m.word;
+      m.standing = standing;
+      m.by = by;
+    });
+  }
+
+  void start_anew(Start over) {
+    change(name_, [&](Member& m) {
+      m.start = Start{std::max(m.start.value, over.value) + 1};
+      m.word = 0;
+    });
+  }
+
+  void join(const char* how) {
+    if (me().standing != Standing::joining) return;
+    joined_at_ = now_;
+    change(name_, [](Member& m) { m.standing = Standing::alive; });
+    char line[96];
+    std::snprintf(line, sizeof line, "joined why=\"%s\"", how);
+    outlet_.said(line);
+  }
+
+  // Joining, and finding those who were lost.
+
+  void ask_seeds() {
+    // Also once joined, as long as a seed is no member here: beyond it may be another part of the fleet.
+    bool missing = false;
+    for (const Address& seed : seeds_) {
+      if (joined() && known_at(seed)) continue;
+      missing = true;
+      if (!silent()) send_news(Kind::ping, seed, next_nonce(), name_);
+    }
+    const auto fleet = static_cast<std::int64_t>(live_);
+    const Micros most = std::max(interval_ * kSeedMost, interval_ * fleet / 4);
+    seed_pause_ = std::min(seed_pause_ == Micros{0} ? interval_ * kSeedFirst : seed_pause_ * 3 / 2, most);
+    if (!missing) seed_pause_ = interval_ * kSeedMost;
+    wake(jittered(seed_pause_, 0.3), Due::seeds);
+  }
+
+  bool known_at(const Address& at) const {
+    for (const auto& [name, e] : members_)
+      if (e.facts.address == at && !final_for_start(e.facts.standing)) return true;
+    return false;
+  }
+
+  void ask_dead() {
+    wake(jittered(interval_ * kDeadAsked, 0.3), Due::dead);
+    forget_old();
+    if (silent() || !joined()) return;
+    std::vector<std::string_view> dead;
+    for (const auto& [name, e] : members_)
+      if (e.facts.standing == Standing::failed) dead.push_back(name);
+    if (dead.empty()) return;
+    tell_accused(dead[below(dead.size())], true);
+  }
+
+  // It is told what is believed of it, so that it can say better.
+  void tell_accused(std::string_view name, bool at_once = false) {
+    Entry& e = members_.find(name)->second;
+    if (!at_once && e.told_at != kNever && now_ - e.told_at < interval_) return;
+    e.told_at = now_;
+    if (!silent()) send_news(Kind::ping, e.facts.address, next_nonce(), name);
+  }
+
+  void forget_old() {
+    for (auto it = members_.begin(); it != members_.end();) {
+      const Member& m = it->second.facts;
+      const Micros kept = m.standing == Standing::left ? interval_ * kLeftKept : forget_;
+      const bool old = final_for_start(m.standing) && now_ - m.since > kept;
+      if (!old) {
+        ++it;
+        continue;
+      }
+      std::erase(news_, it->first);
+      it = members_.erase(it);
+    }
+  }
+
+  // Makes room for one more: of those that are gone the one that has been so for the longest.
+  bool make_room() {
+    if (members_.size() < most_) return true;
+    auto oldest = members_.end();
+    for (auto it = members_.begin(); it != members_.end(); ++it) {
+      if (!final_for_start(it->second.facts.standing)) continue;
+      if (oldest == members_.end() || it->second.facts.since < oldest->second.facts.since) oldest = it;
+    }
+    if (oldest == members_.end()) return ++counts_.turned_away, false;
+    std::erase(news_, oldest->first);
+    members_.erase(oldest);
+    return true;
+  }
+
+  // Probes.
+
+  void probe() {
+    const Micros usual{static_cast<std::int64_t>(round_trip_.or_else(0) * 2e6)};
+    const Micros least = interval_ * (1 + health_) / 3;
+    const Micros direct = std::clamp(usual, least, std::max(least, interval_ * kLongestTrip));
+    const Micros over = std::max(direct * 2, least * 27 / 10);
+    wake(std::max(jittered(least * 3, 0.1), over * 11 / 10), Due::probe);
+    if (silent()) return;
+    const std::string* const next = next_to_probe();
+    if (!next) return;
+    const Entry& e = members_.find(*next)->second;
+    Probed probed{next_nonce(), *next, e.facts.start, now_};
+    ++probe_turn_;
+    answered_ = false;
+    nacks_ = helpers_ = 0;
+    probed_.push_back(probed);
+    while (!probed_.empty() && now_ - probed_.front().at > interval_ * 32) probed_.pop_front();
+    send_news(Kind::ping, e.facts.address, probed.nonce,
+              e.facts.standing == Standing::suspected ? probed.name : std::string_view());
+    wake(direct, Due::direct, probe_turn_);
+    wake(over, Due::round_over, probe_turn_);
+  }
+
+  // Each in turn, in an order drawn anew when all have had theirs; those of whom a suspicion was heard first.
+  const std::string* next_to_probe() {
+    while (!look_at_.empty()) {
+      looked_at_ = look_at_.back();
+      look_at_.pop_back();
+      const auto it = members_.find(looked_at_);
+      if (it != members_.end() && reachable(it->first, it->second)) return &looked_at_;
+    }
+    for (int pass = 0; pass < 2; ++pass) {
+      while (next_ < order_.size()) {
+        const auto it = members_.find(order_[next_++]);
+        if (it != members_.end() && reachable(it->first, it->second)) return &it->first;
+      }
+      order_.clear();
+      for (const auto& [name, e] : members_)
+        if (reachable(name, e)) order_.push_back(name);
+      for (std::size_t i = order_.size(); i > 1; --i) std::swap(order_[i - 1], order_[below(i)]);
+      next_ = 0;
+    }
+    return nullptr;
+  }
+
+  void try_others() {
+    if (answered_ || probed_.empty()) return;
+    const Probed& p = probed_.back();
+    const auto it = members_.find(p.name);
+    if (it == members_.end()) return;
+    send_news(Kind::ping, it->second.facts.address, p.nonce, p.name);
+    for (const Address& helper : some(kHelpers, p.name)) {
+      Writer writer(Kind::ask, fleet_, from(), p.nonce);
+      writer.ask(p.name, it->second.facts.address);
+      send(helper, writer, true);
+      ++helpers_;
+    }
+  }
+
+  void round_over() {
+    if (answered_ || probed_.empty()) return;
+    const Probed p = probed_.back();
+    // Helpers that say nothing either: it may be this node that is ill.
+    if (helpers_ > 0 && nacks_ < helpers_) health_ = std::min(health_ + 1, kMostHealth);
+    const auto it = members_.find(p.name);
+    if (it == members_.end() || it->second.facts.start != p.start) return;
+    Entry& e = it->second;
+    ++e.missed;
+    if (e.facts.standing == Standing::leaving) {
+      if (e.missed >= kMoveOn)
+        change(p.name, [this](Member& m) { m.standing = Standing::left, m.by = name_; });
+      return;
+    }
+    suspect(p.name, e.facts.word, name_);
+  }
+
+  void ping_came(const From& from, Nonce nonce) override {
+    if (silent()) {
+      if (rival_) send_claim(from.address, nonce);
+      return;
+    }
+    sender_is(from);
+    const auto it = members_.find(from.name);
+    // Whoever is called failed or suspected here, or is known by another start, hears of it with the answer.
+    const bool better = it != members_.end() && (final_for_start(it->second.facts.standing) ||
+                                                 it->second.facts.standing == Standing::suspected ||
+                                                 it->second.facts.start != from.start);
+    send_news(Kind::ack, from.address, nonce, better ? from.name : std::string_view(name_));
+    if (!joined() && !claiming_) join("another joins too");
+  }
+
+  void ack_came(const From& from, Nonce nonce) override {
+    if (const auto helped = helped_.find(nonce.value); helped != helped_.end()) {
+      Writer writer(Kind::ack, fleet_, this->from(), helped->second.asked_as);
+      send(helped->second.asker, writer, true);
+      helped_.erase(helped);
+      return;
+    }
+    sender_is(from);
+    const auto probed =
+        std::find_if(probed_.begin(), probed_.end(), [&](const Probed& p) { return p.nonce == nonce; });
+    if (probed != probed_.end()) {
+      if (from.name == probed->name) round_trip_.add(seconds(now_ - probed->at), 0.8);
+      if (probed->nonce == probed_.back().nonce && !std::exchange(answered_, true))
+        health_ = std::max(health_ - 1, 0);
+      if (const auto it = members_.find(probed->name); it != members_.end()) it->second.missed = 0;
+    }
+    if (!joined() && !claiming_ && !rival_) joins_by(from);
+    if (from.digest != digest() && joined() && now_ - synced_at_ >= interval_) start_sync(from.address);
+  }
+
+  void nack_came(const From&, Nonce nonce) override {
+    if (!probed_.empty() && probed_.back().nonce == nonce) ++nacks_;
+  }
+
+  void ask_came(const From& from, Nonce nonce, std::string_view whom, const Address& at) override {
+    if (silent() || helped_.size() >= kMostHelped) return;
+    const Nonce own = next_nonce();
+    helped_[own.value] = {nonce, from.address};
+    const auto it = members_.find(whom);
+    send_news(Kind::ping, at, own, it == members_.end() ? std::string_view() : whom);
+    wake(interval_ / 2, Due::helped, own.value);
+  }
+
+  void help_over(Nonce own) {
+    const auto it = helped_.find(own.value);
+    if (it == helped_.end()) return;
+    Writer writer(Kind::nack, fleet_, from(), it->second.asked_as);
+    send(it->second.asker, writer, true);
+    helped_.erase(it);
+  }
+
+  // Suspicion and verdict.
+
+  std::size_t sharers_wanted(std::string_view accused) const {
+    std::size_t others = 0;
+    for (const auto& [name, e] : members_) {
+      others += name != name_ && name != accused && e.facts.standing == Standing::alive;
+      if (others == kSharers) break;
+    }
+    return others;
+  }
+
+  Micros doubt(std::string_view name, const Entry& e) const {
+    const Micros least = interval_ * kLeastDoubt;
+    const std::size_t wanted = sharers_wanted(name);
+    if (wanted == 0 || e.verdict_said) return least;
+    const std::size_t shared = std::min(e.accusers.size() - 1, wanted);
+    const double open =
+        1 - std::log(1.0 + static_cast<double>(shared)) / std::log(1.0 + static_cast<double>(wanted));
+    // Where nobody else shares it, this node may be the one that is ill.
+    const double most = kDoubtSpread * (shared == 0 ? 1 + health_ : 1);
+    return Micros{static_cast<std::int64_t>(static_cast<double>(least.count()) * (1 + (most - 1) * open))};
+  }
+
+  void suspect(std::string_view name, std::uint32_t word, std::string_view by) {
+    const auto it = members_.find(name);
+    Entry& e = it->second;
+    Member& m = e.facts;
+    if (word < m.word || (m.standing != Standing::alive && m.standing != Standing::suspected)) return;
+    if (m.standing == Standing::suspected && word == m.word) {
+      if (e.accusers.size() > kSharers ||
+          std::find(e.accusers.begin(), e.accusers.end(), by) != e.accusers.end())
+        return;
+      e.accusers.emplace_back(by);
+      m.by = by;
+      tell(it->first);  // others are to hear of each accuser
+    } else {
+      change(name, [&](Member& now) {
+        now.standing = Standing::suspected;
+        now.word = word;
+        now.by = by;
+      });
+      e.accusers.assign(1, std::string(by));
+      e.doubt_from = now_;
+      tell_accused(name, true);
+      if (by != name_ &&
+          std::generate_canonical<double, 32>(chance_) < kLookers / static_cast<double>(live_ + 1))
+        look_at_.emplace_back(name);
+    }
+    if (!std::exchange(doubts_due_, true)) wake(interval_ / 4, Due::doubts);
+  }
+
+  void weigh_doubts() {
+    doubts_due_ = false;
+    std::vector<std::string> verdicts;
+    bool more = false;
+    for (const auto& [name, e] : members_) {
+      if (e.facts.standing != Standing::suspected) continue;
+      if (now_ - e.doubt_from >= doubt(name, e))
+        verdicts.push_back(name);
+      else
+        more = true;
+    }
+    for (const std::string& name : verdicts) change(name, [](Member& m) { m.standing = Standing::failed; });
+    if (more && !std::exchange(doubts_due_, true)) wake(interval_ / 4, Due::doubts);
+  }
+
+  // Words.
+
+  void sender_is(const From& from) {
+    // Guards against a name whose process here is an older one: whoever sends hears of the newer.
+    const auto it = members_.find(from.name);
+    if (it == members_.end() || it->first == name_) return;
+    const Member& m = it->second.facts;
+    if (m.start > from.start || (m.start == from.start && m.standing == Standing::failed))
+      tell_accused(from.name);
+  }
+
+  void word_came(const From& from, const Word& w) override {
+    if (w.name == name_) return of_myself(from, w);
+    if (silent()) return;
+    const auto sender = members_.find(from.name);
+    // Whoever is called failed here accuses nobody: it is told first.
+    if (sender != members_.end() && w.name != from.name && w.standing > Standing::alive &&
+        final_for_start(sender->second.facts.standing) && sender->second.facts.start >= from.start)
+      return;
+    const auto it = members_.find(w.name);
+    if (it == members_.end()) return of_stranger(from, w);
+    Entry& e = it->second;
+    const Member& m = e.facts;
+    if (w.start < m.start) return;
+    if (w.start > m.start) {
+      if (w.standing != Standing::joining) newer(w.name, w);
+      return;
+    }
+    if (final_for_start(m.standing)) {
+      // It runs by another's word, or by its own: it has to hear that it starts anew.
+      if (m.standing == Standing::failed && w.standing < Standing::failed) tell_accused(w.name);
+      if (m.standing == Standing::failed && w.standing == Standing::left)
+        change(w.name, [&](Member& now) { now.standing = Standing::left, now.by = w.by; });
+      return;
+    }
+    switch (w.standing) {
+      case Standing::joining:
+        return;
+      case Standing::alive:
+      case Standing::leaving:
+        if (m.standing == Standing::leaving && w.standing != Standing::leaving) return;
+        if (w.word > m.word) newer(w.name, w);
+        return;
+      case Standing::suspected:
+        if (!w.by.empty()) suspect(w.name, w.word, w.by);
+        return;
+      case Standing::failed:
+        if (m.standing == Standing::leaving)
+          return change(w.name, [&](Member& now) { now.standing = Standing::left, now.by = w.by; });
+        // Doubted here first: after a partition both sides have failed each other, and those here may well
+        // run.
+        suspect(w.name, m.word, w.by.empty() ? from.name : w.by);
+        e.verdict_said = true;
+        tell_accused(w.name);
+        return;
+      case Standing::left:
+        return change(w.name, [&](Member& now) { now.standing = Standing::left, now.by = w.by; });
+    }
+  }
+
+  void newer(std::string_view name, const Word& w) {
+    const bool accused = w.standing == Standing::suspected;
+    const bool verdict = w.standing == Standing::failed;
+    change(name, [&](Member& m) {
+      take_facts(m, w, accused || verdict ? w.by : w.name);
+      if (accused) m.standing = Standing::alive;
+    });
+    if (accused && !w.by.empty()) suspect(name, w.word, w.by);
+  }
+
+  void of_stranger(const From& from, const Word& w) {
+    if (w.standing == Standing::joining || w.standing == Standing::left) return;
+    // The dead are learned of while this node is new. Later they would come back from others as soon as they
+    // are forgotten here.
+    if (w.standing == Standing::failed && now_ - joined_at_ > interval_ * kLearnsDead) return;
+    if (!make_room()) return;
+    const auto it = members_.try_emplace(std::string(w.name)).first;
+    Entry& e = it->second;
+    const bool accused = w.standing == Standing::suspected;
+    take_facts(e.facts, w, accused || final_for_start(w.standing) ? w.by : from.name);
+    if (accused) e.facts.standing = Standing::alive;
+    e.facts.since = now_;
+    enter_digest(it->first, e);
+    // Drawn into the present round at a place by chance, so that it is not left for the next.
+    if (reachable(it->first, e)) {
+      order_.push_back(it->first);
+      if (next_ < order_.size()) std::swap(order_.back(), order_[next_ + below(order_.size() - next_)]);
+    }
+    tell(it->first);
+    outlet_.changed(it->first, e.facts, true);
+    if (accused && !w.by.empty()) suspect(it->first, w.word, w.by);
+  }
+
+  void of_myself(const From& from, const Word& w) {
+    const Member& m = me();
+    // Of this very process, or of one before it at the same address.
+    if (w.start == m.start && w.address == m.address) {
+      if (w.standing == Standing::failed || w.standing == Standing::left) {
+        if (m.standing == Standing::leaving) return;
+        health_ = std::min(health_ + 1, kMostHealth);
+        start_anew(w.start);
+      } else if (w.word > m.word || (w.standing == Standing::suspected && w.word == m.word)) {
+        if (m.standing == Standing::joining) return;
+        health_ = std::min(health_ + 1, kMostHealth);
+        change(name_, [&](Member& now) { now.word = w.word + 1; });
+        if (!silent()) send_news(Kind::news, from.address, next_nonce(), name_);
+      }
+      return;
+    }
+    if (w.start < m.start && w.address == m.address) return;
+    if (final_for_start(w.standing) || w.address == m.address) {
+      if (w.start >= m.start && !silent()) start_anew(w.start);
+      return;
+    }
+    // Another process of this name at another address: the younger one has to go.
+    if (w.standing == Standing::joining || w.standing == Standing::leaving) return;
+    highest_rival_ = std::max(highest_rival_, w.start);
+    if (claiming_ || rival_) return;
+    claiming_ = true;
+    rival_at_ = w.address;
+    send_claim(rival_at_, next_nonce());
+    wake(interval_ * kClaimWaits / 2, Due::claimed, ++claim_turn_);
+  }
+
+  // Two processes of one name.
+
+  void send_claim(const Address& to, Nonce nonce) {
+    Writer writer(Kind::claim, fleet_, from(), nonce);
+    writer.claim(now_ - began_);
+    send(to, writer, true);
+  }
+
+  void claim_came(const From& from, Micros running) override {
+    if (from.name != name_ || from.address == me().address) return;
+    const Micros own = now_ - began_;
+    const bool elder = own != running ? own > running : me().address < from.address;
+    highest_rival_ = std::max(highest_rival_, from.start);
+    if (elder && !rival_) {
+      // What was believed of the younger one is over.
+      send_claim(from.address, next_nonce());
+      if (from.start >= me().start) start_anew(from.start);
+      return;
+    }
+    if (elder) return;
+    rival_at_ = from.address;
+    rival_heard_ = now_;
+    claiming_ = false;
+    ++claim_turn_;
+    if (!std::exchange(rival_, true)) {
+      char line[200];
+      std::snprintf(line, sizeof line,
+                    "name-in-use name=%s elder=%s elder_running_ms=%lld; this node stays out", name_.c_str(),
+                    to_text(from.address).c_str(), static_cast<long long>(running.count() / 1000));
+      outlet_.said(line);
+      change(name_, [](Member& m) { m.standing = Standing::joining; });
+      news_.clear();
+      for (auto& [name, e] : members_) e.sends = 0;
+    }
+    wake(jittered(interval_ * kSeedMost, 0.3), Due::claimed, claim_turn_);
+  }
+
+  void claim_over() {
+    if (rival_) {
+      // Asked again and again, for ever: the elder may have gone.
+      if (now_ - rival_heard_ < interval_ * 3 * kSeedMost) {
+        send_claim(rival_at_, next_nonce());
+        return wake(jittered(interval_ * kSeedMost, 0.3), Due::claimed, claim_turn_);
+      }
+      rival_ = false;
+    }
+    if (claiming_ && claim_tries_++ % 2 == 0) {
+      send_claim(rival_at_, next_nonce());
+      return wake(interval_ * kClaimWaits / 2, Due::claimed, claim_turn_);
+    }
+    claiming_ = false;
+    start_anew(highest_rival_);
+    if (joined()) return;
+    // Whoever answers now knows of nobody else of this name.
+    seed_pause_ = Micros{0};
+    ask_seeds();
+    join("the name is free");
+  }
+
+  void joins_by(const From& from) {
+    join("a seed answers");
+    start_sync(from.address);
+  }
+
+  // Whole views, piece by piece.
+
+  void start_sync(const Address& with) {
+    if (silent()) return;
+    synced_at_ = now_;
+    Writer writer(Kind::sync, fleet_, from(), next_nonce());
+    writer.sync(false, buckets_);
+    send(with, writer, false);
+  }
+
+  void sync_came(const From& from, bool answered, std::span<const std::uint64_t, kBuckets> digests) override {
+    if (silent() || !joined()) return;
+    std::vector<Word> words;
+    for (const auto& [name, e] : members_) {
+      if (e.facts.standing == Standing::left || e.facts.standing == Standing::joining) continue;
+      if (digests[bucket(name)] != buckets_[bucket(name)]) words.push_back(word_of(name, e.facts));
+    }
+    std::uint64_t mine[kBuckets];
+    std::copy(buckets_.begin(), buckets_.end(), mine);
+    // Where they differ by more than one answer holds, a part drawn by chance; the next ones bring the rest.
+    if (!words.empty())
+      std::rotate(words.begin(), words.begin() + static_cast<std::ptrdiff_t>(below(words.size())),
+                  words.end());
+    std::size_t at = 0;
+    for (std::size_t n = 0; n < kSyncDatagrams && at < words.size(); ++n) {
+      Writer writer(Kind::news, fleet_, this->from(), next_nonce());
+      while (at < words.size() && writer.add(words[at])) ++at;
+      send(from.address, writer, false);
+    }
+    if (answered) return;
+    Writer back(Kind::sync, fleet_, this->from(), next_nonce());
+    back.sync(true, std::span<const std::uint64_t, kBuckets>(mine));
+    send(from.address, back, false);
+  }
+
+  // For those who look on.
+
+  void query_came(Nonce nonce, std::string_view after) override {
+    Writer writer(Kind::page, fleet_, from(), nonce);
+    auto it = after.empty() ? members_.begin() : members_.upper_bound(after);
+    // The mark whether it is the last stands before the words: it is known only when they have been tried.
+    Writer tried(Kind::page, fleet_, from(), nonce);
+    tried.page(true);
+    auto end = it;
+    for (; end != members_.end(); ++end) {
+      if (end->second.facts.standing == Standing::left) continue;
+      if (!tried.add(word_of(end->first, end->second.facts), now_ - end->second.facts.since)) break;
+    }
+    if (end == members_.end()) return send(came_from_, tried, true);
+    writer.page(false);
+    for (; it != end; ++it)
+      if (it->second.facts.standing != Standing::left)
+        writer.add(word_of(it->first, it->second.facts), now_ - it->second.facts.since);
+    send(came_from_, writer, true);
+  }
+  void page_came(const From&, Nonce, bool) override {}
+  void age_came(Micros) override {}
+
+  void complain(Wrong wrong) {
+    if (complained_at_ != kNever && now_ - complained_at_ < 10s) return;
+    complained_at_ = now_;
+    char line[160];
+    std::snprintf(line, sizeof line, "datagram dropped why=%s from=%s", name_of(wrong),
+                  to_text(came_from_).c_str());
+    outlet_.said(line);
+  }
+
+  struct Probed {
+    Nonce nonce;
+    std::string name;
+    Start start;
+    Micros at;
+  };
+
+  Outlet& outlet_;
+  std::string fleet_, name_;
+  std::vector<Address> seeds_;
+  Micros interval_, forget_;
+  std::size_t most_;
+  std::knuth_b chance_;
+  Entries members_;
+  std::array<std::uint64_t, kBuckets> buckets_{};
+  std::size_t live_ = 0;
+  std::vector<std::string> news_, order_, look_at_;
+  std::string looked_at_;
+  std::size_t next_ = 0;
+  std::deque<Probed> probed_;  // lately, the present one last
+  std::uint64_t probe_turn_ = 0, claim_turn_ = 0, nonces_ = 0;
+  std::map<std::uint64_t, Helped> helped_;
+  FadingMean round_trip_;  // seconds
+  std::size_t nacks_ = 0, helpers_ = 0;
+  int health_ = 0, claim_tries_ = 0;
+  bool answered_ = false, news_due_ = false, doubts_due_ = false, silent_ = false;
+  bool claiming_ = false, rival_ = false;
+  Address rival_at_, came_from_;
+  Start highest_rival_;
+  Micros now_{0}, began_ = kNever, due_ = Micros::max(), refill_at_{0}, seed_pause_{0}, synced_at_{0},
+                  rival_heard_{0}, joined_at_{0}, complained_at_ = kNever;
+  double bytes_left_ = kBytesKept;
+  Counts counts_;
+};
+
+View::View(Outlet& outlet, std::string fleet, std::string name, Start start, const Address& told,
+           std::string zone, std::string version, std::vector<Address> seeds, Micros interval, Micros forget,
+           std::size_t most, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(outlet, std::move(fleet), std::move(name), start, told, std::move(zone),
+                                   std::move(version), std::move(seeds), interval, forget, most, seed)) {}
+View::~View() = default;
+void View::at(Micros now) { impl_->at(now); }
+void View::begin() { impl_->begin(); }
+void View::received(const Address& from, std::string_view bytes) { impl_->received(from, bytes); }
+void View::woken(WakeId wake) { impl_->woken(wake); }
+void View::seeds(std::vector<Address> seeds) { impl_->seeds(std::move(seeds)); }
+void View::leave() { impl_->leave(); }
+void View::note(std::string_view note) { impl_->note(note); }
+std::uint64_t View::digest() const { return impl_->digest(); }
+unsigned View::acting() const { return impl_->acting(); }
+bool View::joined() const { return impl_->joined(); }
+void View::each(const std::function<void(std::string_view, const Member&)>& visit) const {
+  impl_->each(visit);
+}
+const Counts& View::counts() const { return impl_->counts(); }
+
+}  // namespace flintweir::members
--- /dev/null
+++ b/src/members/view.h
@@ -0,0 +1,77 @@
+// The fleet as one node sees it: who runs, who is suspected, who is gone. From datagrams to datagrams; time
+// comes in with at(), as in the decision module, and each call may act on the outlet before it returns. A
+// view is an opinion: nothing that must happen once may hang on it. docs/design-members.md tells the ways.
+#pragma once
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "members/datagram.h"
+#include "numbers.h"
+
+namespace flintweir::members {
+
+struct Member {
+  Start start;
+  std::uint32_t word = 0;
+  Standing standing = Standing::alive;
+  Address address;
+  std::string zone, version, note;
+  std::string by;   // whose word its standing is
+  Micros since{0};  // its standing
+};
+
+// Work done and things dropped, since the start.
+struct Counts {
+  std::uint64_t sent = 0, sent_bytes = 0, received = 0, unsent = 0;
+  std::array<std::uint64_t, 7> wrong{};  // by Wrong
+  std::uint64_t turned_away = 0;         // names past the most
+};
+
+class Outlet {
+ public:
+  virtual ~Outlet() = default;
+  virtual void send(const Address& to, std::string_view bytes) = 0;  // may be lost
+  virtual void wake(Micros in, WakeId wake) = 0;
+  // A member's standing is another than before, or it was not known before.
+  virtual void changed(std::string_view name, const Member& now, bool fresh) = 0;
+  virtual void said(std::string_view line) = 0;  // for the log
+};
+
+class View {
+ public:
+  // Nothing happens before begin(). `start`: as the wall clock gives it; what the fleet remembers of this
+  // name may ask for a later one. `interval`: between two probes. `forget`: a failed
+  // member counts so long. `most`: members known at a time.
+  View(Outlet& outlet, std::string fleet, std::string name, Start start, const Address& told,
+       std::string zone, std::string version, std::vector<Address> seeds, Micros interval, Micros forget,
+       std::size_t most, std::uint64_t seed);
+  ~View();
+
+  void at(Micros now);
+  void begin();
+  void received(const Address& from, std::string_view bytes);
+  void woken(WakeId wake);
+  void seeds(std::vector<Address> seeds);
+  // From now on others are told that this node leaves.
+  void leave();
+  // What the node wants passed on, at most kLongestNote bytes.
+  void note(std::string_view note);
+
+  std::uint64_t digest() const;  // the same where two views are
+  // Whoever may still be acting: all that are not known to have left. Zero while this node has not joined.
+  unsigned acting() const;
+  bool joined() const;
+  // This node's own among them; none of those that have left.
+  void each(const std::function<void(std::string_view, const Member&)>& visit) const;
+  const Counts& counts() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace flintweir::members
--- a/src/net/kernel_network.cpp
+++ b/src/net/kernel_network.cpp
@@ -10,13 +10,16 @@
 namespace {
 
 using Tcp = asio::ip::tcp;
+using Udp = asio::ip::udp;
 
-Tcp::endpoint endpoint(const Address& a) {
+template <class Protocol>
+typename Protocol::endpoint endpoint(const Address& a) {
   if (a.v6) return {asio::ip::address_v6(a.bytes), a.port};
   return {asio::ip::address_v4({a.bytes[0], a.bytes[1], a.bytes[2], a.bytes[3]}), a.port};
 }
 
-Address address(const Tcp::endpoint& e) {
+template <class Endpoint>
+Address address(const Endpoint& e) {
   Address out;
   out.port = e.port();
   out.v6 = e.address().is_v6();
@@ -37,6 +40,7 @@
   retired_ = true;
   std::error_code ignored;
   door_.close(ignored);
+  post_.close(ignored);
   timer_.cancel();
 }
 
@@ -66,7 +70,7 @@
 }
 
 Address KernelNetwork::listen(const Address& at) {
-  const Tcp::endpoint here = endpoint(at);
+  const Tcp::endpoint here = endpoint<Tcp>(at);
   door_.open(here.protocol());
   door_.set_option(Tcp::acceptor::reuse_address(true));
   door_.bind(here);
@@ -114,7 +118,7 @@
 }
 
 SocketKey KernelNetwork::connect(const Address& to, SocketEvents& whom) {
-  const Tcp::endpoint there = endpoint(to);
+  const Tcp::endpoint there = endpoint<Tcp>(to);
   Socket socket(io_);
   std::error_code ec;
   socket.open(there.protocol(), ec);
@@ -127,6 +131,33 @@
   return key;
 }
 
+Address KernelNetwork::open_post(const Address& at) {
+  const Udp::endpoint here = endpoint<Udp>(at);
+  post_.open(here.protocol());
+  post_.bind(here);
+  post_.non_blocking(true);
+  return address(post_.local_endpoint());
+}
+
+void KernelNetwork::wait_post(PostEvents& whom) {
+  post_.async_wait(Udp::socket::wait_read, kept([this, &whom](std::error_code ec) {
+                     if (!ec && !retired_) whom.post_came();
+                   }));
+}
+
+Received KernelNetwork::receive(char* to, std::size_t size) {
+  std::error_code ec;
+  Udp::endpoint from;
+  const std::size_t n = post_.receive_from(asio::buffer(to, size), from, 0, ec);
+  if (ec) return {0, {}, not_now(ec) || !post_.is_open() ? Io::later : Io::broken};
+  return {n, address(from), Io::done};
+}
+
+void KernelNetwork::post(const Address& to, std::string_view bytes) {
+  std::error_code ignored;
+  if (post_.is_open()) post_.send_to(asio::buffer(bytes), endpoint<Udp>(to), 0, ignored);
+}
+
 void KernelNetwork::tell(SocketKey socket, SocketEvents& whom) {
   if (Entry* e = sockets_.find(socket)) e->whom = &whom;
 }
--- a/src/net/kernel_network.h
+++ b/src/net/kernel_network.h
@@ -5,6 +5,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/ip/udp.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
@@ -25,8 +26,11 @@
 
   void run() { io_.run(); }  // until stop()
   // Runs what is ready within so long; for a caller with a loop of its own.
-  void run_for(Micros within) { io_.run_for(within); }
-  // Closes the door and forgets the alarm, for good. Whoever is told of sockets has closed them.
+  void run_for(Micros within) {
+    io_.restart();  // where it was stopped
+    io_.run_for(within);
+  }
+  // Closes the door and the post and forgets the alarm, for good. Whoever is told of sockets has closed them.
   void retire();
   // Calls heard(number) for each of these signals from now on.
   void hear_signals(std::initializer_list<int> numbers, std::function<void(int)> heard);
@@ -44,6 +48,10 @@
   Passed write(SocketKey socket, std::span<const std::string_view> parts) override;
   void end_sending(SocketKey socket) override;
   void close(SocketKey socket, bool reset) override;
+  Address open_post(const Address& at) override;
+  void wait_post(PostEvents& whom) override;
+  Received receive(char* to, std::size_t size) override;
+  void post(const Address& to, std::string_view bytes) override;
   void stop() override { io_.stop(); }
 
  private:
@@ -73,6 +81,7 @@
   std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
   Timer timer_{io_};
   asio::basic_socket_acceptor<asio::ip::tcp, Executor> door_{io_};
+  asio::basic_datagram_socket<asio::ip::udp, Executor> post_{io_};
   asio::signal_set signals_{io_};
   std::function<void(int)> heard_;
   bool retired_ = false;
--- a/src/net/network.h
+++ b/src/net/network.h
@@ -31,6 +31,14 @@
   ~DoorEvents() = default;
 };
 
+class PostEvents {
+ public:
+  virtual void post_came() = 0;  // once for each wait_post()
+
+ protected:
+  ~PostEvents() = default;
+};
+
 class Alarm {
  public:
   virtual void rang() = 0;
@@ -52,6 +60,12 @@
   const char* why = "";  // static text, or good until the next call
 };
 
+struct Received {
+  std::size_t bytes = 0;
+  Address from;
+  Io how = Io::done;  // later: nothing waits; broken: this one is lost, the next may be well
+};
+
 class Network {
  public:
   virtual ~Network() = default;
@@ -76,6 +90,13 @@
   virtual void end_sending(SocketKey socket) = 0;
   virtual void close(SocketKey socket, bool reset) = 0;
 
+  // Datagrams, at one address for each network. Any may be lost, late, doubled or spoilt: one that cannot be
+  // sent is lost, which is no error. Throws std::system_error where it can't have the address.
+  virtual Address open_post(const Address& at) = 0;
+  virtual void wait_post(PostEvents& whom) = 0;
+  virtual Received receive(char* to, std::size_t size) = 0;
+  virtual void post(const Address& to, std::string_view bytes) = 0;
+
   virtual void stop() = 0;  // ends the loop that calls all this
 };
 
--- a/src/net/nowhere.h
+++ b/src/net/nowhere.h
@@ -21,6 +21,10 @@
   Passed write(SocketKey, std::span<const std::string_view>) override { return {0, Io::broken}; }
   void end_sending(SocketKey) override {}
   void close(SocketKey, bool) override {}
+  Address open_post(const Address& at) override { return at; }
+  void wait_post(PostEvents&) override {}
+  Received receive(char*, std::size_t) override { return {0, {}, Io::later}; }
+  void post(const Address&, std::string_view) override {}
   void stop() override {}
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -77,19 +77,33 @@
   sessions_.balancer_now();
 }
 
+void Node::join(const setup::FleetSection& fleet, std::string name, std::string version, std::uint64_t seed) {
+  if (name.empty()) setup::bad("configuration: name is missing, which the operator's [fleet] needs");
+  if (name.size() > members::kLongestName || name.find_first_of(" \"\\") != name.npos)
+    setup::bad("configuration: name '" + name + "' is over 64 characters or holds a blank or quote");
+  peers_ = std::make_unique<Peers>(network_, wakes_, fleet, std::move(name), std::move(version), seed,
+                                   [this](unsigned nodes) { balancer_now().nodes_are(nodes); });
+}
+
 void Node::serve() {
-  log_line("serving at %s", to_text(network_.listen(listen_)).c_str());
+  const Address at = network_.listen(listen_);
+  if (peers_) peers_->begin();
+  log_line("serving at %s", to_text(at).c_str());
   network_.wait_accept(*this);
 }
 
-void Node::reload(const std::function<NodeFile()>& read) {
+void Node::reload(const std::function<Files()>& read) {
   try {
-    const NodeFile file = read();
+    const auto [file, own] = read();
     Nowhere nowhere;
-    const Node as_at_a_start(nowhere, file);
-    const Address at = file.discovery_of_file();
+    const Node as_at_a_start(nowhere, *file);
+    const Address at = file->discovery_of_file();
     log_line("reload: discovery at %s", to_text(at).c_str());
     discovery_.turn_to(at);
+    if (own.fleet.has_value() != (peers_ != nullptr))
+      log_line("reload: fleet: holds until the next start");
+    else if (peers_)
+      peers_->reload(*own.fleet);
   } catch (const std::exception& e) {
     log_line("reload: %s; nothing is changed", e.what());
   }
@@ -120,6 +134,7 @@
 // They are moved over half the longest dial timeout; those that still come are answered until it is over.
 void Node::leave() {
   log_line("leaving: moving all sessions");
+  if (peers_) peers_->leave();
   sessions_.leave(longest_dial_ / 2);
   wakes_.after(longest_dial_ + 200ms, *this, left);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -6,6 +6,7 @@
 #include "line/sessions.h"
 #include "node/discovery.h"
 #include "node/node_file.h"
+#include "node/peers.h"
 #include "setup/deployment.h"
 
 namespace flintweir::node {
@@ -20,11 +21,14 @@
  public:
   // Reads all of the file and makes the parts, but serves nobody. Throws setup::BadInput.
   Node(Network& network, const NodeFile& file, MakeBalancer make = setup::balancer_for);
+  // Will speak to the other nodes of the fleet from serve() on. Throws setup::BadInput.
+  void join(const setup::FleetSection& fleet, std::string name, std::string version, std::uint64_t seed);
   // From now on takes clients, on the network's loop. Throws std::system_error where it can't listen.
   void serve();
-  // Takes the new address of discovery; all else holds until the next start. What `read` throws, and a file
-  // that could not be started with, changes nothing.
-  void reload(const std::function<NodeFile()>& read);
+  // Takes the new address of discovery and the fleet's new seeds; all else holds until the next start. What
+  // `read` throws, and files that could not be started with, change nothing.
+  using Files = std::pair<std::unique_ptr<NodeFile>, setup::OperatorFile>;
+  void reload(const std::function<Files()>& read);
   // Moves all clients, answers those that still come, then stops the network.
   void leave();
 
@@ -44,6 +48,7 @@
   Micros longest_dial_;
   Sessions sessions_;
   Discovery discovery_;
+  std::unique_ptr<Peers> peers_;  // none without the operator's word
 };
 
 }  // namespace flintweir::node
--- a/src/node/node_file.h
+++ b/src/node/node_file.h
@@ -3,6 +3,7 @@
 
 #include <simdjson.h>
 
+#include <memory>
 #include <string>
 
 #include "address.h"
@@ -16,7 +17,11 @@
   // An address given here goes before the file's; empty: none is. Throws setup::BadInput.
   explicit NodeFile(const std::string& path, std::string listen = "", std::string discovery = "");
   // The same of a file's text.
-  static NodeFile of_text(std::string_view text) { return NodeFile(text); }
+  static std::unique_ptr<NodeFile> of_text(std::string_view text) {
+    return std::unique_ptr<NodeFile>(new NodeFile(text));
+  }
+  NodeFile(const NodeFile&) = delete;  // what is kept points into it
+  std::string name() const { return std::string(whole_.text("name", "")); }
   Address listen() const { return address("listen", listen_); }
   Address discovery() const { return address("discovery", discovery_); }
   Address discovery_of_file() const { return address("discovery", ""); }  // whatever was given
--- /dev/null
+++ b/src/node/peers.cpp
@@ -0,0 +1,97 @@
+#include "node/peers.h"
+
+#include "net/log.h"
+
+namespace flintweir::node {
+namespace {
+
+constexpr int kDatagramsInARow = 64;  // so that sessions get their turn under a flood
+constexpr int kKnowsAll = 30;         // intervals after it joined a node's view holds whoever there is
+// A wake of this adapter's own, beside those of the view.
+constexpr std::uint64_t kCounts = ~0ull;
+
+}  // namespace
+
+Peers::Peers(Network& network, Wakes& wakes, const setup::FleetSection& fleet, std::string name,
+             std::string version, std::uint64_t seed, std::function<void(unsigned)> count)
+    : network_(network),
+      wakes_(wakes),
+      fleet_(fleet),
+      name_(name),
+      count_(std::move(count)),
+      view_(*this, fleet.name, std::move(name),
+            members::Start{static_cast<std::uint64_t>(wakes.now().count())}, fleet.told, fleet.zone,
+            std::move(version), fleet.seeds, fleet.interval, fleet.forget, fleet.most, seed) {}
+
+void Peers::begin() {
+  const Address at = network_.open_post(fleet_.address);
+  log_line("fleet: %s at %s told=%s name=%s", fleet_.name.c_str(), to_text(at).c_str(),
+           to_text(fleet_.told).c_str(), name_.c_str());
+  network_.wait_post(*this);
+  view_.at(wakes_.now());
+  view_.begin();
+}
+
+void Peers::reload(const setup::FleetSection& fleet) {
+  const bool other = fleet.name != fleet_.name || fleet.address != fleet_.address ||
+                     fleet.told != fleet_.told || fleet.zone != fleet_.zone ||
+                     fleet.interval != fleet_.interval || fleet.forget != fleet_.forget ||
+                     fleet.most != fleet_.most;
+  if (other) log_line("reload: fleet: all but the seeds holds until the next start");
+  fleet_.seeds = fleet.seeds;
+  view_.at(wakes_.now());
+  view_.seeds(fleet.seeds);
+}
+
+void Peers::leave() {
+  view_.at(wakes_.now());
+  view_.leave();
+}
+
+void Peers::post_came() {
+  char bytes[members::kLongestDatagram + 1];
+  view_.at(wakes_.now());
+  for (int i = 0; i < kDatagramsInARow; ++i) {
+    const Received got = network_.receive(bytes, sizeof bytes);
+    if (got.how == Io::later) break;
+    if (got.how == Io::done) view_.received(got.from, {bytes, got.bytes});
+  }
+  network_.wait_post(*this);
+}
+
+void Peers::woken(std::uint64_t token) {
+  if (token == kCounts) return tell_count();
+  view_.at(wakes_.now());
+  view_.woken(WakeId{token});
+}
+
+void Peers::changed(std::string_view name, const members::Member& now, bool fresh) {
+  log_line("member name=%.*s standing=%s start=%llu word=%u address=%s zone=%s by=%s%s digest=%016llx",
+           static_cast<int>(name.size()), name.data(), members::name_of(now.standing),
+           static_cast<unsigned long long>(now.start.value), now.word, to_text(now.address).c_str(),
+           now.zone.empty() ? "-" : now.zone.c_str(), now.by.empty() ? "-" : now.by.c_str(),
+           fresh ? " new" : "", static_cast<unsigned long long>(view_.digest()));
+  tell_count();
+}
+
+void Peers::said(std::string_view line) {
+  log_line("fleet: %.*s", static_cast<int>(line.size()), line.data());
+}
+
+// The settings' count stands until the view has had the time to hold whoever there is.
+void Peers::tell_count() {
+  if (!view_.joined()) return;
+  const Micros now = wakes_.now();
+  const Micros learns = fleet_.interval * kKnowsAll;
+  if (joined_at_ == kNever) {
+    joined_at_ = now;
+    return wakes_.after(learns, *this, kCounts);
+  }
+  const unsigned acting = view_.acting();
+  if (now - joined_at_ < learns || acting == told_) return;
+  told_ = acting;
+  log_line("fleet: count=%u", acting);
+  count_(acting);
+}
+
+}  // namespace flintweir::node
--- /dev/null
+++ b/src/node/peers.h
@@ -0,0 +1,48 @@
+// The other nodes of the fleet, where the operator's file asks for them: the view on the network's datagrams
+// and wakes, its log lines, and what the decision module is told of it.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "members/view.h"
+#include "net/wakes.h"
+#include "setup/operator.h"
+
+namespace flintweir::node {
+
+using namespace net;
+
+class Peers final : members::Outlet, Woken, PostEvents {
+ public:
+  // `count` is called with the number of nodes that may be acting, whenever it is another.
+  Peers(Network& network, Wakes& wakes, const setup::FleetSection& fleet, std::string name,
+        std::string version, std::uint64_t seed, std::function<void(unsigned)> count);
+  // Throws std::system_error where the address can't be had.
+  void begin();
+  // Takes new seeds; all else holds until the next start.
+  void reload(const setup::FleetSection& fleet);
+  void leave();
+  const members::View& view() const { return view_; }
+
+ private:
+  void send(const Address& to, std::string_view bytes) override { network_.post(to, bytes); }
+  void wake(Micros in, WakeId wake) override { wakes_.after(in, *this, wake.value); }
+  void changed(std::string_view name, const members::Member& now, bool fresh) override;
+  void said(std::string_view line) override;
+  void post_came() override;
+  void woken(std::uint64_t token) override;
+  void tell_count();
+
+  Network& network_;
+  Wakes& wakes_;
+  setup::FleetSection fleet_;
+  std::string name_;
+  std::function<void(unsigned)> count_;
+  Micros joined_at_ = kNever;
+  unsigned told_ = 0;
+  members::View view_;
+};
+
+}  // namespace flintweir::node
--- /dev/null
+++ b/src/setup/operator.h
@@ -0,0 +1,36 @@
+// The operator's own file (TOML): what a node does beyond what the platform's configuration asks for. Without
+// the file, or without a section, all that the section turns on is off.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "address.h"
+#include "ids.h"
+
+namespace flintweir::setup {
+
+// Section [fleet]: the fleet whose nodes know each other.
+struct FleetSection {
+  std::string name, zone;
+  Address address, told;
+  std::vector<Address> seeds;
+  Micros interval;   // between two probes
+  Micros forget;     // a member that failed so long ago counts no more
+  std::size_t most;  // members known at a time
+};
+
+class OperatorFile {
+ public:
+  // All that is wrong is found, a line for each: FILE:LINE:COLUMN: KEY: what, and what is allowed.
+  static OperatorFile of_file(const std::string& path, std::vector<std::string>& wrong);
+  static OperatorFile of_text(const std::string& text, const std::string& path,
+                              std::vector<std::string>& wrong);
+  // Throws BadInput with the first line of what is wrong.
+  static OperatorFile read(const std::string& path);
+
+  std::optional<FleetSection> fleet;
+};
+
+}  // namespace flintweir::setup
