--- a/apps/flintweir_lab.cpp
+++ b/apps/flintweir_lab.cpp
@@ -4,12 +4,15 @@
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cmath>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <map>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -17,6 +20,7 @@
 #include "lab/builtin.h"
 #include "lab/report.h"
 #include "lab/results.h"
+#include "lab/rig.h"
 #include "lab/runner.h"
 
 namespace {
@@ -145,6 +149,86 @@
                 static_cast<unsigned long long>(set.first_broken.front().seed));
 }
 
+std::string spread_of(std::vector<double> values, const char* unit) {
+  if (values.empty()) return "-";
+  std::sort(values.begin(), values.end());
+  char out[96];
+  std::snprintf(out, sizeof out, "median %.0f, worst %.0f %s (%zu)", values[values.size() / 2], values.back(),
+                unit, values.size());
+  return out;
+}
+
+// An experiment on the fleet's own view: its rules and figures, a line each.
+int run_fleet(const std::string& file, const std::string& variant, Seeds seeds, const RunWays& ways,
+              const std::string& only) {
+  const RigPlan plan = RigPlan::of_file(file, variant);
+  std::vector<double> joined, known, settled, rest;
+  std::uint64_t looks = 0, runs = 0, broken = 0;
+  double virtual_seconds = 0;
+  std::mutex mutex;
+  std::atomic<std::uint64_t> next{seeds.first};
+  std::atomic<bool> enough{false};
+  std::map<std::uint64_t, RigOutcome> outcomes;
+  std::string failed;
+  const auto began = std::chrono::steady_clock::now();
+  const auto work = [&] {
+    for (std::uint64_t seed; !enough && (seed = next++) <= seeds.last;) {
+      try {
+        std::string log;
+        const bool keep = ways.keep_logs && !ways.out.empty();
+        RigOutcome one;
+        if (ways.real) {
+          const fs::path folder = (ways.out.empty() ? fs::temp_directory_path() : ways.out) /
+                                  ("fleet-" + std::to_string(getpid()) + "-" + std::to_string(seed));
+          fs::create_directories(folder);
+          one = run_rig_real(plan, seed, only, ways.program, folder.string());
+          if (ways.out.empty()) fs::remove_all(folder);
+        } else {
+          one = run_rig_virtual(plan, seed, only, keep ? &log : nullptr);
+        }
+        const std::lock_guard lock(mutex);
+        if (keep && !log.empty()) write(ways.out / ("fleet-" + std::to_string(seed) + ".log"), log);
+        if (ways.until_broken && !one.broken.empty()) enough = true;
+        outcomes.emplace(seed, std::move(one));
+      } catch (const std::exception& e) {
+        const std::lock_guard lock(mutex);
+        failed = e.what();
+        enough = true;
+      }
+    }
+  };
+  std::vector<std::thread> threads;
+  for (unsigned i = 0; i < (ways.real ? 1 : ways.jobs); ++i) threads.emplace_back(work);
+  for (std::thread& t : threads) t.join();
+  if (!failed.empty()) throw BadFile(failed);
+  for (const auto& [seed, one] : outcomes) {
+    ++runs;
+    looks += one.looks;
+    virtual_seconds += one.lasted;
+    if (one.joined) joined.push_back(*one.joined);
+    if (one.settled) settled.push_back(*one.settled);
+    known.insert(known.end(), one.crash_known.begin(), one.crash_known.end());
+    rest.push_back(one.bytes_at_rest);
+    std::string troubles;
+    for (const std::string& t : one.troubles) troubles += (troubles.empty() ? "" : ",") + t;
+    for (const RigBroken& b : one.broken) {
+      if (++broken <= 20)
+        std::printf("broken: rule=%s seed=%llu at=%.3fs troubles=%s: %s\n", name_of(b.rule),
+                    static_cast<unsigned long long>(seed), static_cast<double>(b.at.count()) / 1e6,
+                    troubles.c_str(), b.what.c_str());
+    }
+  }
+  const double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
+  std::printf("%s: %s\n%llu runs of %u nodes, %.0f s in all, in %.1f s; %llu looks; rules %s\n",
+              plan.name.c_str(), plan.about.c_str(), static_cast<unsigned long long>(runs), plan.nodes,
+              virtual_seconds, took, static_cast<unsigned long long>(looks), broken ? "broken" : "kept");
+  std::printf("all joined        %s\n", spread_of(joined, "ms").c_str());
+  std::printf("crash known       %s\n", spread_of(known, "ms").c_str());
+  std::printf("settled again     %s\n", spread_of(settled, "ms").c_str());
+  std::printf("sent at rest      %s\n", spread_of(rest, "bytes a node and second").c_str());
+  return broken ? 1 : 0;
+}
+
 int run(const std::string& file, const std::string& variant, Seeds seeds, RunWays ways, bool alone,
         bool json) {
   const Experiment e = read(file, variant);
@@ -297,6 +381,10 @@
       if (f.path().extension() == ".toml") files.push_back(f.path());
   std::sort(files.begin(), files.end());
   for (const fs::path& f : files) {
+    if (RigPlan::is_one(f.string())) {
+      std::printf("%-22s %s\n", f.string().c_str(), RigPlan::of_file(f.string()).about.c_str());
+      continue;
+    }
     const Experiment e = Experiment::of_file(f.string());
     std::printf("%-22s %s", f.string().c_str(), e.about.c_str());
     for (const std::string& v : e.variants) std::printf(" [%s]", v.c_str());
@@ -305,6 +393,9 @@
   std::printf("\nfaults:\n");
   for (const FaultKind& k : fault_kinds())
     std::printf("  %-15s %s%s\n", k.name, k.does, k.virtual_only ? " (virtual network only)" : "");
+  std::printf("\ntroubles of the fleet's view:\n");
+  for (const RigKind& k : rig_kinds())
+    std::printf("  %-15s %s%s\n", k.name, k.does, k.virtual_only ? " (virtual time only)" : "");
   return 0;
 }
 
@@ -313,7 +404,7 @@
 int main(int argc, char** argv) {
   CLI::App app{"Runs experiments on flintweir in virtual time, or against the real program on loopback."};
   app.require_subcommand(1);
-  std::string file, variant, seeds = "1", base, program, folder = "lab";
+  std::string file, variant, seeds = "1", base, program, folder = "lab", only;
   RunWays ways;
   ways.jobs = std::max(1u, std::thread::hardware_concurrency());
   std::uint64_t seed = 1;
@@ -334,6 +425,7 @@
   run_command->add_flag("--json", json, "print results as JSON");
   run_command->add_flag("--real", ways.real, "against the real program, on loopback, in real time");
   run_command->add_option("--program", program, "the real program; without it the one beside this");
+  run_command->add_option("--only", only, "of an experiment on the fleet's view: one kind of trouble");
   run_command->add_flag("--alone", alone, "without the baselines");
   run_command->add_flag("--logs", ways.keep_logs, "keep event logs and what nodes log, in the folder");
   run_command->add_flag("--until-broken", ways.until_broken, "stop at the first seed that breaks a rule");
@@ -366,6 +458,8 @@
     if (*list_command) return list(folder);
     if (*run_command) {
       if (ways.real) ways.program = program_of(program);
+      if (!file.empty() && RigPlan::is_one(file))
+        return run_fleet(file, variant, seeds_of(seeds), ways, only);
       return run(file, variant, seeds_of(seeds), ways, alone, json);
     }
     if (*compare_command)
--- a/src/lab/fabric.cpp
+++ b/src/lab/fabric.cpp
@@ -218,20 +218,17 @@
                           static_cast<std::uint32_t>(to.bytes[2]) << 8 | to.bytes[3];
   if (to.v6 || to.bytes[0] != 10 || n == 0 || n > machines_.size()) return;
   const MachineNo there{n - 1};
-  const auto chance = [this] { return std::generate_canonical<double, 32>(chance_); };
-  const auto it = posts_.find({from.value, there.value});
-  const Post way = it == posts_.end() ? Post() : it->second;
-  if (blocked(from, there) || (way.lost > 0 && chance() < way.lost)) return;
-  for (int copies = way.doubled > 0 && chance() < way.doubled ? 2 : 1; copies > 0; --copies) {
-    Micros in = travel(from, there) + way.longer;
-    if (way.spread > 0us)
-      in += Micros{static_cast<std::int64_t>(static_cast<double>(way.spread.count()) * chance())};
-    timeline_.after(
-        in, [this, from, there, at = to.port, sender = address(from, port), text = std::string(bytes)] {
-          if (blocked(from, there)) return;
-          const auto& boxes = machines_[there.value].boxes;
-          if (const auto box = boxes.find(at); box != boxes.end()) box->second->letter(sender, text);
-        });
+  if (blocked(from, there)) return;
+  const Post* const way = post_of_ ? post_of_(from, there, bytes.size()) : nullptr;
+  for (auto& [late, text] : carried(way ? *way : Post(), chance_, bytes)) {
+    const Micros in = travel(from, there) + late;
+    timeline_.after(in,
+                    [this, from, there, at = to.port, sender = address(from, port), text = std::move(text)] {
+                      if (blocked(from, there)) return;
+                      const auto& boxes = machines_[there.value].boxes;
+                      if (const auto box = boxes.find(at); box != boxes.end())
+                        box->second->letter(sender, text);
+                    });
   }
 }
 
@@ -305,7 +302,7 @@
 }
 
 void Process::ring(Micros at, net::Alarm& whom) {
-  fabric_.timeline_.at(at, [this, alive = alive_, no = ++rings_, &whom] {
+  fabric_.timeline_.at(at + clock_back_, [this, alive = alive_, no = ++rings_, &whom] {
     if (!*alive) return;
     const auto rang = [this, alive, no, &whom] {
       if (*alive && !stopped_ && no == rings_) whom.rang();
--- a/src/lab/fabric.h
+++ b/src/lab/fabric.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "lab/post.h"
 #include "lab/timeline.h"
 #include "net/network.h"
 
@@ -52,13 +53,9 @@
   void cut(ZoneNo from, ZoneNo to);
   void mend(ZoneNo from, ZoneNo to);
   bool blocked(MachineNo from, MachineNo to) const;
-  // Datagrams from one to the other, this way alone, on top of what the way does to all. Those held up by
-  // chance overtake each other.
-  struct Post {
-    double lost = 0, doubled = 0;
-    Micros longer{0}, spread{0};
-  };
-  void treat_post(MachineNo from, MachineNo to, Post post) { posts_[{from.value, to.value}] = post; }
+  // What becomes of a datagram beyond what its way does to all: asked for each, null for nothing.
+  using PostOf = std::function<const Post*(MachineNo from, MachineNo to, std::size_t bytes)>;
+  void treat_post(PostOf of) { post_of_ = std::move(of); }
   // Between the two, both ways, until eased: so much longer, and so large a share of what is sent has to be
   // sent again, after a wait that doubles each time.
   void worsen(MachineNo a, MachineNo b, Micros longer, double lost);
@@ -113,7 +110,7 @@
     Micros longer;
     double lost;
   };
-  std::map<std::pair<std::uint32_t, std::uint32_t>, Post> posts_;
+  PostOf post_of_;
   std::map<std::pair<std::uint32_t, std::uint32_t>, Bad> bad_;  // by machines, the lower number first
   std::vector<std::weak_ptr<Wire>> wires_;
 };
@@ -126,6 +123,7 @@
   Process(const Process&) = delete;
 
   void kill();
+  void set_clock_back(Micros by) { clock_back_ = by; }  // before anything is asked of it
   // Stopped, as by SIGSTOP, and set going again: what was due meanwhile comes then.
   void freeze(bool on);
   bool running() const { return !dead_ && !stopped_; }
@@ -134,7 +132,7 @@
   std::size_t most_descriptors() const { return most_open_; }
   MachineNo machine() const { return machine_; }
 
-  Micros now() const override { return fabric_.timeline_.now(); }
+  Micros now() const override { return fabric_.timeline_.now() - clock_back_; }
   void ring(Micros at, net::Alarm& whom) override;
   Address listen(const Address& at) override;
   void wait_accept(net::DoorEvents& whom) override;
@@ -170,6 +168,7 @@
   MachineNo machine_;
   std::size_t limit_, open_ = 0, most_open_ = 0;
   bool dead_ = false, stopped_ = false, knocking_ = false, frozen_ = false;
+  Micros clock_back_{0};
   std::vector<Timeline::Act> held_;  // while frozen
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::uint64_t rings_ = 0;
--- a/src/lab/loopback_stage.cpp
+++ b/src/lab/loopback_stage.cpp
@@ -1,17 +1,17 @@
 #include "lab/loopback_stage.h"
 
 #include <arpa/inet.h>
-#include <fcntl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
-#include <cstdlib>
 #include <cstring>
 #include <fstream>
 #include <stdexcept>
 
+#include "lab/spawn.h"
+
 namespace flintweir::lab {
 namespace {
 
@@ -87,27 +87,9 @@
 void LoopbackStage::start_node(NodeNo node, MachineNo, const std::string& config) {
   write(node, config);
   const std::string log = file(node) + ".log", path = file(node);
-  const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   std::vector<std::string> words = program_;
   words.insert(words.end(), {"serve", "--config", path});
-  std::vector<char*> args;
-  for (std::string& w : words) args.push_back(w.data());
-  args.push_back(nullptr);
-  const pid_t pid = fork();
-  if (pid < 0) throw std::runtime_error("can't start a process");
-  if (pid == 0) {
-    dup2(fd, 1);
-    dup2(fd, 2);
-    // The lab's own sockets are none of the program's: held there, they would stay open when the lab closes
-    // them.
-    close_range(3, ~0u, 0);
-    unsetenv("EDGE_LISTEN");
-    unsetenv("EDGE_DISCOVERY");
-    execvp(args[0], args.data());
-    _exit(127);
-  }
-  if (fd >= 0) ::close(fd);
-  nodes_[node.value] = pid;
+  nodes_[node.value] = spawn(std::move(words), log);
 }
 
 void LoopbackStage::kill_node(NodeNo node) {
--- /dev/null
+++ b/src/lab/rig.cpp
@@ -0,0 +1,454 @@
+#include "lab/rig.h"
+
+#include <algorithm>
+#include <deque>
+#include <random>
+
+#include "lab/bad_file.h"
+#include "lab/rig_loopback.h"
+#include "lab/rig_virtual.h"
+#include "numbers.h"
+
+namespace flintweir::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Asks one process after the other for its view, over the network, as `flintweir members` does.
+class Onlooker final : net::PostEvents {
+ public:
+  using Got = std::function<void(const members::Asker&)>;
+  explicit Onlooker(RigStage& stage) : stage_(stage) {
+    stage_.onlooker().open_post(stage_.onlooker_at());
+    stage_.onlooker().wait_post(*this);
+  }
+  void ask(RigPlace whom, Got got) {
+    Asked& a = asked_[stage_.hears_at(whom)];
+    // One whose answer got lost is asked again from the start.
+    a = {members::Asker(++nonces_ << 20), std::move(got)};
+    stage_.onlooker().post(stage_.hears_at(whom), a.asker.question());
+  }
+
+ private:
+  struct Asked {
+    members::Asker asker{0};
+    Got got;
+  };
+  void post_came() override {
+    char bytes[members::kLongestDatagram + 1];
+    for (;;) {
+      const net::Received r = stage_.onlooker().receive(bytes, sizeof bytes);
+      if (r.how == net::Io::later) break;
+      const auto it = asked_.find(r.from);
+      if (r.how != net::Io::done || it == asked_.end()) continue;
+      if (it->second.asker.received({bytes, r.bytes})) {
+        const Asked done = std::move(it->second);
+        asked_.erase(it);
+        done.got(done.asker);
+      } else {
+        stage_.onlooker().post(it->first, it->second.asker.question());
+      }
+    }
+    stage_.onlooker().wait_post(*this);
+  }
+
+  RigStage& stage_;
+  std::map<Address, Asked> asked_;
+  std::uint64_t nonces_ = 0;
+};
+
+class Rig {
+ public:
+  Rig(const RigPlan& plan, RigStage& stage, std::uint64_t seed, std::string only)
+      : plan_(plan),
+        stage_(stage),
+        only_(std::move(only)),
+        chance_(static_cast<std::knuth_b::result_type>(mix(seed + 0x9e37) | 1)),
+        onlooker_(stage),
+        began_(stage.now()),
+        checker_(plan.interval, [this](const RigBroken& b) {
+          // Each once, however often it is looked at.
+          if (out_.broken.size() < 20 && said_.insert(b.what).second)
+            out_.broken.push_back({b.rule, b.at - began_, b.what});
+        }) {
+    for (unsigned i = 0; i < plan.nodes; ++i) units_.push_back({"n" + std::to_string(i), {i, 0}, false, {}});
+    stage_.on_sent = [this](RigPlace from, std::size_t bytes) {
+      const Unit& u = units_[from.node];
+      if (u.at == from) checker_.sent(u.name, bytes, stage_.now());
+    };
+  }
+
+  RigOutcome play() {
+    for (unsigned i = 0; i < plan_.seeds; ++i) seeds_.push_back({i * plan_.nodes / plan_.seeds, 0});
+    // All within the same 100 ms, the seeds among them.
+    for (unsigned i = 0; i < plan_.nodes; ++i) stage_.at(began_ + part(100ms), [this, i] { start(i); });
+    look(0);
+    const Micros ready = began_ + plan_.starts;
+    std::uint64_t before = 0;
+    stage_.at(ready, [this, &before] { before = checker_.sent_bytes(); });
+    const Micros rest_from = ready, rest_to = ready + std::min<Micros>(plan_.quiet / 2, 3s);
+    stage_.at(rest_to, [this, &before, rest_from, rest_to] {
+      out_.bytes_at_rest = static_cast<double>(checker_.sent_bytes() - before) /
+                           seconds(rest_to - rest_from) / static_cast<double>(plan_.nodes);
+    });
+    Micros last = rest_to;
+    for (const RigTrouble& t : drawn()) {
+      const Micros at = rest_to + part(plan_.quiet);
+      out_.troubles.push_back(t.name);
+      last = std::max(last, at + t.lasts + 100ms);
+      cut_ = cut_ || t.kind.starts_with("cut");
+      stage_.at(at, [this, t] { begin(t); });
+    }
+    last_trouble_ = last;
+    stage_.run_until(last + plan_.settles);
+    checker_.settled(stage_.now());
+    if (agree_since_ != kNever) {
+      out_.settled = std::max(0.0, seconds(agree_since_ - last_trouble_) * 1e3);
+    }
+    out_.looks = checker_.looks();
+    out_.lasted = seconds(stage_.now() - began_);
+    stage_.on_sent = nullptr;
+    for (Unit& u : units_) stage_.kill(u.at);
+    return std::move(out_);
+  }
+
+ private:
+  struct Unit {
+    std::string name;
+    RigPlace at;
+    bool up = false;
+    std::optional<RigPlace> double_at;  // another process of its name
+    bool frozen = false;
+    Micros heard_from{0};
+  };
+
+  Micros part(Micros of) {
+    return Micros{static_cast<std::int64_t>(static_cast<double>(of.count()) *
+                                            std::generate_canonical<double, 32>(chance_))};
+  }
+  void after(Micros in, std::function<void()> act) { stage_.at(stage_.now() + in, std::move(act)); }
+
+  std::vector<RigTrouble> drawn() {
+    std::vector<RigTrouble> all, out;
+    for (const RigTrouble& t : plan_.troubles)
+      if (only_.empty() || t.kind == only_ || t.name == only_) all.push_back(t);
+    if (!only_.empty() && all.empty()) throw BadFile(plan_.name + ":1: there is no trouble '" + only_ + "'");
+    if (all.empty()) return out;
+    const unsigned n = only_.empty() ? plan_.at_once : 1;
+    for (unsigned i = 0; i < n; ++i) out.push_back(all[chance_() % all.size()]);
+    return out;
+  }
+
+  // So many of those that run, at least one, never the last one left.
+  std::vector<unsigned> some(double share, std::optional<std::size_t> exactly = {}) {
+    std::vector<unsigned> up;
+    for (unsigned i = 0; i < units_.size(); ++i)
+      if (units_[i].up && !units_[i].frozen) up.push_back(i);
+    for (std::size_t i = up.size(); i > 1; --i) std::swap(up[i - 1], up[chance_() % i]);
+    std::size_t n =
+        std::max<std::size_t>(1, static_cast<std::size_t>(share * static_cast<double>(up.size())));
+    if (exactly) n = *exactly;
+    up.resize(std::min(n, up.empty() ? 0 : up.size() - 1));
+    return up;
+  }
+
+  void start(unsigned i) {
+    Unit& u = units_[i];
+    if (u.up) return;
+    u.up = true;
+    u.heard_from = stage_.now();
+    checker_.up(u.name, stage_.now());
+    stage_.start(u.at, u.name, seeds_);
+  }
+  void kill(unsigned i) {
+    Unit& u = units_[i];
+    if (!u.up) return;
+    u.up = false;
+    stage_.kill(u.at);
+    checker_.down(u.name, stage_.now());
+    agree_since_ = kNever;
+  }
+  void crash(unsigned i) {
+    kill(i);
+    crashed_.emplace_back(units_[i].name, stage_.now());
+  }
+  void excuse(const std::vector<unsigned>& nodes, bool accused, bool accuses) {
+    for (const unsigned i : nodes) {
+      if (accused) checker_.may_be_failed(units_[i].name);
+      if (accuses) checker_.may_accuse(units_[i].name);
+    }
+  }
+  std::vector<unsigned> all() const {
+    std::vector<unsigned> out;
+    for (unsigned i = 0; i < units_.size(); ++i) out.push_back(i);
+    return out;
+  }
+  // Changes each way, and undoes it later.
+  template <class Of, class Change>
+  void treat(Micros lasts, Of of, Change change) {
+    for (unsigned a = 0; a < units_.size(); ++a)
+      for (unsigned b = 0; b < units_.size(); ++b)
+        if (a != b && of(a, b)) change(stage_.way(a, b));
+    after(lasts, [this, of] {
+      for (unsigned a = 0; a < units_.size(); ++a)
+        for (unsigned b = 0; b < units_.size(); ++b)
+          if (a != b && of(a, b)) stage_.way(a, b) = Post();
+    });
+  }
+  // A seed that stays where it is: where all had gone, whoever starts again could find nobody.
+  unsigned stays() const { return seeds_.back().node; }
+  static Post cut() {
+    Post out;
+    out.cut = true;
+    return out;
+  }
+  // Which part of a fleet cut in so many a node is in; the first has that share.
+  std::vector<unsigned> parts(const RigTrouble& t) {
+    std::vector<unsigned> out(units_.size());
+    const std::vector<unsigned> first = some(t.share > 0 ? t.share : 1.0 / t.parts);
+    for (unsigned& o : out) o = 1 + static_cast<unsigned>(chance_() % (t.parts - 1));
+    for (const unsigned i : first) out[i] = 0;
+    if (t.kind == "cut-moved") out[stays()] = 1;
+    // Nearly all still reach a large part.
+    for (unsigned part = 0; part < t.parts; ++part) {
+      std::vector<unsigned> in;
+      std::size_t here = 0, up = 0;
+      for (unsigned i = 0; i < out.size(); ++i) {
+        if (out[i] == part) in.push_back(i);
+        here += out[i] == part && units_[i].up;
+        up += units_[i].up;
+      }
+      const bool most = static_cast<double>(here) >= 0.8 * static_cast<double>(up);
+      if (!most) excuse(in, true, true);
+      // Whoever is cut off is rightly called failed by the rest.
+    }
+    return out;
+  }
+
+  void begin(const RigTrouble& t) {
+    agree_since_ = kNever;
+    if (t.kind == "crash" || t.kind == "crash-back" || t.kind == "moved" || t.kind == "clock-back") {
+      for (const unsigned i : some(t.share)) {
+        if (i == stays() && t.kind == "crash") continue;
+        // Of those left, those on one side of a cut may be few.
+        if (t.share >= 0.5 && cut_) excuse(all(), true, true);
+        excuse({i}, true, false);
+        after(part(100ms), [this, i, t] {
+          if (t.kind == "crash") return crash(i);
+          kill(i);
+          if (t.kind == "moved" && i != stays()) units_[i].at.address ^= 1;
+          if (t.kind == "clock-back") stage_.set_clock_back(units_[i].at, 3600s);
+          after(t.lasts, [this, i] { start(i); });
+        });
+      }
+    } else if (t.kind == "leave") {
+      Micros in = 0us;
+      for (const unsigned i : some(t.share)) {
+        if (i == stays()) continue;
+        excuse({i}, true, false);
+        after(in, [this, i] {
+          Unit& u = units_[i];
+          if (!u.up) return;
+          u.up = false;
+          checker_.down(u.name, stage_.now());
+          stage_.leave(u.at);
+        });
+        in += 300ms;
+      }
+    } else if (t.kind == "pause") {
+      for (const unsigned i : some(t.share)) {
+        // A short one is no reason to be called failed, and no pause is one to accuse.
+        if (t.lasts > 3 * plan_.interval) excuse({i}, true, false);
+        freeze(i, t.lasts);
+      }
+    } else if (t.kind == "busy") {
+      for (const unsigned i : some(t.share))
+        for (Micros in = 0us; in < t.lasts; in += 150ms) after(in, [this, i] { freeze(i, 120ms); });
+    } else if (t.kind == "cut" || t.kind == "cut-flaps" || t.kind == "cut-moved") {
+      const std::vector<unsigned> in = parts(t);
+      const bool one_way = t.one_way;
+      const auto across = [in, one_way](unsigned a, unsigned b) {
+        return one_way ? in[a] < in[b] : in[a] != in[b];
+      };
+      const auto close = [this, across](Micros lasts) { treat(lasts, across, [](Post& p) { p = cut(); }); };
+      if (t.kind != "cut-flaps") {
+        close(t.lasts);
+      } else {
+        for (Micros at = 0us; at < t.lasts; at += 2 * t.longer)
+          after(at, [close, t, at] { close(std::min(t.longer, t.lasts - at)); });
+      }
+      if (t.kind == "cut-moved") {
+        for (unsigned i = 0; i < units_.size(); ++i) {
+          if (in[i] != 0 || !units_[i].up) continue;
+          after(t.lasts / 2, [this, i] {
+            kill(i);
+            units_[i].at.address ^= 1;
+            after(part(300ms), [this, i] { start(i); });
+          });
+        }
+      }
+    } else if (t.kind == "deaf" || t.kind == "slow") {
+      const std::vector<unsigned> who = some(t.share);
+      excuse(who, true, true);
+      treat(
+          t.lasts, [who](unsigned, unsigned b) { return std::find(who.begin(), who.end(), b) != who.end(); },
+          [&](Post& p) {
+            p.lost = t.kind == "deaf" ? t.size : 0;
+            p.longer = t.kind == "slow" ? t.longer : 0us;
+          });
+    } else if (t.kind == "loss") {
+      // Few false verdicts are allowed past a fifth.
+      if (t.size > 0.2) excuse(all(), true, true);
+      treat(
+          t.lasts, [](unsigned, unsigned) { return true; }, [&](Post& p) { p.lost = t.size; });
+    } else if (t.kind == "mangled") {
+      treat(
+          t.lasts, [](unsigned, unsigned) { return true; },
+          [&](Post& p) {
+            p.doubled = p.old = t.size;
+            p.spoilt = t.size / 4;
+            p.spread = t.longer;
+          });
+    } else if (t.kind == "fails-returns") {
+      for (const unsigned i : some(0, 1)) {
+        excuse({i}, true, false);
+        for (Micros at = 0us; at + t.longer < t.lasts; at += t.longer) {
+          after(at, [this, i] { kill(i); });
+          after(at + t.longer / 2, [this, i] { start(i); });
+        }
+      }
+    } else if (t.kind == "rubbish") {
+      for (const unsigned i : some(0, 1)) {
+        const Micros each{static_cast<std::int64_t>(1e6 / std::max(t.size, 1.0))};
+        // In bursts of a 100th of a second.
+        for (Micros at = 0us; at < t.lasts; at += 10ms)
+          after(at, [this, i, each] {
+            for (Micros sent = 0us; sent < 10ms; sent += each)
+              stage_.onlooker().post(stage_.hears_at(units_[i].at), rubbish());
+          });
+      }
+    } else if (t.kind == "same-name") {
+      for (const unsigned i : some(0, 1)) {
+        // A verdict on the younger one must not hurt the elder.
+        const RigPlace there{i, 2};
+        units_[i].double_at = there;
+        checker_.may_be_failed(units_[i].name);  // it takes a later start than the younger one's
+        stage_.start(there, units_[i].name, seeds_);
+        after(t.lasts, [this, there] { stage_.kill(there); });
+      }
+    } else if (t.kind == "reload") {
+      for (const unsigned i : some(t.share))
+        if (units_[i].up)
+          stage_.reload(units_[i].at, {{(i + 1) % plan_.nodes, 0}, {(i + 2) % plan_.nodes, 0}});
+    }
+  }
+
+  void freeze(unsigned i, Micros lasts) {
+    Unit& u = units_[i];
+    if (!u.up || std::exchange(u.frozen, true)) return;
+    const RigPlace at = u.at;
+    stage_.freeze(at, true);
+    checker_.paused(u.name, true, stage_.now());
+    after(lasts, [this, i, at] {
+      units_[i].frozen = false;
+      units_[i].heard_from = stage_.now();
+      stage_.freeze(at, false);
+      checker_.paused(units_[i].name, false, stage_.now());
+    });
+  }
+
+  std::string rubbish() {
+    std::string out(1 + chance_() % 600, '\0');
+    for (char& c : out) c = static_cast<char>(chance_());
+    if (chance_() % 2 && out.size() > 4)
+      out[0] = 'f', out[1] = 'w', out[2] = static_cast<char>(1 + chance_() % 2);
+    return out;
+  }
+
+  // Everybody is asked for his view, in turn, all the while.
+  void look(unsigned round) {
+    const Micros every = std::max<Micros>(plan_.interval / 3, 50ms);
+    const Micros now = stage_.now();
+    for (Unit& u : units_) {
+      if (!u.up || u.frozen) continue;
+      const unsigned no = u.at.node;
+      onlooker_.ask(u.at, [this, no, at = u.at](const members::Asker& view) {
+        Unit& unit = units_[no];
+        if (!unit.up || unit.at != at) return;
+        unit.heard_from = stage_.now();
+        checker_.seen(unit.name, view, stage_.now());
+        judge();
+      });
+      // Also under rubbish and on a busy machine.
+      if (now - u.heard_from > 5s) {
+        checker_.unanswered(u.name, "has given no view for 5 s", now);
+        u.heard_from = now;
+      }
+      if (round % 10 == no % 10 && now - began_ > plan_.starts) {
+        stage_.knock(u.at, [this, no, at = u.at](bool well) {
+          const Unit& unit = units_[no];
+          if (!well && unit.up && unit.at == at && !unit.frozen)
+            checker_.unanswered(unit.name, "does not answer its front", stage_.now());
+        });
+      }
+    }
+    after(every, [this, round] { look(round + 1); });
+  }
+
+  void judge() {
+    const Micros now = stage_.now();
+    for (auto it = crashed_.begin(); it != crashed_.end();) {
+      if (!checker_.all_know_gone(it->first)) {
+        ++it;
+        continue;
+      }
+      out_.crash_known.push_back(seconds(now - it->second) * 1e3);
+      it = crashed_.erase(it);
+    }
+    if (!checker_.agree()) {
+      agree_since_ = kNever;
+    } else if (agree_since_ == kNever) {
+      agree_since_ = now;
+      if (!out_.joined && checker_.running() == units_.size()) out_.joined = seconds(now - began_) * 1e3;
+    }
+  }
+
+  const RigPlan& plan_;
+  RigStage& stage_;
+  std::string only_;
+  std::knuth_b chance_;
+  Onlooker onlooker_;
+  Micros began_, last_trouble_{0}, agree_since_ = kNever;
+  std::vector<Unit> units_;
+  std::vector<RigPlace> seeds_;
+  std::vector<std::pair<std::string, Micros>> crashed_;
+  RigOutcome out_;
+  std::set<std::string> said_;
+  bool cut_ = false;  // a cut is among the troubles drawn
+  RigChecker checker_;
+};
+
+}  // namespace
+
+RigOutcome play_rig(const RigPlan& plan, RigStage& stage, std::uint64_t seed, const std::string& only) {
+  return Rig(plan, stage, seed, only).play();
+}
+
+RigOutcome run_rig_virtual(const RigPlan& plan, std::uint64_t seed, const std::string& only,
+                           std::string* logged) {
+  RigVirtual stage(plan.nodes, plan.interval, plan.forgets, seed, logged);
+  return play_rig(plan, stage, seed, only);
+}
+
+RigOutcome run_rig_real(const RigPlan& plan, std::uint64_t seed, const std::string& only,
+                        const std::vector<std::string>& program, const std::string& folder) {
+  RigPlan real = plan;
+  std::erase_if(real.troubles, [](const RigTrouble& t) {
+    return std::any_of(rig_kinds().begin(), rig_kinds().end(),
+                       [&](const RigKind& k) { return k.virtual_only && t.kind == k.name; });
+  });
+  RigLoopback stage(program, folder, plan.nodes, plan.interval, seed);
+  return play_rig(real, stage, seed, only);
+}
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/rig.h
@@ -0,0 +1,34 @@
+// One run of an experiment on the fleet's own view: troubles by the seed, everybody asked for his view all
+// the while, and the checker's verdict.
+#pragma once
+
+#include <optional>
+
+#include "lab/rig_checker.h"
+#include "lab/rig_plan.h"
+#include "lab/rig_stage.h"
+
+namespace flintweir::lab {
+
+struct RigOutcome {
+  std::vector<RigBroken> broken;  // times from the start
+  std::vector<std::string> troubles;
+  // Milliseconds; nothing where it did not come about.
+  std::optional<double> joined;     // from the first start until all hold one view
+  std::vector<double> crash_known;  // from a crash until no running node lists who crashed
+  std::optional<double> settled;    // from the last trouble's end until all hold one view for good
+  double bytes_at_rest = 0;         // sent by a node and second, from when it joined to the first trouble
+  std::uint64_t looks = 0;
+  double lasted = 0;  // seconds
+};
+
+// `only`: the troubles drawn are of that kind.
+RigOutcome play_rig(const RigPlan& plan, RigStage& stage, std::uint64_t seed, const std::string& only = "");
+
+RigOutcome run_rig_virtual(const RigPlan& plan, std::uint64_t seed, const std::string& only = "",
+                           std::string* logged = nullptr);
+// Without the troubles that need virtual time.
+RigOutcome run_rig_real(const RigPlan& plan, std::uint64_t seed, const std::string& only,
+                        const std::vector<std::string>& program, const std::string& folder);
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/rig_checker.cpp
@@ -0,0 +1,134 @@
+#include "lab/rig_checker.h"
+
+#include <algorithm>
+
+namespace flintweir::lab {
+namespace {
+
+using members::Standing;
+
+constexpr int kGhostFor = 60;  // intervals after a kill that a name may still stand as alive
+// Bytes that a node may send in a second: what docs/members.md states, with a burst.
+constexpr std::size_t kMostBytes = (64 + 16) << 10;
+
+bool lives(Standing s) { return s == Standing::alive || s == Standing::suspected || s == Standing::leaving; }
+
+}  // namespace
+
+const char* name_of(RigRule rule) {
+  constexpr const char* kNames[] = {"view-settled", "view-false", "view-ghost",
+                                    "view-back",    "view-bound", "view-answer"};
+  return kNames[static_cast<std::size_t>(rule)];
+}
+
+RigChecker::RigChecker(Micros interval, std::function<void(const RigBroken&)> broken)
+    : interval_(interval), broken_(std::move(broken)) {}
+
+void RigChecker::up(const std::string& name, Micros now) {
+  killed_.erase(name);
+  running_[name] = Running();
+  running_[name].from = now;
+  first_start_.erase(name);
+}
+
+void RigChecker::down(const std::string& name, Micros now) {
+  running_.erase(name);
+  killed_[name] = now;
+}
+
+void RigChecker::paused(const std::string& name, bool on, Micros now) {
+  if (const auto it = running_.find(name); it != running_.end())
+    it->second.paused = on, it->second.from = now;
+}
+
+void RigChecker::seen(const std::string& name, const members::Asker& view, Micros now) {
+  const auto it = running_.find(name);
+  if (it == running_.end()) return;
+  Running& r = it->second;
+  ++looks_;
+  r.asked = true;
+  r.digest = view.digest();
+  // It has started anew, and may ask anew for those whom it had called failed while it was cut off.
+  if (view.start() != r.start)
+    for (auto& [held, last] : r.holds) last.dead = {};
+  r.start = view.start();
+  r.listed.clear();
+  for (const members::Asker::Row& row : view.rows()) {
+    const bool fresh = !r.holds.contains(row.name);
+    Last& last = r.holds[row.name];
+    const std::string who = name + " of " + row.name;
+    if (lives(row.standing)) r.listed.insert(row.name);
+    if (row.name == name && row.standing != Standing::joining) {
+      // What it says of itself: later at each start, and the same while nobody could call it failed.
+      if (const auto before = last_start_.find(name);
+          before != last_start_.end() && row.start < before->second)
+        broken(RigRule::back, now, name + " runs by an earlier start than before");
+      last_start_[name] = row.start;
+      const members::Start first = first_start_.try_emplace(name, row.start).first->second;
+      if (row.start != first && !accused_.contains(name))
+        broken(RigRule::falsely, now, name + " had to start anew and had run all the time");
+    }
+    if (!fresh) {
+      if (row.start < last.start) broken(RigRule::back, now, who + ": an earlier start");
+      if (row.start == last.start && row.word < last.word)
+        broken(RigRule::back, now, who + ": an earlier word");
+    }
+    if (lives(row.standing) && last.dead.value != 0 && row.start <= last.dead)
+      broken(killed_.contains(row.name) ? RigRule::ghost : RigRule::back, now,
+             who + ": alive again by the start that had failed");
+    if (row.standing == Standing::failed) {
+      last.dead = std::max(last.dead, row.start);
+      if (!accuses_.contains(name) && !accused_.contains(row.name) && running_.contains(row.name))
+        broken(RigRule::falsely, now, who + ": called failed");
+    }
+    if (const auto killed = killed_.find(row.name);
+        killed != killed_.end() && lives(row.standing) && !accuses_.contains(name) &&
+        now - std::max(killed->second, r.from) > interval_ * kGhostFor)
+      broken(RigRule::ghost, now, who + ": still " + members::name_of(row.standing));
+    last.start = row.start;
+    last.word = row.word;
+    last.standing = row.standing;
+  }
+}
+
+void RigChecker::sent(const std::string& name, std::size_t bytes, Micros now) {
+  sent_bytes_ += bytes;
+  const auto it = running_.find(name);
+  if (it == running_.end()) return;
+  Running& r = it->second;
+  if (now - r.second >= Micros{1'000'000}) r.second = now, r.bytes = 0;
+  r.bytes += bytes;
+  if (bytes > members::kLongestDatagram || (r.bytes > kMostBytes && r.bytes - bytes <= kMostBytes))
+    broken(RigRule::bound, now, name + " sent " + std::to_string(r.bytes) + " bytes in a second");
+}
+
+void RigChecker::unanswered(const std::string& name, const std::string& what, Micros now) {
+  broken(RigRule::unanswered, now, name + ": " + what);
+}
+
+std::string RigChecker::why_not_settled() const {
+  for (const auto& [name, r] : running_) {
+    if (!r.asked) return name + " gave no view";
+    for (const auto& [other, o] : running_)
+      if (!r.listed.contains(other)) return name + " lacks " + other;
+    for (const std::string& listed : r.listed)
+      if (!running_.contains(listed)) return name + " still holds " + listed;
+    if (r.digest != running_.begin()->second.digest)
+      return name + " and " + running_.begin()->first + " differ";
+  }
+  return "";
+}
+
+bool RigChecker::agree() const { return why_not_settled().empty(); }
+
+bool RigChecker::all_know_gone(const std::string& gone) const {
+  return std::none_of(running_.begin(), running_.end(),
+                      [&](const auto& r) { return !r.second.paused && r.second.listed.contains(gone); });
+}
+
+void RigChecker::settled(Micros now) {
+  ++looks_;
+  if (const std::string why = why_not_settled(); !why.empty()) broken(RigRule::settled, now, why);
+}
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/rig_loopback.h
@@ -0,0 +1,64 @@
+// The rig in real time: each node a process of the real program on a loopback address of its own. Every
+// datagram between two of them passes a relay of the rig's, one for each address told, which knows by the
+// sender's address on which way it is. What it starts it ends.
+#pragma once
+
+#include <sys/types.h>
+
+#include <map>
+#include <memory>
+#include <random>
+
+#include "lab/rig_stage.h"
+#include "lab/timeline.h"
+#include "net/kernel_network.h"
+
+namespace flintweir::lab {
+
+class RigLoopback final : public RigStage {
+ public:
+  // `program` is run as `program serve --config FILE --operator FILE`; its logs go to `folder`.
+  RigLoopback(std::vector<std::string> program, std::string folder, unsigned nodes, Micros interval,
+              std::uint64_t seed);
+  ~RigLoopback() override;
+
+  Micros now() const override { return clock_.now(); }
+  void at(Micros when, std::function<void()> act) override { timeline_.at(when, std::move(act)); }
+  void run_until(Micros end) override;
+  void start(RigPlace at, const std::string& name, const std::vector<RigPlace>& seeds) override;
+  void kill(RigPlace at) override;
+  void leave(RigPlace at) override;
+  void freeze(RigPlace at, bool on) override;
+  void reload(RigPlace at, const std::vector<RigPlace>& seeds) override;
+  void set_clock_back(RigPlace, Micros) override {}
+  bool running(RigPlace at) override;
+  Post& way(unsigned from, unsigned to) override { return ways_[from * nodes_ + to]; }
+  Address hears_at(RigPlace at) const override;
+  net::Network& onlooker() override { return onlooker_; }
+  Address onlooker_at() const override;
+  void knock(RigPlace at, std::function<void(bool)> answered) override;
+
+ private:
+  class Relay;
+  class Knock;
+  std::string file(RigPlace at, const char* ending) const;
+  void write_operator(RigPlace at, const std::vector<RigPlace>& seeds) const;
+  Address told_at(RigPlace at) const;
+  Address serves_at(RigPlace at) const;
+
+  unsigned nodes_;
+  Micros interval_;
+  std::vector<std::string> program_;
+  std::string folder_;
+  net::KernelNetwork clock_;
+  net::KernelNetwork onlooker_{clock_};
+  Timeline timeline_;
+  std::knuth_b chance_;
+  std::vector<Post> ways_;
+  std::map<Address, RigPlace> senders_;
+  std::map<RigPlace, std::unique_ptr<Relay>> relays_;
+  std::vector<std::unique_ptr<Knock>> knocks_;
+  std::map<RigPlace, pid_t> processes_;
+};
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/rig_plan.cpp
@@ -0,0 +1,106 @@
+#include "lab/rig_plan.h"
+
+#include <algorithm>
+
+#include "lab/fields.h"
+
+namespace flintweir::lab {
+
+using namespace std::chrono_literals;
+
+const std::vector<RigKind>& rig_kinds() {
+  static const std::vector<RigKind> kinds = {
+      {"crash", false, "a share of the nodes is killed within 100 ms and stays away"},
+      {"crash-back", false, "a share is killed and starts again under the same names after 'lasts'"},
+      {"moved", false, "a share is killed and starts again at other addresses after 'lasts'"},
+      {"leave", false, "a share gets SIGTERM, one after the other"},
+      {"pause", false, "a share is stopped for 'lasts' and goes on as if nothing had been"},
+      {"busy", false, "a share gets one part in five of its processor for 'lasts'"},
+      {"cut", false,
+       "'parts' parts don't hear each other for 'lasts'; 'one_way': only one way, 'share': the first part's"},
+      {"cut-flaps", false, "a cut in two that opens and closes each 'longer' for 'lasts'"},
+      {"cut-moved", false, "a cut in two; every node of one half is started again elsewhere before it heals"},
+      {"deaf", false, "a share loses 'size' of what comes in for 'lasts'"},
+      {"loss", false, "everybody loses 'size' of all datagrams for 'lasts'"},
+      {"slow", false, "what comes to a share is 'longer' late for 'lasts'"},
+      {"fails-returns", false, "one node is killed and started again each 'longer' for 'lasts'"},
+      {"mangled", false,
+       "'size' of all datagrams are doubled, spoilt, overtaken or come again 10 s later for 'lasts'"},
+      {"rubbish", false, "one node gets 'size' bad datagrams a second for 'lasts'"},
+      {"same-name", false, "a second process of one's name runs at another address for 'lasts'"},
+      {"reload", false, "a share gets a file with other seeds, and SIGHUP"},
+      {"clock-back", true, "a share is started again with its wall clock an hour back"}};
+  return kinds;
+}
+
+bool RigPlan::is_one(const std::string& path) {
+  try {
+    return toml::parse_file(path)["kind"].value_or(std::string()) == "fleet";
+  } catch (const toml::parse_error&) {
+    return false;  // whoever reads it complains
+  }
+}
+
+namespace {
+
+RigPlan read(const toml::table& whole, const std::string& path, const std::string& variant) {
+  RigPlan out;
+  Fields top(whole, "", path);
+  top.word("kind", "fleet", {"fleet"});
+  out.name = top.word("name", "");
+  if (out.name.empty()) top.bad("name", "is missing");
+  out.about = top.word("about", "");
+  out.nodes = top.count("nodes", 9, 1, 2000);
+  out.seeds = top.count("seeds", 2, 1, 16);
+  out.at_once = top.count("at_once", 2, 0, 16);
+  out.interval = top.time("interval", 300ms, 50ms);
+  out.starts = top.time("starts", 4s, 100ms);
+  out.quiet = top.time("quiet", 6s);
+  out.settles = top.time("settles", 12s, 1s);
+  out.forgets = top.time("forgets", 60min, 1min);
+  bool found = variant.empty();
+  for (Fields& v : top.tables("variant")) {
+    const std::string name = v.word("name", "");
+    out.variants.push_back(name);
+    const bool chosen = name == variant;
+    found = found || chosen;
+    const unsigned nodes = v.count("nodes", out.nodes, 1, 2000),
+                   at_once = v.count("at_once", out.at_once, 0, 16);
+    v.done();
+    if (!chosen) continue;
+    out.nodes = nodes;
+    out.at_once = at_once;
+  }
+  if (!found) throw BadFile(path + ":1: variant: there is no variant '" + variant + "'");
+  std::vector<std::string> kinds;
+  for (const RigKind& k : rig_kinds()) kinds.emplace_back(k.name);
+  for (Fields& f : top.tables("trouble")) {
+    RigTrouble t;
+    t.kind = f.word("kind", "", kinds);
+    if (t.kind.empty()) f.bad("kind", "is missing");
+    t.name = f.word("name", t.kind);
+    t.share = f.number("share", 0, 0, 1);
+    t.size = f.number("size", 0, 0, 100000);
+    t.lasts = f.time("lasts", 3s);
+    t.longer = f.time("longer", 0us);
+    t.parts = f.count("parts", 2, 2, 8);
+    t.one_way = f.yes("one_way", false);
+    f.done();
+    out.troubles.push_back(t);
+  }
+  top.done();
+  return out;
+}
+
+}  // namespace
+
+RigPlan RigPlan::of_file(const std::string& path, const std::string& variant) {
+  try {
+    return read(toml::parse_file(path), path, variant);
+  } catch (const toml::parse_error& e) {
+    throw BadFile(path + ":" + std::to_string(std::max<unsigned>(e.source().begin.line, 1)) +
+                  ": file: " + std::string(e.description()));
+  }
+}
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/rig_plan.h
@@ -0,0 +1,42 @@
+// What an experiment on the fleet's own view asks for, and the troubles that a seed draws from it.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ids.h"
+
+namespace flintweir::lab {
+
+// One kind of trouble; what it does is in its row of rig_kinds().
+struct RigTrouble {
+  std::string kind, name;  // the name it is drawn by, if any of its own
+  double share = 0;        // of the nodes, at least one
+  double size = 0;
+  Micros lasts{0}, longer{0};
+  unsigned parts = 2;
+  bool one_way = false;
+};
+
+struct RigKind {
+  const char* name;
+  bool virtual_only;
+  const char* does;
+};
+const std::vector<RigKind>& rig_kinds();
+
+struct RigPlan {
+  // True where the file is one for the rig: its `kind` is "fleet".
+  static bool is_one(const std::string& path);
+  // Throws BadFile.
+  static RigPlan of_file(const std::string& path, const std::string& variant = "");
+
+  std::string name, about;
+  unsigned nodes = 9, seeds = 2, at_once = 2;
+  Micros interval, starts, quiet, settles, forgets;
+  std::vector<RigTrouble> troubles;
+  std::vector<std::string> variants;
+};
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/rig_virtual.cpp
@@ -0,0 +1,75 @@
+#include "lab/rig_virtual.h"
+
+#include "numbers.h"
+
+namespace flintweir::lab {
+
+using namespace std::chrono_literals;
+
+RigVirtual::RigVirtual(unsigned nodes, Micros interval, Micros forgets, std::uint64_t seed,
+                       std::string* logged)
+    : nodes_(nodes),
+      interval_(interval),
+      forgets_(forgets),
+      seed_(seed),
+      logged_(logged),
+      timeline_(1700000000s),
+      fabric_(timeline_, Carriage(), seed),
+      ways_(std::size_t{nodes} * nodes) {
+  for (unsigned i = 0; i < nodes * kAddresses; ++i) fabric_.add_machine(ZoneNo{0});
+  onlooks_ = fabric_.add_machine(ZoneNo{0});
+  onlooker_ = std::make_unique<Process>(fabric_, onlooks_, 64);
+  fabric_.treat_post([this](MachineNo from, MachineNo to, std::size_t bytes) -> const Post* {
+    if (from == onlooks_ || to == onlooks_) return nullptr;
+    if (on_sent) on_sent({from.value % nodes_, from.value / nodes_}, bytes);
+    return &ways_[from.value % nodes_ * nodes_ + to.value % nodes_];
+  });
+  net::log_to(this);
+}
+
+RigVirtual::~RigVirtual() {
+  units_.clear();
+  net::log_to(nullptr);
+}
+
+void RigVirtual::line(const char* text) {
+  if (logged_) logged_->append(std::to_string(now().count())).append(" ").append(text).append("\n");
+}
+
+Address RigVirtual::hears_at(RigPlace at) const { return Fabric::address(machine(at), kPort); }
+
+setup::FleetSection RigVirtual::section(RigPlace at, const std::vector<RigPlace>& seeds) const {
+  setup::FleetSection out{"lab", "", hears_at(at), hears_at(at), {}, interval_, forgets_, 4096};
+  for (const RigPlace& s : seeds) out.seeds.push_back(hears_at(s));
+  return out;
+}
+
+void RigVirtual::start(RigPlace at, const std::string& name, const std::vector<RigPlace>& seeds) {
+  units_.erase(at);
+  Unit& u = units_[at];
+  u.process = std::make_unique<Process>(fabric_, machine(at), 64);
+  if (const auto back = clocks_back_.find(at); back != clocks_back_.end())
+    u.process->set_clock_back(back->second);
+  u.wakes = std::make_unique<net::Wakes>(*u.process);
+  u.peers = std::make_unique<node::Peers>(*u.process, *u.wakes, section(at, seeds), name, "lab",
+                                          mix(seed_ * 4096 + ++starts_), [](unsigned) {});
+  u.peers->begin();
+}
+
+// As Node::leave does: told at once, gone some seconds later.
+void RigVirtual::leave(RigPlace at) {
+  const auto it = units_.find(at);
+  if (it == units_.end()) return;
+  it->second.peers->leave();
+  timeline_.after(2200ms, [this, at] { kill(at); });
+}
+
+void RigVirtual::freeze(RigPlace at, bool on) {
+  if (const auto it = units_.find(at); it != units_.end()) it->second.process->freeze(on);
+}
+
+void RigVirtual::reload(RigPlace at, const std::vector<RigPlace>& seeds) {
+  if (const auto it = units_.find(at); it != units_.end()) it->second.peers->reload(section(at, seeds));
+}
+
+}  // namespace flintweir::lab
--- /dev/null
+++ b/src/lab/rig_virtual.h
@@ -0,0 +1,61 @@
+// The rig in virtual time: the node's own peers on the lab's network.
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "lab/fabric.h"
+#include "lab/rig_stage.h"
+#include "net/log.h"
+#include "node/peers.h"
+
+namespace flintweir::lab {
+
+class RigVirtual final : public RigStage, net::LogSink {
+ public:
+  // Logs go to `logged`, unless that is null.
+  RigVirtual(unsigned nodes, Micros interval, Micros forgets, std::uint64_t seed, std::string* logged);
+  ~RigVirtual() override;
+
+  Micros now() const override { return timeline_.now(); }
+  void at(Micros when, std::function<void()> act) override { timeline_.at(when, std::move(act)); }
+  void run_until(Micros end) override { timeline_.run_until(end); }
+  void start(RigPlace at, const std::string& name, const std::vector<RigPlace>& seeds) override;
+  void kill(RigPlace at) override { units_.erase(at); }
+  void leave(RigPlace at) override;
+  void freeze(RigPlace at, bool on) override;
+  void reload(RigPlace at, const std::vector<RigPlace>& seeds) override;
+  void set_clock_back(RigPlace at, Micros by) override { clocks_back_[at] = by; }
+  bool running(RigPlace at) override { return units_.contains(at); }
+  Post& way(unsigned from, unsigned to) override { return ways_[from * nodes_ + to]; }
+  Address hears_at(RigPlace at) const override;
+  net::Network& onlooker() override { return *onlooker_; }
+  Address onlooker_at() const override { return Fabric::address(onlooks_, kPort); }
+  void knock(RigPlace, std::function<void(bool)> answered) override { answered(true); }
+
+ private:
+  static constexpr std::uint16_t kPort = 7946;
+  struct Unit {
+    std::unique_ptr<Process> process;
+    std::unique_ptr<net::Wakes> wakes;
+    std::unique_ptr<node::Peers> peers;
+  };
+  MachineNo machine(RigPlace at) const { return MachineNo{at.address * nodes_ + at.node}; }
+  setup::FleetSection section(RigPlace at, const std::vector<RigPlace>& seeds) const;
+  void line(const char* text) override;
+
+  static constexpr unsigned kAddresses = 3;  // of each node
+  unsigned nodes_;
+  Micros interval_, forgets_;
+  std::uint64_t seed_, starts_ = 0;
+  std::string* logged_;
+  Timeline timeline_;
+  Fabric fabric_;
+  std::vector<Post> ways_;
+  MachineNo onlooks_;
+  std::unique_ptr<Process> onlooker_;
+  std::map<RigPlace, Micros> clocks_back_;
+  std::map<RigPlace, Unit> units_;
+};
+
+}  // namespace flintweir::lab
--- a/src/members/datagram.cpp
+++ b/src/members/datagram.cpp
@@ -127,6 +127,7 @@
   from.start = Start{head.number()};
   from.address = head.place();
   from.digest = head.number();
+  from.well = static_cast<std::uint32_t>(std::min<std::uint64_t>(head.number(), UINT32_MAX));
   const Nonce nonce{head.number()};
   if (from.name.empty() != (kind == Kind::query)) throw Malformed();
   std::string_view whom;
@@ -210,7 +211,7 @@
   bytes_[1] = kMark[1];
   bytes_[2] = static_cast<char>(kVersion);
   bytes_[3] = static_cast<char>(kind);
-  constexpr std::uint32_t kOwnFields[] = {0, 6, 6, 6, 8, 6, 7 + kBuckets, 7, 7, 7};
+  constexpr std::uint32_t kOwnFields[] = {0, 7, 7, 7, 9, 7, 8 + kBuckets, 8, 8, 8};
   msgpack::sbuffer out(kLongestDatagram);
   Packer p(out);
   p.pack_array(kOwnFields[static_cast<std::size_t>(kind)]);
@@ -219,6 +220,7 @@
   p.pack(from.start.value);
   place(p, from.address);
   p.pack(from.digest);
+  p.pack(from.well);
   p.pack(nonce.value);
   append({out.data(), out.size()});
 }
--- a/src/members/datagram.h
+++ b/src/members/datagram.h
@@ -22,6 +22,7 @@
   Start start;
   Address address;
   std::uint64_t digest = 0;  // of its view
+  std::uint32_t well = 0;    // members in it that are neither gone nor suspected
 };
 
 // What a datagram says, in these calls: the words first, then what it is for.
--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -26,8 +26,8 @@
 constexpr int kClaimWaits = 5;   // whoever holds this node's name and runs has answered by then
 constexpr int kLeftKept = 200;   // those that left are remembered so long, longer than a datagram travels
 constexpr int kLongestTrip = 4;  // a round trip of that is still waited for
+constexpr int kPardon = 10;      // whoever was called failed by a node cut off has answered by then
 constexpr int kLearnsDead = 40;  // after it joined a node takes in those that others call failed
-constexpr int kMoveOn = 3;       // a leaving member that answers nothing to so many probes has gone
 // Numbers of others.
 constexpr std::size_t kHelpers = 3;  // asked to try where a member does not answer
 constexpr std::size_t kSharers = 3;  // accusers beside the first that make a verdict quick
@@ -190,10 +190,11 @@
     Member facts;
     std::vector<std::string> accusers;  // of a suspicion, the first that was heard of first
     Micros doubt_from = kNever;
-    bool verdict_said = false;  // another has come to the verdict: the least doubt is enough
-    int sends = 0;              // that its word has left to be spread
-    int missed = 0;             // probes, by this node and in a row
-    Micros told_at = kNever;    // that it is called failed
+    bool verdict_said = false;       // another has come to the verdict: the least doubt is enough
+    int sends = 0;                   // that its word has left to be spread
+    Micros told_at = kNever;         // that it is called failed
+    Micros pardoned_until = kNever;  // this node was cut off when it called it failed, and asks anew
+    Nonce asked_as;                  // since then
   };
   using Entries = std::map<std::string, Entry, std::less<>>;
   struct Helped {
@@ -239,7 +240,7 @@
 
   // Sending.
 
-  From from() const { return {name_, me().start, me().address, digest()}; }
+  From from() const { return {name_, me().start, me().address, digest(), static_cast<std::uint32_t>(well_)}; }
 
   void send(const Address& to, Writer& writer, bool owed) {
     const std::string_view bytes = writer.done();
@@ -333,11 +334,13 @@
     if (!counts_in_digest(e.facts)) return;
     buckets_[bucket(name)] ^= digest_of(name, e.facts);
     --live_;
+    well_ -= e.facts.standing != Standing::suspected;
   }
   void enter_digest(std::string_view name, const Entry& e) {
     if (!counts_in_digest(e.facts)) return;
     buckets_[bucket(name)] ^= digest_of(name, e.facts);
     ++live_;
+    well_ += e.facts.standing != Standing::suspected;
   }
   // Changes one member's facts; all that hangs on them follows.
   template <class Change>
@@ -346,6 +349,7 @@
     Entry& e = it->second;
     const Standing was = e.facts.standing;
     const Start start = e.facts.start;
+    e.pardoned_until = kNever;
     leave_digest(name, e);
     change(e.facts);
     enter_digest(name, e);
@@ -356,7 +360,6 @@
     }
     tell(it->first);
     if (e.facts.standing == was && e.facts.start == start) return;
-    e.missed = 0;
     e.facts.since = now_;
     outlet_.changed(it->first, e.facts, false);
   }
@@ -428,7 +431,8 @@
     for (const auto& [name, e] : members_)
       if (e.facts.standing == Standing::failed) dead.push_back(name);
     if (dead.empty()) return;
-    tell_accused(dead[below(dead.size())], true);
+    const std::string_view one = dead[below(dead.size())];
+    ask_or_tell(one, true);
   }
 
   // It is told what is believed of it, so that it can say better.
@@ -482,7 +486,7 @@
     Probed probed{next_nonce(), *next, e.facts.start, now_};
     ++probe_turn_;
     answered_ = false;
-    nacks_ = helpers_ = 0;
+    nacks_.clear();
     probed_.push_back(probed);
     while (!probed_.empty() && now_ - probed_.front().at > interval_ * 32) probed_.pop_front();
     send_news(Kind::ping, e.facts.address, probed.nonce,
@@ -523,25 +527,20 @@
       Writer writer(Kind::ask, fleet_, from(), p.nonce);
       writer.ask(p.name, it->second.facts.address);
       send(helper, writer, true);
-      ++helpers_;
     }
   }
 
   void round_over() {
     if (answered_ || probed_.empty()) return;
     const Probed p = probed_.back();
-    // Helpers that say nothing either: it may be this node that is ill.
-    if (helpers_ > 0 && nacks_ < helpers_) health_ = std::min(health_ + 1, kMostHealth);
     const auto it = members_.find(p.name);
     if (it == members_.end() || it->second.facts.start != p.start) return;
-    Entry& e = it->second;
-    ++e.missed;
-    if (e.facts.standing == Standing::leaving) {
-      if (e.missed >= kMoveOn)
-        change(p.name, [this](Member& m) { m.standing = Standing::left, m.by = name_; });
-      return;
-    }
-    suspect(p.name, e.facts.word, name_);
+    const Member& m = it->second.facts;
+    if (m.standing == Standing::leaving)
+      return change(p.name, [this](Member& now) { now.standing = Standing::left, now.by = name_; });
+    suspect(p.name, m.word, name_);
+    // Helpers that could not reach it either share the suspicion.
+    for (const std::string& helper : nacks_) suspect(p.name, m.word, helper);
   }
 
   void ping_came(const From& from, Nonce nonce) override {
@@ -552,9 +551,10 @@
     sender_is(from);
     const auto it = members_.find(from.name);
     // Whoever is called failed or suspected here, or is known by another start, hears of it with the answer.
-    const bool better = it != members_.end() && (final_for_start(it->second.facts.standing) ||
-                                                 it->second.facts.standing == Standing::suspected ||
-                                                 it->second.facts.start != from.start);
+    const bool better =
+        it != members_.end() && !pardoned(it->second) &&
+        (final_for_start(it->second.facts.standing) || it->second.facts.standing == Standing::suspected ||
+         it->second.facts.start != from.start);
     send_news(Kind::ack, from.address, nonce, better ? from.name : std::string_view(name_));
     if (!joined() && !claiming_) join("another joins too");
   }
@@ -566,6 +566,10 @@
       helped_.erase(helped);
       return;
     }
+    if (const auto it = members_.find(from.name);
+        it != members_.end() && pardoned(it->second) && it->second.asked_as == nonce &&
+        it->second.facts.standing == Standing::failed && it->second.facts.start == from.start)
+      change(from.name, [&](Member& m) { m.standing = Standing::alive, m.by = from.name; });
     sender_is(from);
     const auto probed =
         std::find_if(probed_.begin(), probed_.end(), [&](const Probed& p) { return p.nonce == nonce; });
@@ -573,14 +577,14 @@
       if (from.name == probed->name) round_trip_.add(seconds(now_ - probed->at), 0.8);
       if (probed->nonce == probed_.back().nonce && !std::exchange(answered_, true))
         health_ = std::max(health_ - 1, 0);
-      if (const auto it = members_.find(probed->name); it != members_.end()) it->second.missed = 0;
     }
     if (!joined() && !claiming_ && !rival_) joins_by(from);
     if (from.digest != digest() && joined() && now_ - synced_at_ >= interval_) start_sync(from.address);
   }
 
-  void nack_came(const From&, Nonce nonce) override {
-    if (!probed_.empty() && probed_.back().nonce == nonce) ++nacks_;
+  void nack_came(const From& from, Nonce nonce) override {
+    if (!probed_.empty() && probed_.back().nonce == nonce && nacks_.size() < kHelpers)
+      nacks_.emplace_back(from.name);
   }
 
   void ask_came(const From& from, Nonce nonce, std::string_view whom, const Address& at) override {
@@ -674,7 +678,7 @@
     if (it == members_.end() || it->first == name_) return;
     const Member& m = it->second.facts;
     if (m.start > from.start || (m.start == from.start && m.standing == Standing::failed))
-      tell_accused(from.name);
+      ask_or_tell(from.name, false);
   }
 
   void word_came(const From& from, const Word& w) override {
@@ -696,7 +700,7 @@
     }
     if (final_for_start(m.standing)) {
       // It runs by another's word, or by its own: it has to hear that it starts anew.
-      if (m.standing == Standing::failed && w.standing < Standing::failed) tell_accused(w.name);
+      if (m.standing == Standing::failed && w.standing < Standing::failed) ask_or_tell(w.name, false);
       if (m.standing == Standing::failed && w.standing == Standing::left)
         change(w.name, [&](Member& now) { now.standing = Standing::left, now.by = w.by; });
       return;
@@ -727,6 +731,10 @@
   }
 
   void newer(std::string_view name, const Word& w) {
+    // An accusation of this node's that is refuted: it may be this node that is ill.
+    const auto& accusers = members_.find(name)->second.accusers;
+    if (std::find(accusers.begin(), accusers.end(), name_) != accusers.end())
+      health_ = std::min(health_ + 1, kMostHealth);
     const bool accused = w.standing == Standing::suspected;
     const bool verdict = w.standing == Standing::failed;
     change(name, [&](Member& m) {
@@ -765,7 +773,14 @@
     if (w.start == m.start && w.address == m.address) {
       if (w.standing == Standing::failed || w.standing == Standing::left) {
         if (m.standing == Standing::leaving) return;
+        // Both parts of a fleet that was cut have failed each other: the smaller one yields, so that a node
+        // that was cut off alone does not make all others start anew.
+        const auto sender = members_.find(from.name);
+        const bool mutual = sender != members_.end() && sender->second.facts.standing == Standing::failed &&
+                            sender->second.facts.start >= from.start;
+        if (mutual && std::pair(well_, digest()) > std::pair(std::size_t{from.well}, from.digest)) return;
         health_ = std::min(health_ + 1, kMostHealth);
+        if (mutual) pardon();
         start_anew(w.start);
       } else if (w.word > m.word || (w.standing == Standing::suspected && w.word == m.word)) {
         if (m.standing == Standing::joining) return;
@@ -790,6 +805,30 @@
     wake(interval_ * kClaimWaits / 2, Due::claimed, ++claim_turn_);
   }
 
+  // What this node believed while it was cut off is asked anew: whoever answers has run all the time.
+  void pardon() {
+    for (auto& [name, e] : members_) {
+      if (e.facts.standing != Standing::failed) continue;
+      e.pardoned_until = now_ + interval_ * kPardon;
+      e.sends = 0;
+      std::erase(news_, name);
+    }
+  }
+
+  bool pardoned(const Entry& e) const { return e.pardoned_until > now_; }
+
+  void ask_or_tell(std::string_view name, bool at_once) {
+    pardoned(members_.find(name)->second) ? ask_pardoned(name) : tell_accused(name, at_once);
+  }
+
+  void ask_pardoned(std::string_view name) {
+    Entry& e = members_.find(name)->second;
+    if (e.told_at != kNever && now_ - e.told_at < interval_) return;
+    e.told_at = now_;
+    e.asked_as = next_nonce();
+    send_news(Kind::ping, e.facts.address, e.asked_as, name_);
+  }
+
   // Two processes of one name.
 
   void send_claim(const Address& to, Nonce nonce) {
@@ -868,7 +907,8 @@
     if (silent() || !joined()) return;
     std::vector<Word> words;
     for (const auto& [name, e] : members_) {
-      if (e.facts.standing == Standing::left || e.facts.standing == Standing::joining) continue;
+      if (e.facts.standing == Standing::left || e.facts.standing == Standing::joining || pardoned(e))
+        continue;
       if (digests[bucket(name)] != buckets_[bucket(name)]) words.push_back(word_of(name, e.facts));
     }
     std::uint64_t mine[kBuckets];
@@ -891,6 +931,13 @@
 
   // For those who look on.
 
+  // Whoever is asked anew is in doubt.
+  Word shown(std::string_view name, const Entry& e) const {
+    Word out = word_of(name, e.facts);
+    if (pardoned(e)) out.standing = Standing::suspected;
+    return out;
+  }
+
   void query_came(Nonce nonce, std::string_view after) override {
     Writer writer(Kind::page, fleet_, from(), nonce);
     auto it = after.empty() ? members_.begin() : members_.upper_bound(after);
@@ -900,13 +947,13 @@
     auto end = it;
     for (; end != members_.end(); ++end) {
       if (end->second.facts.standing == Standing::left) continue;
-      if (!tried.add(word_of(end->first, end->second.facts), now_ - end->second.facts.since)) break;
+      if (!tried.add(shown(end->first, end->second), now_ - end->second.facts.since)) break;
     }
     if (end == members_.end()) return send(came_from_, tried, true);
     writer.page(false);
     for (; it != end; ++it)
       if (it->second.facts.standing != Standing::left)
-        writer.add(word_of(it->first, it->second.facts), now_ - it->second.facts.since);
+        writer.add(shown(it->first, it->second), now_ - it->second.facts.since);
     send(came_from_, writer, true);
   }
   void page_came(const From&, Nonce, bool) override {}
@@ -936,15 +983,15 @@
   std::knuth_b chance_;
   Entries members_;
   std::array<std::uint64_t, kBuckets> buckets_{};
-  std::size_t live_ = 0;
+  std::size_t live_ = 0, well_ = 0;  // members not gone, and those of them not suspected
   std::vector<std::string> news_, order_, look_at_;
   std::string looked_at_;
   std::size_t next_ = 0;
   std::deque<Probed> probed_;  // lately, the present one last
   std::uint64_t probe_turn_ = 0, claim_turn_ = 0, nonces_ = 0;
   std::map<std::uint64_t, Helped> helped_;
-  FadingMean round_trip_;  // seconds
-  std::size_t nacks_ = 0, helpers_ = 0;
+  FadingMean round_trip_;           // seconds
+  std::vector<std::string> nacks_;  // helpers that could not reach whom this node probes
   int health_ = 0, claim_tries_ = 0;
   bool answered_ = false, news_due_ = false, doubts_due_ = false, silent_ = false;
   bool claiming_ = false, rival_ = false;
--- a/src/net/kernel_network.cpp
+++ b/src/net/kernel_network.cpp
@@ -176,6 +176,9 @@
                        }));
 }
 
+void KernelNetwork::wait_read(SocketKey socket) { wait<true>(socket); }
+void KernelNetwork::wait_write(SocketKey socket) { wait<false>(socket); }
+
 Passed KernelNetwork::read(SocketKey socket, char* to, std::size_t size) {
   Entry* const e = sockets_.find(socket);
   if (!e) return {0, Io::broken};
--- a/src/net/kernel_network.h
+++ b/src/net/kernel_network.h
@@ -42,8 +42,8 @@
   Accepted accept() override;
   SocketKey connect(const Address& to, SocketEvents& whom) override;
   void tell(SocketKey socket, SocketEvents& whom) override;
-  void wait_read(SocketKey socket) override { wait<true>(socket); }
-  void wait_write(SocketKey socket) override { wait<false>(socket); }
+  void wait_read(SocketKey socket) override;
+  void wait_write(SocketKey socket) override;
   Passed read(SocketKey socket, char* to, std::size_t size) override;
   Passed write(SocketKey socket, std::span<const std::string_view> parts) override;
   void end_sending(SocketKey socket) override;
