--- a/src/lab/fabric.h
+++ b/src/lab/fabric.h
@@ -43,6 +43,7 @@
 
   MachineNo add_machine(ZoneNo zone);
   Timeline& timeline() { return timeline_; }
+  MachineNo acting() const { return acting_; }  // whose process was last called
   static Address address(MachineNo machine, std::uint16_t port);
   Micros latency(MachineNo a, MachineNo b) const;  // without jitter
 
@@ -102,6 +103,7 @@
     std::map<std::uint16_t, Process*> doors, boxes;
   };
   Timeline& timeline_;
+  MachineNo acting_;
   Carriage carriage_;
   std::knuth_b chance_;
   std::vector<Machine> machines_;
--- a/src/lab/rig_checker.h
+++ b/src/lab/rig_checker.h
@@ -77,7 +77,7 @@
   Micros interval_;
   std::function<void(const RigBroken&)> broken_;
   std::map<std::string, Running> running_;
-  std::map<std::string, Micros> killed_;
+  std::map<std::string, Micros> killed_, down_;
   std::map<std::string, members::Start> first_start_, last_start_;  // by what they say of themselves
   std::set<std::string> accused_, accuses_;
   std::uint64_t looks_ = 0, sent_bytes_ = 0;
--- a/src/lab/rig_virtual.h
+++ b/src/lab/rig_virtual.h
@@ -35,6 +35,7 @@
 
  private:
   static constexpr std::uint16_t kPort = 7946;
+  static constexpr Micros kStart{1'700'000'000'000'000};
   struct Unit {
     std::unique_ptr<Process> process;
     std::unique_ptr<net::Wakes> wakes;
--- a/src/members/datagram.cpp
+++ b/src/members/datagram.cpp
@@ -127,7 +127,7 @@
   from.start = Start{head.number()};
   from.address = head.place();
   from.digest = head.number();
-  from.well = static_cast<std::uint32_t>(std::min<std::uint64_t>(head.number(), UINT32_MAX));
+  from.weight = static_cast<std::uint32_t>(std::min<std::uint64_t>(head.number(), UINT32_MAX));
   const Nonce nonce{head.number()};
   if (from.name.empty() != (kind == Kind::query)) throw Malformed();
   std::string_view whom;
@@ -220,7 +220,7 @@
   p.pack(from.start.value);
   place(p, from.address);
   p.pack(from.digest);
-  p.pack(from.well);
+  p.pack(from.weight);
   p.pack(nonce.value);
   append({out.data(), out.size()});
 }
--- a/src/members/datagram.h
+++ b/src/members/datagram.h
@@ -22,7 +22,8 @@
   Start start;
   Address address;
   std::uint64_t digest = 0;  // of its view
-  std::uint32_t well = 0;    // members in it that are neither gone nor suspected
+  std::uint32_t weight =
+      0;  // of its verdicts: grows with those it holds to be well, and as its probes are answered
 };
 
 // What a datagram says, in these calls: the words first, then what it is for.
--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 #include <cstdio>
 #include <deque>
@@ -34,7 +35,7 @@
 constexpr double kLookers = 6;       // members that look for themselves at once when they hear a suspicion
 constexpr std::size_t kNewsTo = 3;   // members that a round of news goes to
 constexpr int kSpread = 3;           // each word is sent so often for each doubling of the fleet
-constexpr int kMostHealth = 8;       // of one's own bad health: intervals and waits grow by as many times
+constexpr int kMostHealth = 4;       // of one's own bad health: intervals and waits grow by as many times
 constexpr std::size_t kSyncDatagrams = 4;  // of words, in answer to one digest
 constexpr std::size_t kMostHelped = 64;    // questions on others' behalf that are out at a time
 // A node's bytes a second; a burst may take as much as that at once. What must be answered goes first.
@@ -194,7 +195,7 @@
     int sends = 0;                   // that its word has left to be spread
     Micros told_at = kNever;         // that it is called failed
     Micros pardoned_until = kNever;  // this node was cut off when it called it failed, and asks anew
-    Nonce asked_as;                  // since then
+    Nonce asked_as;                  // when it was last told or asked
   };
   using Entries = std::map<std::string, Entry, std::less<>>;
   struct Helped {
@@ -222,6 +223,7 @@
     due_ = now_ + interval_;  // the wake that is late comes in a moment
     probed_.clear();
     ++probe_turn_;
+    answers_ = 0;
     helped_.clear();
     health_ = std::min(health_ + 1, kMostHealth);
     for (auto& [name, e] : members_)
@@ -240,7 +242,7 @@
 
   // Sending.
 
-  From from() const { return {name_, me().start, me().address, digest(), static_cast<std::uint32_t>(well_)}; }
+  From from() const { return {name_, me().start, me().address, digest(), weight()}; }
 
   void send(const Address& to, Writer& writer, bool owed) {
     const std::string_view bytes = writer.done();
@@ -440,7 +442,8 @@
     Entry& e = members_.find(name)->second;
     if (!at_once && e.told_at != kNever && now_ - e.told_at < interval_) return;
     e.told_at = now_;
-    if (!silent()) send_news(Kind::ping, e.facts.address, next_nonce(), name);
+    e.asked_as = next_nonce();
+    if (!silent()) send_news(Kind::ping, e.facts.address, e.asked_as, name);
   }
 
   void forget_old() {
@@ -531,6 +534,7 @@
   }
 
   void round_over() {
+    answers_ = static_cast<std::uint8_t>(answers_ << 1 | answered_);
     if (answered_ || probed_.empty()) return;
     const Probed p = probed_.back();
     const auto it = members_.find(p.name);
@@ -566,10 +570,17 @@
       helped_.erase(helped);
       return;
     }
-    if (const auto it = members_.find(from.name);
-        it != members_.end() && pardoned(it->second) && it->second.asked_as == nonce &&
-        it->second.facts.standing == Standing::failed && it->second.facts.start == from.start)
-      change(from.name, [&](Member& m) { m.standing = Standing::alive, m.by = from.name; });
+    if (const auto it = members_.find(from.name); it != members_.end() && it->second.asked_as == nonce &&
+                                                  it->second.facts.standing == Standing::failed &&
+                                                  it->second.facts.start == from.start) {
+      // Whom this node calls failed answers just now, from a larger part.
+      if (!pardoned(it->second) && !outweighs(from)) {
+        pardon();
+        start_anew(me().start);
+      }
+      if (pardoned(it->second))
+        change(from.name, [&](Member& m) { m.standing = Standing::alive, m.by = from.name; });
+    }
     sender_is(from);
     const auto probed =
         std::find_if(probed_.begin(), probed_.end(), [&](const Probed& p) { return p.nonce == nonce; });
@@ -773,14 +784,10 @@
     if (w.start == m.start && w.address == m.address) {
       if (w.standing == Standing::failed || w.standing == Standing::left) {
         if (m.standing == Standing::leaving) return;
-        // Both parts of a fleet that was cut have failed each other: the smaller one yields, so that a node
-        // that was cut off alone does not make all others start anew.
-        const auto sender = members_.find(from.name);
-        const bool mutual = sender != members_.end() && sender->second.facts.standing == Standing::failed &&
-                            sender->second.facts.start >= from.start;
-        if (mutual && std::pair(well_, digest()) > std::pair(std::size_t{from.well}, from.digest)) return;
+        // The smaller part yields, so that one node that was cut off does not make all others start anew.
+        if (outweighs(from)) return;
         health_ = std::min(health_ + 1, kMostHealth);
-        if (mutual) pardon();
+        pardon();
         start_anew(w.start);
       } else if (w.word > m.word || (w.standing == Standing::suspected && w.word == m.word)) {
         if (m.standing == Standing::joining) return;
@@ -815,6 +822,15 @@
     }
   }
 
+  // How much this node's verdicts are worth: members that it holds to be well, as far as its own last probes
+  // were answered.
+  std::uint32_t weight() const {
+    return static_cast<std::uint32_t>(well_) * static_cast<std::uint32_t>(std::popcount(answers_));
+  }
+  bool outweighs(const From& other) const {
+    return std::pair(weight(), digest()) > std::pair(other.weight, other.digest);
+  }
+
   bool pardoned(const Entry& e) const { return e.pardoned_until > now_; }
 
   void ask_or_tell(std::string_view name, bool at_once) {
@@ -907,8 +923,7 @@
     if (silent() || !joined()) return;
     std::vector<Word> words;
     for (const auto& [name, e] : members_) {
-      if (e.facts.standing == Standing::left || e.facts.standing == Standing::joining || pardoned(e))
-        continue;
+      if (e.facts.standing == Standing::joining || pardoned(e)) continue;
       if (digests[bucket(name)] != buckets_[bucket(name)]) words.push_back(word_of(name, e.facts));
     }
     std::uint64_t mine[kBuckets];
@@ -993,6 +1008,7 @@
   FadingMean round_trip_;           // seconds
   std::vector<std::string> nacks_;  // helpers that could not reach whom this node probes
   int health_ = 0, claim_tries_ = 0;
+  std::uint8_t answers_ = 0;  // of the last eight probes, a bit each
   bool answered_ = false, news_due_ = false, doubts_due_ = false, silent_ = false;
   bool claiming_ = false, rival_ = false;
   Address rival_at_, came_from_;
