--- a/src/lab/rig_loopback.cpp
+++ b/src/lab/rig_loopback.cpp
@@ -4,6 +4,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <csignal>
 #include <fstream>
 #include <stdexcept>
@@ -16,11 +17,14 @@
 
 using namespace std::chrono_literals;
 
+std::atomic<unsigned> runs{0};
+
 constexpr std::uint16_t kHears = 7946, kRelayed = 7947, kServes = 8081, kOnlooks = 7948;
 
-// Each run has addresses of its own, so that two at a time don't meet.
-Address loopback(unsigned n, std::uint16_t port) {
+// Each run has addresses of its own, so that two at a time don't meet, in one process or in two.
+Address loopback(unsigned block, unsigned of, std::uint16_t port) {
   const auto pid = static_cast<unsigned>(getpid());
+  const unsigned n = block * 128 + of;
   Address out;
   out.bytes = {127, static_cast<std::uint8_t>(64 + pid % 128),
                static_cast<std::uint8_t>((pid / 128 + n / 250) % 256),
@@ -103,7 +107,8 @@
 
 RigLoopback::RigLoopback(std::vector<std::string> program, std::string folder, unsigned nodes,
                          Micros interval, std::uint64_t seed)
-    : nodes_(nodes),
+    : block_(runs++),
+      nodes_(nodes),
       interval_(interval),
       program_(std::move(program)),
       folder_(std::move(folder)),
@@ -117,10 +122,16 @@
   while (!processes_.empty()) kill(processes_.begin()->first);
 }
 
-Address RigLoopback::hears_at(RigPlace at) const { return loopback(at.address * nodes_ + at.node, kHears); }
-Address RigLoopback::told_at(RigPlace at) const { return loopback(at.address * nodes_ + at.node, kRelayed); }
-Address RigLoopback::serves_at(RigPlace at) const { return loopback(at.address * nodes_ + at.node, kServes); }
-Address RigLoopback::onlooker_at() const { return loopback(0, kOnlooks); }
+Address RigLoopback::hears_at(RigPlace at) const {
+  return loopback(block_, 1 + at.address * nodes_ + at.node, kHears);
+}
+Address RigLoopback::told_at(RigPlace at) const {
+  return loopback(block_, 1 + at.address * nodes_ + at.node, kRelayed);
+}
+Address RigLoopback::serves_at(RigPlace at) const {
+  return loopback(block_, 1 + at.address * nodes_ + at.node, kServes);
+}
+Address RigLoopback::onlooker_at() const { return loopback(block_, 0, kOnlooks); }
 
 void RigLoopback::run_until(Micros end) {
   while (now() < end) {
--- a/src/lab/rig_loopback.h
+++ b/src/lab/rig_loopback.h
@@ -46,7 +46,7 @@
   Address told_at(RigPlace at) const;
   Address serves_at(RigPlace at) const;
 
-  unsigned nodes_;
+  unsigned block_, nodes_;
   Micros interval_;
   std::vector<std::string> program_;
   std::string folder_;
--- a/src/lab/rig_plan.cpp
+++ b/src/lab/rig_plan.cpp
@@ -43,6 +43,15 @@
 
 namespace {
 
+// What a variant may set as well.
+void scale(Fields& f, RigPlan& plan) {
+  plan.nodes = f.count("nodes", plan.nodes, 1, 2000);
+  plan.at_once = f.count("at_once", plan.at_once, 0, 16);
+  plan.starts = f.time("starts", plan.starts, 100ms);
+  plan.quiet = f.time("quiet", plan.quiet);
+  plan.settles = f.time("settles", plan.settles, 1s);
+}
+
 RigPlan read(const toml::table& whole, const std::string& path, const std::string& variant) {
   RigPlan out;
   Fields top(whole, "", path);
@@ -50,28 +59,25 @@
   out.name = top.word("name", "");
   if (out.name.empty()) top.bad("name", "is missing");
   out.about = top.word("about", "");
-  out.nodes = top.count("nodes", 9, 1, 2000);
   out.seeds = top.count("seeds", 2, 1, 16);
-  out.at_once = top.count("at_once", 2, 0, 16);
   out.interval = top.time("interval", 300ms, 50ms);
-  out.starts = top.time("starts", 4s, 100ms);
-  out.quiet = top.time("quiet", 6s);
-  out.settles = top.time("settles", 12s, 1s);
   out.forgets = top.time("forgets", 60min, 1min);
+  scale(top, out);
+  RigPlan changed = out;
   bool found = variant.empty();
   for (Fields& v : top.tables("variant")) {
     const std::string name = v.word("name", "");
     out.variants.push_back(name);
     const bool chosen = name == variant;
     found = found || chosen;
-    const unsigned nodes = v.count("nodes", out.nodes, 1, 2000),
-                   at_once = v.count("at_once", out.at_once, 0, 16);
+    RigPlan with = out;
+    scale(v, with);
     v.done();
-    if (!chosen) continue;
-    out.nodes = nodes;
-    out.at_once = at_once;
+    if (chosen) changed = with;
   }
   if (!found) throw BadFile(path + ":1: variant: there is no variant '" + variant + "'");
+  changed.variants = out.variants;
+  out = changed;
   std::vector<std::string> kinds;
   for (const RigKind& k : rig_kinds()) kinds.emplace_back(k.name);
   for (Fields& f : top.tables("trouble")) {
--- a/src/lab/rig_plan.h
+++ b/src/lab/rig_plan.h
@@ -34,7 +34,7 @@
 
   std::string name, about;
   unsigned nodes = 9, seeds = 2, at_once = 2;
-  Micros interval, starts, quiet, settles, forgets;
+  Micros interval{0}, starts{4'000'000}, quiet{6'000'000}, settles{12'000'000}, forgets{0};
   std::vector<RigTrouble> troubles;
   std::vector<std::string> variants;
 };
--- a/src/members/datagram.cpp
+++ b/src/members/datagram.cpp
@@ -303,9 +303,13 @@
   return append({out.data(), out.size()});
 }
 
+void seal(std::string& bytes) {
+  const std::uint32_t sum = checksum(bytes);
+  std::memcpy(bytes.data() + 4, &sum, sizeof sum);
+}
+
 std::string_view Writer::done() {
-  const std::uint32_t sum = checksum(bytes_);
-  std::memcpy(bytes_.data() + 4, &sum, sizeof sum);
+  seal(bytes_);
   return bytes_;
 }
 
--- a/src/members/datagram.h
+++ b/src/members/datagram.h
@@ -53,6 +53,9 @@
 // All of it is looked through before the first call. An empty fleet: any.
 Wrong decode(std::string_view bytes, std::string_view fleet, Hearer& hearer);
 
+// Writes the checksum of the rest into a datagram's head.
+void seal(std::string& bytes);
+
 // Puts one datagram together.
 class Writer {
  public:
--- a/tests/flaws.cmake
+++ b/tests/flaws.cmake
@@ -69,3 +69,22 @@
   "if (!proven) s->ran(" "if (proven) s->ran(")
 flintweir_flaw(silence-borne lost_machines ended src/line/relay.cpp
   "kSilence = 4s" "kSilence = 40s")
+
+# The fleet's own view.
+flintweir_flaw(views-never-exchanged members view-settled src/members/view.cpp
+  "if (from.digest != digest() && joined()" "if (from.digest == digest() && joined()")
+flintweir_flaw(verdict-at-once members view-false src/members/view.cpp
+  "kLeastDoubt = 4;" "kLeastDoubt = 0;")
+flintweir_flaw(larger-part-yields members view-false src/members/view.cpp
+  "if (outweighs(from)) return;" "")
+flintweir_flaw(verdict-never members view-ghost src/members/view.cpp
+  "kLeastDoubt = 4;" "kLeastDoubt = 4000;")
+flintweir_flaw(dead-raised members view-back src/members/view.cpp
+  "    if (final_for_start(m.standing)) {" "    if (final_for_start(m.standing) && w.standing != Standing::alive) {"
+  "        if (w.word > m.word) newer(w.name, w);" "        newer(w.name, w);")
+flintweir_flaw(start-goes-back members view-back src/members/view.cpp
+  "    if (w.start < m.start) return;" "    if (w.start < m.start) return newer(w.name, w);")
+flintweir_flaw(news-without-end members view-bound src/members/view.cpp
+  "kNewsParts = 3;" "kNewsParts = 100;"
+  "      --e.sends;" ""
+  "kBytesPerSecond = 64 << 10" "kBytesPerSecond = 64 << 20" "kBytesKept = 16 << 10" "kBytesKept = 16 << 20")
--- /dev/null
+++ b/tests/members_test.cpp
@@ -0,0 +1,195 @@
+// The fleet's own view: its datagrams and the operator's file by themselves, the view by seed in virtual
+// time, and several processes of the program with faults between them.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include "lab/rig.h"
+#include "members/datagram.h"
+#include "setup/operator.h"
+
+namespace flintweir {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Counts what it hears, and takes in all of it.
+struct Counting final : members::Hearer {
+  std::size_t words = 0, calls = 0, bytes = 0;
+  void word_came(const members::From&, const members::Word& w) override {
+    ++words;
+    for (const std::string_view t : {w.name, w.zone, w.version, w.note, w.by}) bytes += t.size();
+  }
+  void age_came(Micros) override {}
+  void ping_came(const members::From&, members::Nonce) override { ++calls; }
+  void ack_came(const members::From&, members::Nonce) override { ++calls; }
+  void nack_came(const members::From&, members::Nonce) override { ++calls; }
+  void ask_came(const members::From&, members::Nonce, std::string_view, const Address&) override { ++calls; }
+  void sync_came(const members::From&, bool, std::span<const std::uint64_t, members::kBuckets>) override {
+    ++calls;
+  }
+  void claim_came(const members::From&, Micros) override { ++calls; }
+  void query_came(members::Nonce, std::string_view) override { ++calls; }
+  void page_came(const members::From&, members::Nonce, bool) override { ++calls; }
+};
+
+std::string datagram(members::Kind kind, std::knuth_b& chance) {
+  const Address at = *address_of("127.0.0.1:7946");
+  const members::From from{kind == members::Kind::query ? "" : "n1", members::Start{chance()}, at, chance(),
+                           3};
+  members::Writer w(kind, "lab", from, members::Nonce{chance()});
+  const std::array<std::uint64_t, members::kBuckets> digests{};
+  if (kind == members::Kind::ask) w.ask("n2", at);
+  if (kind == members::Kind::sync) w.sync(false, digests);
+  if (kind == members::Kind::claim) w.claim(5s);
+  if (kind == members::Kind::query) w.query("n2");
+  if (kind == members::Kind::page) w.page(true);
+  for (std::size_t i = chance() % 12; i > 0; --i)
+    w.add({"n3", members::Start{chance()}, 1, members::Standing::suspected, at, "east", "1.0", "note", "n4"});
+  return std::string(w.done());
+}
+
+// Each kind comes back as it was said; one byte changed anywhere, or a byte less, and nothing of it is heard.
+TEST(Datagrams, AreHeardWholeOrNotAtAll) {
+  std::knuth_b chance(7);
+  for (int round = 0; round < 2000; ++round) {
+    const auto kind = static_cast<members::Kind>(1 + chance() % 9);
+    const std::string good = datagram(kind, chance);
+    ASSERT_LE(good.size(), members::kLongestDatagram);
+    Counting heard;
+    ASSERT_EQ(decode(good, "lab", heard), members::Wrong::none);
+    EXPECT_EQ(heard.calls, kind == members::Kind::news ? 0u : 1u);
+    if (kind != members::Kind::query) {
+      EXPECT_EQ(decode(good, "other", heard), members::Wrong::fleet);
+    }
+    std::string bad = good;
+    if (chance() % 2)
+      bad.resize(chance() % bad.size());
+    else
+      bad[chance() % bad.size()] ^= static_cast<char>(1 + chance() % 255);
+    Counting silent;
+    EXPECT_NE(decode(bad, "lab", silent), members::Wrong::none);
+    EXPECT_EQ(silent.calls + silent.words, 0u);
+  }
+}
+
+// Rubbish behind a right checksum, as a careless peer would send: malformed ones are turned away, no field of
+// what is heard is over its length. The sanitizers watch.
+TEST(Datagrams, BearRubbishWithARightChecksum) {
+  std::knuth_b chance(11);
+  std::size_t heard_some = 0;
+  for (int round = 0; round < 40000; ++round) {
+    std::string bytes = datagram(static_cast<members::Kind>(1 + chance() % 9), chance);
+    for (std::size_t n = chance() % 4; n > 0; --n)
+      bytes[12 + chance() % (bytes.size() - 12)] = static_cast<char>(chance());
+    if (chance() % 4 == 0) bytes.resize(12 + chance() % (bytes.size() - 12));
+    members::seal(bytes);
+    Counting heard;
+    heard_some += decode(bytes, "lab", heard) == members::Wrong::none;
+    EXPECT_LE(heard.words, 64u);
+    EXPECT_LE(heard.bytes, heard.words * 400);
+  }
+  EXPECT_GT(heard_some, 100u);  // else nothing but the checksum was looked at
+}
+
+TEST(OperatorFile, IsTakenAsWritten) {
+  std::vector<std::string> wrong;
+  const auto file = setup::OperatorFile::of_text(
+      "[fleet]\nname = \"classroom\"\naddress = \"127.0.0.1:7946\"\nzone = \"east\"\ninterval = \"200ms\"\n"
+      "seeds = [\"127.0.0.2:7946\", \"127.0.0.3:7946\"]\n",
+      "f", wrong);
+  ASSERT_TRUE(wrong.empty()) << wrong.front();
+  ASSERT_TRUE(file.fleet);
+  EXPECT_EQ(file.fleet->told, file.fleet->address);
+  EXPECT_EQ(file.fleet->seeds.size(), 2u);
+  EXPECT_EQ(file.fleet->interval, 200ms);
+  EXPECT_FALSE(setup::OperatorFile::of_text("", "f", wrong).fleet);
+}
+
+// All faults at once, each with its place and what is allowed.
+TEST(OperatorFile, SaysAllThatIsWrong) {
+  std::vector<std::string> wrong;
+  setup::OperatorFile::of_text(
+      "[fleet]\nname = \"a b\"\naddress = \"here\"\nseedz = []\ninterval = \"300\"\nmost = 0\n[other]\n", "f",
+      wrong);
+  std::sort(wrong.begin(), wrong.end());
+  ASSERT_EQ(wrong.size(), 6u);
+  const char* const begin[] = {"f:2:8: fleet.name: ",
+                               "f:3:11: fleet.address: ",
+                               "f:4:1: fleet.seedz: unknown; did you mean 'seeds'?",
+                               "f:5:12: fleet.interval: has to be a time with its unit",
+                               "f:6:8: fleet.most: ",
+                               "f:7:2: other: unknown"};
+  for (std::size_t i = 0; i < wrong.size(); ++i) EXPECT_TRUE(wrong[i].starts_with(begin[i])) << wrong[i];
+  wrong.clear();
+  setup::OperatorFile::of_text("[fleet]\nname = \"a\"\nname = \"b\"\n", "f", wrong);
+  ASSERT_EQ(wrong.size(), 1u);
+  EXPECT_TRUE(wrong[0].starts_with("f:3:")) << wrong[0];
+}
+
+std::string experiment() { return std::string(FLINTWEIR_EXPERIMENTS) + "/members.toml"; }
+
+std::string text(const lab::RigOutcome& out) {
+  std::string text;
+  for (const std::string& t : out.troubles) text += t + ' ';
+  for (const lab::RigBroken& b : out.broken)
+    text +=
+        std::string("\n") + name_of(b.rule) + " at " + std::to_string(b.at.count() / 1000) + " ms: " + b.what;
+  return text;
+}
+
+// Every trouble of the mix by itself and by twos, in virtual time.
+TEST(View, KeepsItsRulesBySeed) {
+  const lab::RigPlan nine = lab::RigPlan::of_file(experiment()),
+                     thirty = lab::RigPlan::of_file(experiment(), "thirty");
+  for (std::uint64_t seed = 1; seed <= FLINTWEIR_LAB_SEEDS; ++seed) {
+    const lab::RigOutcome out = lab::run_rig_virtual(seed % 10 ? nine : thirty, seed);
+    EXPECT_TRUE(out.broken.empty()) << "seed " << seed << ": " << text(out);
+    EXPECT_TRUE(out.joined);
+    EXPECT_TRUE(out.settled);
+  }
+}
+
+TEST(View, IsTheSameToTheByteForTheSameSeed) {
+  const lab::RigPlan plan = lab::RigPlan::of_file(experiment());
+  std::string logs[2];
+  for (std::string& log : logs) lab::run_rig_virtual(plan, 5, "", &log);
+  EXPECT_FALSE(logs[0].empty());
+  EXPECT_EQ(logs[0], logs[1]);
+}
+
+// Nine processes of the program, one kind of trouble each, eight fleets at a time.
+TEST(Processes, HoldOneViewOfWhoeverRuns) {
+  const lab::RigPlan plan = lab::RigPlan::of_file(experiment(), "processes");
+  const std::vector<std::string> kinds = {
+      "crash-half", "crash-back", "moved",         "leave", "pause",   "halves",  "cut-flaps", "cut-moved",
+      "deaf",       "loss-20",    "fails-returns", "slow",  "mangled", "rubbish", "reload",    "same-name"};
+  std::atomic<std::size_t> next{0};
+  std::mutex mutex;
+  const auto folder =
+      std::filesystem::temp_directory_path() / ("flintweir-members-" + std::to_string(getpid()));
+  const auto work = [&] {
+    for (std::size_t i; (i = next++) < kinds.size();) {
+      const auto own = folder / kinds[i];
+      std::filesystem::create_directories(own);
+      const lab::RigOutcome out = lab::run_rig_real(plan, 3 + i, kinds[i], {FLINTWEIR_PROGRAM}, own.string());
+      const std::lock_guard lock(mutex);
+      EXPECT_TRUE(out.broken.empty()) << kinds[i] << ": " << text(out);
+      EXPECT_TRUE(out.joined) << kinds[i];
+      EXPECT_GT(out.looks, 100u) << kinds[i];
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 8; ++i) threads.emplace_back(work);
+  for (std::thread& t : threads) t.join();
+  std::filesystem::remove_all(folder);
+}
+
+}  // namespace
+}  // namespace flintweir
