Learn each member's own round trip; bare questions where much is to be said; show views from a budget of their own

Seen at 300 nodes: with a third of them 400 ms away some that ran were called failed, and with half of them killed the rest gave no view for seconds. Causes: a probe waited twice the mean trip over all members, too short for those far away, and late answers taught nothing; questions and answers carried 1,200 bytes of news each until the node's bytes were used up, and answers to onlookers came out of the same bytes.

--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -197,6 +197,7 @@
     Micros told_at = kNever;         // that it is called failed
     Micros pardoned_until = kNever;  // this node was cut off when it called it failed, and asks anew
     Nonce asked_as;                  // when it was last told or asked
+    FadingMean trip;                 // there and back, in seconds
   };
   using Entries = std::map<std::string, Entry, std::less<>>;
   using News = Entries::value_type;
@@ -218,6 +219,7 @@
 
   void tick() {
     bytes_left_ = std::min(kBytesKept, bytes_left_ + kBytesPerSecond * seconds(now_ - refill_at_));
+    shown_left_ = std::min(kBytesKept, shown_left_ + kBytesPerSecond * seconds(now_ - refill_at_));
     refill_at_ = now_;
   }
 
@@ -246,6 +248,14 @@
 
   From from() const { return {name_, me().start, me().address, digest(), weight(), false}; }
 
+  // For whoever looks on, out of a part of its own: neither takes from the other.
+  void show(Writer& writer) {
+    const std::string_view bytes = writer.done();
+    if (shown_left_ < 0) return;
+    shown_left_ -= static_cast<double>(bytes.size());
+    outlet_.send(came_from_, bytes);
+  }
+
   void send(const Address& to, Writer& writer, bool owed) {
     const std::string_view bytes = writer.done();
     // What is not owed leaves a quarter for what is.
@@ -268,6 +278,8 @@
     Writer writer(kind, fleet_, from(), nonce);
     if (const auto it = members_.find(first); it != members_.end())
       writer.add(word_of(first, it->second.facts));
+    // Where much has to be said, questions and answers go out bare rather than not at all.
+    if (kind != Kind::news && bytes_left_ < kBytesKept / 2) return send(to, writer, true);
     // Those least spread first.
     const auto fits = news_.begin() + static_cast<std::ptrdiff_t>(std::min(news_.size(), kWordsAtMost));
     std::partial_sort(news_.begin(), fits, news_.end(),
@@ -485,13 +497,11 @@
   // Probes.
 
   void probe() {
-    const Micros usual{static_cast<std::int64_t>(round_trip_.or_else(0) * 2e6)};
+    const std::string* const next = silent() ? nullptr : next_to_probe();
     const Micros least = interval_ * (1 + health_) / 3;
-    const Micros direct = std::clamp(usual, least, std::max(least, interval_ * kLongestTrip));
+    const Micros direct = std::max(least, next ? usual_trip(members_.find(*next)->second) : 0us);
     const Micros over = std::max(direct * 2, least * 27 / 10);
     wake(std::max(jittered(least * 3, 0.1), over * 11 / 10), Due::probe);
-    if (silent()) return;
-    const std::string* const next = next_to_probe();
     if (!next) return;
     const Entry& e = members_.find(*next)->second;
     Probed probed{next_nonce(), *next, e.facts.start, now_};
@@ -506,6 +516,12 @@
     wake(over, Due::round_over, probe_turn_);
   }
 
+  // An answer may take so long: twice what is usual there, or with anybody.
+  Micros usual_trip(const Entry& e) const {
+    const double there = std::max(round_trip_.or_else(0), e.trip.or_else(0));
+    return std::min(Micros{static_cast<std::int64_t>(there * 2e6)}, interval_ * kLongestTrip);
+  }
+
   // Each in turn, in an order drawn anew when all have had theirs; those of whom a suspicion was heard first.
   const std::string* next_to_probe() {
     while (!look_at_.empty()) {
@@ -593,7 +609,12 @@
     const auto probed =
         std::find_if(probed_.begin(), probed_.end(), [&](const Probed& p) { return p.nonce == nonce; });
     if (probed != probed_.end()) {
-      if (from.name == probed->name) round_trip_.add(seconds(now_ - probed->at), 0.8);
+      if (from.name == probed->name) {
+        round_trip_.add(seconds(now_ - probed->at), 0.8);
+        // Also an answer that comes too late tells how long this one takes.
+        if (const auto it = members_.find(from.name); it != members_.end())
+          it->second.trip.add(seconds(now_ - probed->at), 0.5);
+      }
       if (probed->nonce == probed_.back().nonce && !std::exchange(answered_, true))
         health_ = std::max(health_ - 1, 0);
     }
@@ -612,7 +633,8 @@
     helped_[own.value] = {nonce, from.address};
     const auto it = members_.find(whom);
     send_news(Kind::ping, at, own, it == members_.end() ? std::string_view() : whom);
-    wake(interval_ / 2, Due::helped, own.value);
+    const Micros usual = it == members_.end() ? 0us : usual_trip(it->second);
+    wake(std::max(interval_ / 2, usual), Due::helped, own.value);
   }
 
   void help_over(Nonce own) {
@@ -971,12 +993,12 @@
       if (end->second.facts.standing == Standing::left) continue;
       if (!tried.add(shown(end->first, end->second), now_ - end->second.facts.since)) break;
     }
-    if (end == members_.end()) return send(came_from_, tried, true);
+    if (end == members_.end()) return show(tried);
     writer.page(false);
     for (; it != end; ++it)
       if (it->second.facts.standing != Standing::left)
         writer.add(shown(it->first, it->second), now_ - it->second.facts.since);
-    send(came_from_, writer, true);
+    show(writer);
   }
   void page_came(const From&, Nonce, bool) override {}
   void age_came(Micros) override {}
@@ -1023,7 +1045,7 @@
   Start highest_rival_;
   Micros now_{0}, began_ = kNever, due_ = Micros::max(), refill_at_{0}, seed_pause_{0}, synced_at_{0},
                   rival_heard_{0}, joined_at_{0}, complained_at_ = kNever;
-  double bytes_left_ = kBytesKept;
+  double bytes_left_ = kBytesKept, shown_left_ = kBytesKept;
   Counts counts_;
 };
 
