--- a/src/lab/rig.cpp
+++ b/src/lab/rig.cpp
@@ -119,7 +119,7 @@
     bool up = false;
     std::optional<RigPlace> double_at;  // another process of its name
     bool frozen = false;
-    Micros heard_from{0};
+    Micros heard_from{0}, started{0};
   };
 
   Micros part(Micros of) {
@@ -156,7 +156,7 @@
     Unit& u = units_[i];
     if (u.up) return;
     u.up = true;
-    u.heard_from = stage_.now();
+    u.heard_from = u.started = stage_.now();
     checker_.up(u.name, stage_.now());
     stage_.start(u.at, u.name, seeds_);
   }
@@ -388,7 +388,8 @@
         checker_.unanswered(u.name, "has given no view for seconds", now);
         u.heard_from = now;
       }
-      if (round / parts % 10 == no / parts % 10 && now - began_ > plan_.starts) {
+      // Not while it may still be starting, on a busy machine.
+      if (round / parts % 10 == no / parts % 10 && now - u.started > plan_.starts) {
         stage_.knock(u.at, [this, no, at = u.at](bool well) {
           const Unit& unit = units_[no];
           if (!well && unit.up && unit.at == at && !unit.frozen)
