Call off a round of seeds when a later one is asked for; test the tool's exit statuses

Each claim on a name that was over began one more chain of seed rounds beside the first, for ever (View::claim_over). Rounds now carry a turn.

--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -35,7 +35,7 @@
 constexpr double kLookers = 6;       // members that look for themselves at once when they hear a suspicion
 constexpr std::size_t kNewsTo = 3;   // members that a round of news goes to
 constexpr int kSpreadLeast = 3;  // each word is sent so often, and once more for each doubling of the fleet
-constexpr std::size_t kWordsAtMost = 24;  // more never fit into one datagram
+constexpr std::size_t kWordsAtMost = 40;  // more never fit into one datagram
 constexpr int kMostHealth = 4;  // of one's own bad health: intervals and waits grow by as many times
 constexpr std::size_t kSyncDatagrams = 4;  // of words, in answer to one digest
 constexpr std::size_t kMostHelped = 64;    // questions on others' behalf that are out at a time
@@ -131,7 +131,8 @@
       case Due::dead:
         return ask_dead();
       case Due::seeds:
-        return ask_seeds();
+        if (turn == seed_turn_) ask_seeds();
+        return;
       case Due::alone:
         if (me().standing == Standing::joining && !claiming_ && !rival_) join("no seed answers");
         return;
@@ -436,7 +437,7 @@
     const Micros most = std::max(interval_ * kSeedMost, interval_ * fleet / 4);
     seed_pause_ = std::min(seed_pause_ == Micros{0} ? interval_ * kSeedFirst : seed_pause_ * 3 / 2, most);
     if (!missing) seed_pause_ = interval_ * kSeedMost;
-    wake(jittered(seed_pause_, 0.3), Due::seeds);
+    wake(jittered(seed_pause_, 0.3), Due::seeds, ++seed_turn_);  // a round before it is called off
   }
 
   bool known_at(const Address& at) const {
@@ -1033,7 +1034,7 @@
   std::string looked_at_;
   std::size_t next_ = 0;
   std::deque<Probed> probed_;  // lately, the present one last
-  std::uint64_t probe_turn_ = 0, claim_turn_ = 0, nonces_ = 0;
+  std::uint64_t probe_turn_ = 0, seed_turn_ = 0, claim_turn_ = 0, nonces_ = 0;
   std::map<std::uint64_t, Helped> helped_;
   FadingMean round_trip_;           // seconds
   std::vector<std::string> nacks_;  // helpers that could not reach whom this node probes
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <mutex>
@@ -133,6 +134,26 @@
   EXPECT_TRUE(wrong[0].starts_with("f:3:")) << wrong[0];
 }
 
+int status_of(const std::string& words) {
+  return WEXITSTATUS(
+      std::system((std::string(FLINTWEIR_PROGRAM) + ' ' + words + " >/dev/null 2>&1").c_str()));
+}
+
+TEST(Tool, TellsByItsStatus) {
+  EXPECT_EQ(status_of("members --at 127.0.0.1:9"), 3);  // nobody answers there
+  EXPECT_EQ(status_of("members"), 2);
+  EXPECT_EQ(status_of("members --at here"), 2);
+  const auto file =
+      std::filesystem::temp_directory_path() / ("flintweir-operator-" + std::to_string(getpid()));
+  for (const auto& [text, wanted] :
+       {std::pair("", 0), {"[fleet]\nname = \"a\"\naddress = \"127.0.0.1:7946\"\n", 0}, {"[flet]\n", 1}}) {
+    std::ofstream(file, std::ios::trunc) << text;
+    EXPECT_EQ(status_of("check --operator " + file.string()), wanted) << text;
+  }
+  std::filesystem::remove(file);
+  EXPECT_EQ(status_of("check --operator " + file.string()), 1);  // it is not there
+}
+
 std::string experiment() { return std::string(FLINTWEIR_EXPERIMENTS) + "/members.toml"; }
 
 std::string text(const lab::RigOutcome& out) {
