Reread: one place each for children, plain texts, telling the accused and the views' digests

Two stages of the lab started and ended processes in the same words: Child holds one (RAII). Three checks of a text fit for log lines are is_plain(); the one for a node's name was looser than what other nodes take, so that such a node was heard by nobody: it is refused at the start now. Telling the accused and asking the pardoned were one function twice; the asking one also sent from a node that stays out, which it no longer does. Leaving and entering the digest are one; the checker derives who was killed; members never read are gone.

--- a/src/lab/loopback_stage.cpp
+++ b/src/lab/loopback_stage.cpp
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -10,8 +9,6 @@
 #include <fstream>
 #include <stdexcept>
 
-#include "lab/spawn.h"
-
 namespace flintweir::lab {
 namespace {
 
@@ -39,10 +36,6 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-LoopbackStage::~LoopbackStage() {
-  while (!nodes_.empty()) kill_node(NodeNo{nodes_.begin()->first});
-}
-
 void LoopbackStage::run_until(Micros end) {
   constexpr Micros kTurn = 2ms;
   while (now() < end) {
@@ -89,35 +82,24 @@
   const std::string log = file(node) + ".log", path = file(node);
   std::vector<std::string> words = program_;
   words.insert(words.end(), {"serve", "--config", path});
-  nodes_[node.value] = spawn(std::move(words), log);
+  nodes_[node.value] = std::make_unique<Child>(std::move(words), log);
 }
 
-void LoopbackStage::kill_node(NodeNo node) {
-  const auto it = nodes_.find(node.value);
-  if (it == nodes_.end()) return;
-  if (it->second > 0) {
-    kill(it->second, SIGKILL);
-    waitpid(it->second, nullptr, 0);
-  }
-  nodes_.erase(it);
-}
+void LoopbackStage::kill_node(NodeNo node) { nodes_.erase(node.value); }
 
 void LoopbackStage::leave_node(NodeNo node) {
-  if (running(node)) kill(nodes_[node.value], SIGTERM);
+  if (running(node)) nodes_[node.value]->signal(SIGTERM);
 }
 
 void LoopbackStage::reload_node(NodeNo node, const std::string& config) {
   if (!running(node)) return;
   write(node, config);
-  kill(nodes_[node.value], SIGHUP);
+  nodes_[node.value]->signal(SIGHUP);
 }
 
 bool LoopbackStage::running(NodeNo node) {
   const auto it = nodes_.find(node.value);
-  if (it == nodes_.end() || it->second <= 0) return false;
-  if (waitpid(it->second, nullptr, WNOHANG) == 0) return true;
-  it->second = 0;
-  return false;
+  return it != nodes_.end() && it->second->running();
 }
 
 }  // namespace flintweir::lab
--- a/src/lab/loopback_stage.h
+++ b/src/lab/loopback_stage.h
@@ -2,11 +2,11 @@
 // of the real program. What it starts it ends.
 #pragma once
 
-#include <sys/types.h>
-
 #include <map>
+#include <memory>
 #include <vector>
 
+#include "lab/spawn.h"
 #include "lab/stage.h"
 #include "lab/timeline.h"
 #include "net/kernel_network.h"
@@ -17,7 +17,6 @@
  public:
   // `program` is run as `program serve --config FILE`; its log goes to FILE.log in `folder`.
   LoopbackStage(std::vector<std::string> program, std::string folder);
-  ~LoopbackStage() override;
 
   Micros now() const override { return clock_.now(); }
   void at(Micros when, std::function<void()> act) override { timeline_.at(when, std::move(act)); }
@@ -46,7 +45,7 @@
   std::string folder_;
   std::vector<Address> addresses_;
   std::vector<std::unique_ptr<net::KernelNetwork>> networks_;
-  std::map<std::uint32_t, pid_t> nodes_;
+  std::map<std::uint32_t, std::unique_ptr<Child>> nodes_;
 };
 
 }  // namespace flintweir::lab
--- a/src/lab/rig.cpp
+++ b/src/lab/rig.cpp
@@ -117,7 +117,6 @@
     std::string name;
     RigPlace at;
     bool up = false;
-    std::optional<RigPlace> double_at;  // another process of its name
     bool frozen = false;
     Micros heard_from{0}, started{0};
   };
@@ -332,7 +331,6 @@
       for (const unsigned i : some(0, 1)) {
         // A verdict on the younger one must not hurt the elder.
         const RigPlace there{i, 2};
-        units_[i].double_at = there;
         checker_.may_be_failed(units_[i].name);  // it takes a later start than the younger one's
         stage_.start(there, units_[i].name, seeds_);
         after(t.lasts, [this, there] { stage_.kill(there); });
--- a/src/lab/rig_checker.cpp
+++ b/src/lab/rig_checker.cpp
@@ -26,7 +26,6 @@
     : interval_(interval), broken_(std::move(broken)) {}
 
 void RigChecker::up(const std::string& name, Micros now) {
-  killed_.erase(name);
   ++changes_;
   running_[name] = Running();
   running_[name].from = now;
@@ -36,7 +35,7 @@
 void RigChecker::down(const std::string& name, Micros now) {
   ++changes_;
   running_.erase(name);
-  killed_[name] = down_[name] = now;
+  down_[name] = now;
 }
 
 void RigChecker::paused(const std::string& name, bool on, Micros now) {
@@ -60,6 +59,7 @@
     const bool fresh = !r.holds.contains(row.name);
     Last& last = r.holds[row.name];
     const std::string who = name + " of " + row.name;
+    const bool runs = running_.contains(row.name);
     if (lives(row.standing)) r.listed.insert(row.name);
     if (row.name == name && row.standing != Standing::joining) {
       // What it says of itself: later at each start, and the same while nobody could call it failed.
@@ -82,20 +82,18 @@
         broken(RigRule::back, now, who + ": an earlier word");
     }
     if (lives(row.standing) && last.dead.value != 0 && row.start <= last.dead)
-      broken(killed_.contains(row.name) ? RigRule::ghost : RigRule::back, now,
-             who + ": alive again by the start that had failed");
+      broken(runs ? RigRule::back : RigRule::ghost, now, who + ": alive again by the start that had failed");
     if (row.standing == Standing::failed) {
       last.dead = std::max(last.dead, row.start);
-      if (!accuses_.contains(name) && !accused_.contains(row.name) && running_.contains(row.name))
+      if (!accuses_.contains(name) && !accused_.contains(row.name) && runs)
         broken(RigRule::falsely, now, who + ": called failed");
     }
-    if (const auto killed = killed_.find(row.name);
-        killed != killed_.end() && lives(row.standing) && !accuses_.contains(name) &&
-        now - std::max(killed->second, r.from) > interval_ * kGhostFor)
+    if (const auto ended = down_.find(row.name);
+        !runs && ended != down_.end() && lives(row.standing) && !accuses_.contains(name) &&
+        now - std::max(ended->second, r.from) > interval_ * kGhostFor)
       broken(RigRule::ghost, now, who + ": still " + members::name_of(row.standing));
     last.start = row.start;
     last.word = row.word;
-    last.standing = row.standing;
   }
   const bool exact =
       r.listed.size() == running_.size() &&
--- a/src/lab/rig_checker.h
+++ b/src/lab/rig_checker.h
@@ -58,7 +58,6 @@
   struct Last {
     members::Start start;
     std::uint32_t word = 0;
-    members::Standing standing = members::Standing::alive;
     members::Start dead;  // the latest start that was called failed
   };
   struct Running {
@@ -78,7 +77,7 @@
   Micros interval_;
   std::function<void(const RigBroken&)> broken_;
   std::map<std::string, Running> running_;
-  std::map<std::string, Micros> killed_, down_;
+  std::map<std::string, Micros> down_;                              // the last end of each name
   std::map<std::string, members::Start> first_start_, last_start_;  // by what they say of themselves
   std::set<std::string> accused_, accuses_;
   std::uint64_t changes_ = 1;  // of whoever runs
--- a/src/lab/rig_loopback.cpp
+++ b/src/lab/rig_loopback.cpp
@@ -1,7 +1,5 @@
 #include "lab/rig_loopback.h"
 
-#include <fcntl.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -9,7 +7,6 @@
 #include <fstream>
 #include <stdexcept>
 
-#include "lab/spawn.h"
 #include "members/datagram.h"
 
 namespace flintweir::lab {
@@ -118,9 +115,7 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-RigLoopback::~RigLoopback() {
-  while (!processes_.empty()) kill(processes_.begin()->first);
-}
+RigLoopback::~RigLoopback() = default;
 
 Address RigLoopback::hears_at(RigPlace at) const {
   return loopback(block_, 1 + at.address * nodes_ + at.node, kHears);
@@ -168,37 +163,27 @@
       << R"("overloadFactor":3.0,"tipAfter":1500000},"prices":{"probe":0.002},"reporting":{"fields":["util"]}}})";
   std::vector<std::string> words = program_;
   words.insert(words.end(), {"serve", "--config", file(at, ".json"), "--operator", file(at, ".toml")});
-  processes_[at] = spawn(words, file(at, ".log"));
+  processes_[at] = std::make_unique<Child>(std::move(words), file(at, ".log"));
 }
 
-void RigLoopback::kill(RigPlace at) {
-  const auto it = processes_.find(at);
-  if (it == processes_.end()) return;
-  ::kill(it->second, SIGKILL);
-  waitpid(it->second, nullptr, 0);
-  processes_.erase(it);
-}
+void RigLoopback::kill(RigPlace at) { processes_.erase(at); }
 
-void RigLoopback::leave(RigPlace at) {
-  if (running(at)) ::kill(processes_[at], SIGTERM);
+void RigLoopback::signal(RigPlace at, int number) {
+  if (const auto it = processes_.find(at); it != processes_.end()) it->second->signal(number);
 }
 
-void RigLoopback::freeze(RigPlace at, bool on) {
-  if (running(at)) ::kill(processes_[at], on ? SIGSTOP : SIGCONT);
-}
+void RigLoopback::leave(RigPlace at) { signal(at, SIGTERM); }
+void RigLoopback::freeze(RigPlace at, bool on) { signal(at, on ? SIGSTOP : SIGCONT); }
 
 void RigLoopback::reload(RigPlace at, const std::vector<RigPlace>& seeds) {
   if (!running(at)) return;
   write_operator(at, seeds);
-  ::kill(processes_[at], SIGHUP);
+  signal(at, SIGHUP);
 }
 
 bool RigLoopback::running(RigPlace at) {
   const auto it = processes_.find(at);
-  if (it == processes_.end()) return false;
-  if (waitpid(it->second, nullptr, WNOHANG) == 0) return true;
-  processes_.erase(it);
-  return false;
+  return it != processes_.end() && it->second->running();
 }
 
 void RigLoopback::knock(RigPlace at, std::function<void(bool)> answered) {
--- a/src/lab/rig_loopback.h
+++ b/src/lab/rig_loopback.h
@@ -3,13 +3,12 @@
 // sender's address on which way it is. What it starts it ends.
 #pragma once
 
-#include <sys/types.h>
-
 #include <map>
 #include <memory>
 #include <random>
 
 #include "lab/rig_stage.h"
+#include "lab/spawn.h"
 #include "lab/timeline.h"
 #include "net/kernel_network.h"
 
@@ -43,6 +42,7 @@
   class Knock;
   std::string file(RigPlace at, const char* ending) const;
   void write_operator(RigPlace at, const std::vector<RigPlace>& seeds) const;
+  void signal(RigPlace at, int number);
   Address told_at(RigPlace at) const;
   Address serves_at(RigPlace at) const;
 
@@ -58,7 +58,7 @@
   std::map<Address, RigPlace> senders_;
   std::map<RigPlace, std::unique_ptr<Relay>> relays_;
   std::vector<std::unique_ptr<Knock>> knocks_;
-  std::map<RigPlace, pid_t> processes_;
+  std::map<RigPlace, std::unique_ptr<Child>> processes_;
 };
 
 }  // namespace flintweir::lab
--- a/src/lab/spawn.cpp
+++ b/src/lab/spawn.cpp
@@ -1,21 +1,23 @@
 #include "lab/spawn.h"
 
 #include <fcntl.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <stdexcept>
 
 namespace flintweir::lab {
 
-pid_t spawn(std::vector<std::string> words, const std::string& log) {
+Child::Child(std::vector<std::string> words, const std::string& log) {
   const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   std::vector<char*> args;
   for (std::string& w : words) args.push_back(w.data());
   args.push_back(nullptr);
-  const pid_t pid = fork();
-  if (pid < 0) throw std::runtime_error("can't start a process");
-  if (pid == 0) {
+  pid_ = fork();
+  if (pid_ < 0) throw std::runtime_error("can't start a process");
+  if (pid_ == 0) {
     dup2(fd, 1);
     dup2(fd, 2);
     // The lab's own sockets are none of the program's: held there, they would stay open when the lab closes
@@ -27,7 +29,21 @@
     _exit(127);
   }
   if (fd >= 0) ::close(fd);
-  return pid;
+}
+
+Child::~Child() {
+  if (pid_ == 0) return;
+  kill(pid_, SIGKILL);
+  waitpid(pid_, nullptr, 0);
+}
+
+void Child::signal(int number) {
+  if (running()) kill(pid_, number);
+}
+
+bool Child::running() {
+  if (pid_ != 0 && waitpid(pid_, nullptr, WNOHANG) != 0) pid_ = 0;
+  return pid_ != 0;
 }
 
 }  // namespace flintweir::lab
--- a/src/lab/spawn.h
+++ b/src/lab/spawn.h
@@ -1,4 +1,4 @@
-// Starts a process of the real program, with none of the lab's own sockets.
+// A process of the real program, with none of the lab's own sockets.
 #pragma once
 
 #include <sys/types.h>
@@ -8,7 +8,19 @@
 
 namespace flintweir::lab {
 
-// What it writes goes to the end of `log`. Throws std::runtime_error. Whoever starts it ends it.
-pid_t spawn(std::vector<std::string> words, const std::string& log);
+// Runs from its making; killed with its last user at the latest.
+class Child {
+ public:
+  // What it writes goes to the end of `log`. Throws std::runtime_error.
+  Child(std::vector<std::string> words, const std::string& log);
+  ~Child();
+  Child(const Child&) = delete;
+
+  void signal(int number);  // nothing where it has ended
+  bool running();
+
+ private:
+  pid_t pid_;  // zero once it has ended
+};
 
 }  // namespace flintweir::lab
--- a/src/members/datagram.cpp
+++ b/src/members/datagram.cpp
@@ -8,6 +8,8 @@
 #include <msgpack.hpp>
 #include <vector>
 
+#include "plain_text.h"
+
 namespace flintweir::members {
 namespace {
 
@@ -58,8 +60,7 @@
     if (o.type != msgpack::type::STR || o.via.str.size > longest) throw Malformed();
     const std::string_view out(o.via.str.ptr, o.via.str.size);
     // They are written to logs and tables.
-    for (const char c : out)
-      if (c <= ' ' || c >= 127 || c == '"' || c == '\\') throw Malformed();
+    if (!is_plain(out)) throw Malformed();
     return out;
   }
   std::string_view bytes(std::size_t longest) {
--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -98,7 +98,7 @@
     wake(jittered(interval_ * kDeadAsked, 0.5), Due::dead);
     if (seeds_.empty()) return join("no seeds");
     ask_seeds();
-    outlet_.wake(interval_ * kJoinAlone, wake_id(Due::alone, 0));
+    wake(interval_ * kJoinAlone, Due::alone);
   }
 
   void received(const Address& from, std::string_view bytes) {
@@ -150,7 +150,10 @@
       silent_ = true;
       return;
     }
-    say_anew(Standing::leaving, name_);
+    change(name_, [](Member& m) {
+      ++m.word;
+      m.standing = Standing::leaving;
+    });
     // Also to those whom news would reach only after this process has gone.
     for (const Address& to : some(kNewsTo * 2, {})) send_news(Kind::news, to, next_nonce());
   }
@@ -163,11 +166,11 @@
 
   void note(std::string_view note) {
     if (me().note == note) return;
-    leave_digest(name_, members_.find(name_)->second);
-    me().note = std::string(note.substr(0, kLongestNote));
-    ++me().word;
-    enter_digest(name_, members_.find(name_)->second);
-    if (began_ != kNever) tell(name_);
+    const auto take = [&](Member& m) {
+      m.note = std::string(note.substr(0, kLongestNote));
+      ++m.word;
+    };
+    began_ == kNever ? take(me()) : change(name_, take);
   }
 
   std::uint64_t digest() const { return XXH3_64bits(buckets_.data(), sizeof buckets_); }
@@ -181,11 +184,6 @@
 
   bool joined() const { return me().standing != Standing::joining; }
 
-  void each(const std::function<void(std::string_view, const Member&)>& visit) const {
-    for (const auto& [name, e] : members_)
-      if (e.facts.standing != Standing::left) visit(name, e.facts);
-  }
-
   const Counts& counts() const { return counts_; }
 
  private:
@@ -353,18 +351,15 @@
   static bool counts_in_digest(const Member& m) {
     return !final_for_start(m.standing) && m.standing != Standing::joining;
   }
-  void leave_digest(std::string_view name, const Entry& e) {
-    if (!counts_in_digest(e.facts)) return;
-    buckets_[bucket(name)] ^= digest_of(name, e.facts);
-    --live_;
-    well_ -= e.facts.standing != Standing::suspected;
-  }
-  void enter_digest(std::string_view name, const Entry& e) {
-    if (!counts_in_digest(e.facts)) return;
-    buckets_[bucket(name)] ^= digest_of(name, e.facts);
-    ++live_;
-    well_ += e.facts.standing != Standing::suspected;
+  enum class Way { in, out };
+  void digest(std::string_view name, const Member& m, Way way) {
+    if (!counts_in_digest(m)) return;
+    buckets_[bucket(name)] ^= digest_of(name, m);  // the same both ways
+    const std::size_t one = way == Way::in ? 1 : std::size_t(-1);
+    live_ += one;
+    if (m.standing != Standing::suspected) well_ += one;
   }
+
   // Changes one member's facts; all that hangs on them follows.
   template <class Change>
   void change(std::string_view name, Change change) {
@@ -373,9 +368,9 @@
     const Standing was = e.facts.standing;
     const Start start = e.facts.start;
     e.pardoned_until = kNever;
-    leave_digest(name, e);
+    digest(name, e.facts, Way::out);
     change(e.facts);
-    enter_digest(name, e);
+    digest(name, e.facts, Way::in);
     if (e.facts.standing != Standing::suspected) {
       e.accusers.clear();
       e.doubt_from = kNever;
@@ -398,15 +393,6 @@
     m.by = by;
   }
 
-  // What this node says of itself, over all that was said of it before.
-  void say_anew(Standing standing, std::string_view by) {
-    change(name_, [&](Member& m) {
-      ++m.word;
-      m.standing = standing;
-      m.by = by;
-    });
-  }
-
   void start_anew(Start over) {
     change(name_, [&](Member& m) {
       m.start = Start{std::max(m.start.value, over.value) + 1};
@@ -455,16 +441,17 @@
       if (e.facts.standing == Standing::failed) dead.push_back(name);
     if (dead.empty()) return;
     const std::string_view one = dead[below(dead.size())];
-    ask_or_tell(one, true);
+    tell_accused(one, true);
   }
 
-  // It is told what is believed of it, so that it can say better.
+  // It is told what is believed of it, so that it can say better; one that is pardoned is only asked.
   void tell_accused(std::string_view name, bool at_once = false) {
     Entry& e = members_.find(name)->second;
-    if (!at_once && e.told_at != kNever && now_ - e.told_at < interval_) return;
+    if (!(at_once && !pardoned(e)) && e.told_at != kNever && now_ - e.told_at < interval_) return;
     e.told_at = now_;
     e.asked_as = next_nonce();
-    if (!silent()) send_news(Kind::ping, e.facts.address, e.asked_as, name);
+    if (!silent())
+      send_news(Kind::ping, e.facts.address, e.asked_as, pardoned(e) ? std::string_view(name_) : name);
   }
 
   void forget_old() {
@@ -619,7 +606,10 @@
       if (probed->nonce == probed_.back().nonce && !std::exchange(answered_, true))
         health_ = std::max(health_ - 1, 0);
     }
-    if (!joined() && !claiming_ && !rival_) joins_by(from);
+    if (!joined() && !claiming_ && !rival_) {
+      join("a seed answers");
+      start_sync(from.address);
+    }
     if (from.digest != digest() && joined() && now_ - synced_at_ >= interval_) start_sync(from.address);
   }
 
@@ -720,7 +710,7 @@
     if (it == members_.end() || it->first == name_) return;
     const Member& m = it->second.facts;
     if (m.start > from.start || (m.start == from.start && m.standing == Standing::failed))
-      ask_or_tell(from.name, false);
+      tell_accused(from.name);
   }
 
   void word_came(const From& from, const Word& w) override {
@@ -742,7 +732,7 @@
     }
     if (final_for_start(m.standing)) {
       // It runs by another's word, or by its own: it has to hear that it starts anew.
-      if (m.standing == Standing::failed && w.standing < Standing::failed) ask_or_tell(w.name, false);
+      if (m.standing == Standing::failed && w.standing < Standing::failed) tell_accused(w.name);
       if (m.standing == Standing::failed && w.standing == Standing::left)
         change(w.name, [&](Member& now) { now.standing = Standing::left, now.by = w.by; });
       return;
@@ -798,7 +788,7 @@
     take_facts(e.facts, w, accused || final_for_start(w.standing) ? w.by : from.name);
     if (accused) e.facts.standing = Standing::alive;
     e.facts.since = now_;
-    enter_digest(it->first, e);
+    digest(it->first, e.facts, Way::in);
     // Drawn into the present round at a place by chance, so that it is not left for the next.
     if (reachable(it->first, e)) {
       order_.push_back(it->first);
@@ -863,18 +853,6 @@
 
   bool pardoned(const Entry& e) const { return e.pardoned_until > now_; }
 
-  void ask_or_tell(std::string_view name, bool at_once) {
-    pardoned(members_.find(name)->second) ? ask_pardoned(name) : tell_accused(name, at_once);
-  }
-
-  void ask_pardoned(std::string_view name) {
-    Entry& e = members_.find(name)->second;
-    if (e.told_at != kNever && now_ - e.told_at < interval_) return;
-    e.told_at = now_;
-    e.asked_as = next_nonce();
-    send_news(Kind::ping, e.facts.address, e.asked_as, name_);
-  }
-
   // Two processes of one name.
 
   void send_claim(const Address& to, Nonce nonce) {
@@ -934,11 +912,6 @@
     join("the name is free");
   }
 
-  void joins_by(const From& from) {
-    join("a seed answers");
-    start_sync(from.address);
-  }
-
   // Whole views, piece by piece.
 
   void start_sync(const Address& with) {
@@ -956,8 +929,6 @@
       if (e.facts.standing == Standing::joining || pardoned(e)) continue;
       if (digests[bucket(name)] != buckets_[bucket(name)]) words.push_back(word_of(name, e.facts));
     }
-    std::uint64_t mine[kBuckets];
-    std::copy(buckets_.begin(), buckets_.end(), mine);
     // Where they differ by more than one answer holds, a part drawn by chance; the next ones bring the rest.
     if (!words.empty())
       std::rotate(words.begin(), words.begin() + static_cast<std::ptrdiff_t>(below(words.size())),
@@ -970,7 +941,7 @@
     }
     if (answered) return;
     Writer back(Kind::sync, fleet_, this->from(), next_nonce());
-    back.sync(true, std::span<const std::uint64_t, kBuckets>(mine));
+    back.sync(true, buckets_);
     send(from.address, back, false);
   }
 
@@ -1066,9 +1037,6 @@
 std::uint64_t View::digest() const { return impl_->digest(); }
 unsigned View::acting() const { return impl_->acting(); }
 bool View::joined() const { return impl_->joined(); }
-void View::each(const std::function<void(std::string_view, const Member&)>& visit) const {
-  impl_->each(visit);
-}
 const Counts& View::counts() const { return impl_->counts(); }
 
 }  // namespace flintweir::members
--- a/src/members/view.h
+++ b/src/members/view.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <array>
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -65,8 +64,6 @@
   // Whoever may still be acting: all that are not known to have left. Zero while this node has not joined.
   unsigned acting() const;
   bool joined() const;
-  // This node's own among them; none of those that have left.
-  void each(const std::function<void(std::string_view, const Member&)>& visit) const;
   const Counts& counts() const;
 
  private:
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,7 @@
 
 #include "net/log.h"
 #include "net/nowhere.h"
+#include "plain_text.h"
 #include "setup/deployment.h"
 
 namespace flintweir::node {
@@ -79,8 +80,9 @@
 
 void Node::join(const setup::FleetSection& fleet, std::string name, std::string version, std::uint64_t seed) {
   if (name.empty()) setup::bad("configuration: name is missing, which the operator's [fleet] needs");
-  if (name.size() > members::kLongestName || name.find_first_of(" \"\\") != name.npos)
-    setup::bad("configuration: name '" + name + "' is over 64 characters or holds a blank or quote");
+  if (name.size() > members::kLongestName || !is_plain(name))
+    setup::bad("configuration: name '" + name +
+               "' is over 64 characters or not all printable ASCII without blanks and quotes");
   peers_ = std::make_unique<Peers>(network_, wakes_, fleet, std::move(name), std::move(version), seed,
                                    [this](unsigned nodes) { balancer_now().nodes_are(nodes); });
 }
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -33,11 +33,9 @@
 }
 
 void Peers::reload(const setup::FleetSection& fleet) {
-  const bool other = fleet.name != fleet_.name || fleet.address != fleet_.address ||
-                     fleet.told != fleet_.told || fleet.zone != fleet_.zone ||
-                     fleet.interval != fleet_.interval || fleet.forget != fleet_.forget ||
-                     fleet.most != fleet_.most;
-  if (other) log_line("reload: fleet: all but the seeds holds until the next start");
+  setup::FleetSection with_seeds = fleet_;
+  with_seeds.seeds = fleet.seeds;
+  if (fleet != with_seeds) log_line("reload: fleet: all but the seeds holds until the next start");
   fleet_.seeds = fleet.seeds;
   view_.at(wakes_.now());
   view_.seeds(fleet.seeds);
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -24,7 +24,6 @@
   // Takes new seeds; all else holds until the next start.
   void reload(const setup::FleetSection& fleet);
   void leave();
-  const members::View& view() const { return view_; }
 
  private:
   void send(const Address& to, std::string_view bytes) override { network_.post(to, bytes); }
--- a/src/setup/operator.cpp
+++ b/src/setup/operator.cpp
@@ -9,6 +9,7 @@
 #include <numeric>
 #include <sstream>
 
+#include "plain_text.h"
 #include "setup/values.h"
 
 namespace flintweir::setup {
@@ -87,9 +88,7 @@
     const toml::node* const n = find(key, !other);
     if (!n) return other.value_or("");
     const auto text = n->value_exact<std::string>();
-    const bool fits = text && !text->empty() && text->size() <= longest &&
-                      std::all_of(text->begin(), text->end(),
-                                  [](char c) { return c > ' ' && c < 127 && c != '"' && c != '\\'; });
+    const bool fits = text && !text->empty() && text->size() <= longest && is_plain(*text);
     if (!fits)
       complain(
           *n, key,
--- a/src/setup/operator.h
+++ b/src/setup/operator.h
@@ -19,6 +19,7 @@
   Micros interval;   // between two probes
   Micros forget;     // a member that failed so long ago counts no more
   std::size_t most;  // members known at a time
+  bool operator==(const FleetSection&) const = default;
 };
 
 class OperatorFile {
