--- a/apps/flintweir_lab.cpp
+++ b/apps/flintweir_lab.cpp
@@ -77,6 +77,7 @@
 struct RunWays {
   unsigned jobs = 1;
   bool real = false, until_broken = false, keep_logs = false;
+  std::optional<PlainWay> plain;  // an experiment on the fleet's view: how nodes know each other instead
   std::vector<std::string> program;
   fs::path out;
 };
@@ -169,6 +170,7 @@
   std::atomic<std::uint64_t> next{seeds.first};
   std::atomic<bool> enough{false};
   std::map<std::uint64_t, RigOutcome> outcomes;
+  std::map<std::string, unsigned> by_rule;
   std::string failed;
   const auto began = std::chrono::steady_clock::now();
   const auto work = [&] {
@@ -184,7 +186,7 @@
           one = run_rig_real(plan, seed, only, ways.program, folder.string());
           if (ways.out.empty()) fs::remove_all(folder);
         } else {
-          one = run_rig_virtual(plan, seed, only, keep ? &log : nullptr);
+          one = run_rig_virtual(plan, seed, only, keep ? &log : nullptr, ways.plain);
         }
         const std::lock_guard lock(mutex);
         if (keep && !log.empty()) write(ways.out / ("fleet-" + std::to_string(seed) + ".log"), log);
@@ -214,6 +216,7 @@
     std::string troubles;
     for (const std::string& t : one.troubles) troubles += (troubles.empty() ? "" : ",") + t;
     for (const RigBroken& b : one.broken) {
+      ++by_rule[name_of(b.rule)];
       if (++broken <= 20)
         std::printf("broken: rule=%s seed=%llu at=%.3fs troubles=%s: %s\n", name_of(b.rule),
                     static_cast<unsigned long long>(seed), static_cast<double>(b.at.count()) / 1e6,
@@ -224,6 +227,7 @@
   std::printf("%s: %s\n%llu runs of %u nodes, %.0f s in all, in %.1f s; %llu looks; rules %s\n",
               plan.name.c_str(), plan.about.c_str(), static_cast<unsigned long long>(runs), plan.nodes,
               virtual_seconds, took, static_cast<unsigned long long>(looks), broken ? "broken" : "kept");
+  for (const auto& [rule, times] : by_rule) std::printf("%-17s broken %u times\n", rule.c_str(), times);
   std::printf("all joined        %s\n", spread_of(joined, "ms").c_str());
   std::printf("crash known       %s\n", spread_of(known, "ms").c_str());
   std::printf("join known        %s\n", spread_of(join_known, "ms").c_str());
@@ -431,6 +435,14 @@
   run_command->add_flag("--json", json, "print results as JSON");
   run_command->add_flag("--real", ways.real, "against the real program, on loopback, in real time");
   run_command->add_option("--program", program, "the real program; without it the one beside this");
+  run_command
+      ->add_option_function<std::string>(
+          "--knows-by",
+          [&](const std::string& way) {
+            if (way != "view") ways.plain = way == "swim" ? PlainWay::swim : PlainWay::heartbeats;
+          },
+          "of an experiment on the fleet's view: the nodes' own, or a plain way to hold it against")
+      ->check(CLI::IsMember({"view", "heartbeats", "swim"}));
   run_command->add_option("--only", only, "of an experiment on the fleet's view: one kind of trouble");
   run_command->add_flag("--alone", alone, "without the baselines");
   run_command->add_flag("--logs", ways.keep_logs, "keep event logs and what nodes log, in the folder");
--- /dev/null
+++ b/fuzz/datagram.cpp
@@ -0,0 +1,31 @@
+// Whatever arrives from the network, by libFuzzer: decoded as it is, and once more behind a right checksum,
+// so that what lies behind the checksum is reached. Nothing may crash, and nothing that is heard may be over
+// its length. Run: build-fuzz/flintweir-fuzz-datagram -max_len=1300 -max_total_time=60
+#include "members/datagram.h"
+
+#include <cstdlib>
+
+namespace {
+
+using namespace flintweir;
+
+struct Hearing final : members::Hearer {
+  void word_came(const members::From&, const members::Word& w) override {
+    if (w.name.empty() || w.name.size() > members::kLongestName || w.note.size() > members::kLongestNote ||
+        w.standing > members::Standing::left)
+      std::abort();
+  }
+};
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  Hearing hearing;
+  std::string bytes(reinterpret_cast<const char*>(data), size);
+  decode(bytes, "", hearing);
+  if (bytes.size() < 12) return 0;
+  bytes[0] = 'f', bytes[1] = 'w', bytes[2] = static_cast<char>(members::kVersion);
+  members::seal(bytes);
+  decode(bytes, "", hearing);
+  return 0;
+}
--- a/src/lab/loopback_stage.cpp
+++ b/src/lab/loopback_stage.cpp
@@ -77,7 +77,8 @@
   if (!out) throw std::runtime_error("can't write " + file(node));
 }
 
-void LoopbackStage::start_node(NodeNo node, MachineNo, const std::string& config) {
+void LoopbackStage::start_node(NodeNo node, MachineNo, const std::string& config,
+                               const std::vector<MachineNo>&) {
   write(node, config);
   const std::string log = file(node) + ".log", path = file(node);
   std::vector<std::string> words = program_;
--- a/src/lab/meter.cpp
+++ b/src/lab/meter.cpp
@@ -5,9 +5,9 @@
 namespace flintweir::lab {
 
 const std::vector<std::string>& figure_names() {
-  static const std::vector<std::string> names{"service",    "sessions",  "accepted",  "refused", "torn_down",
-                                              "unanswered", "moved",     "broken",    "crossed", "lines",
-                                              "up_p50_ms",  "up_p99_ms", "up_p999_ms"};
+  static const std::vector<std::string> names{
+      "service", "sessions", "accepted", "refused",   "torn_down", "unanswered", "moved",
+      "broken",  "crossed",  "lines",    "up_p50_ms", "up_p99_ms", "up_p999_ms", "cold_fill"};
   return names;
 }
 
@@ -26,6 +26,8 @@
   if (name == "up_p50_ms") return ms(0.5);
   if (name == "up_p99_ms") return ms(0.99);
   if (name == "up_p999_ms") return ms(0.999);
+  // Of a host while it is cold, as a share of what a warm one carries.
+  if (name == "cold_fill") return t.cold_seconds > 0 ? t.cold_load / t.cold_seconds : 0;
   return std::nullopt;
 }
 
--- a/src/lab/meter.h
+++ b/src/lab/meter.h
@@ -61,6 +61,7 @@
 
 struct Tally {
   double asked = 0, served = 0;
+  double cold_load = 0, cold_seconds = 0;  // of hosts while they are cold, as shares of what warm ones carry
   std::uint64_t sessions = 0, accepted = 0, refused = 0, torn_down = 0, unanswered = 0, moved = 0, broken = 0,
                 crossed = 0, lines = 0;
   Histogram to_up;
@@ -69,6 +70,7 @@
     asked += o.asked, served += o.served, sessions += o.sessions, accepted += o.accepted,
         refused += o.refused;
     torn_down += o.torn_down, unanswered += o.unanswered, moved += o.moved, broken += o.broken;
+    cold_load += o.cold_load, cold_seconds += o.cold_seconds;
     crossed += o.crossed, lines += o.lines;
     to_up.add(o.to_up);
   }
--- /dev/null
+++ b/src/lab/plain_peers.h
@@ -0,0 +1,69 @@
+// Two plain ways for nodes to know each other, to hold the fleet's own view against on the same seeds: a
+// heartbeat from each to all, and SWIM as first published (2002) without its later mends. Only in the lab.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "members/datagram.h"
+#include "net/wakes.h"
+
+namespace flintweir::lab {
+
+enum class PlainWay { heartbeats, swim };
+
+class PlainPeers final : members::Hearer, net::PostEvents, net::Woken {
+ public:
+  PlainPeers(net::Network& network, net::Wakes& wakes, PlainWay way, const Address& at, std::string name,
+             std::vector<Address> seeds, Micros interval, std::uint64_t seed);
+  void begin();
+
+ private:
+  struct Member {
+    members::Start start;
+    std::uint32_t word = 0;
+    members::Standing standing = members::Standing::alive;
+    Address address;
+    Micros heard{0}, since{0};
+    int sends = 0;
+  };
+  enum class Due : std::uint64_t { beat, direct, over };
+  using Members = std::map<std::string, Member, std::less<>>;
+
+  void post_came() override;
+  void woken(std::uint64_t token) override;
+  void word_came(const members::From& from, const members::Word& w) override;
+  void ping_came(const members::From& from, members::Nonce nonce) override;
+  void ack_came(const members::From& from, members::Nonce nonce) override;
+  void ask_came(const members::From& from, members::Nonce nonce, std::string_view whom,
+                const Address& at) override;
+  void query_came(members::Nonce nonce, std::string_view after) override;
+
+  void beat_to_all();
+  void probe();
+  void set(Member& m, members::Standing standing);
+  members::Word word_of(const std::string& name, const Member& m) const;
+  members::From from() const;
+  void send(members::Kind kind, const Address& to, members::Nonce nonce, bool all = false);
+  std::size_t below(std::size_t n) { return chance_() % n; }
+
+  net::Network& network_;
+  net::Wakes& wakes_;
+  PlainWay way_;
+  Address at_, came_from_;
+  std::string name_;
+  std::vector<Address> seeds_;
+  Micros interval_;
+  std::knuth_b chance_;
+  Members members_;
+  std::vector<std::string> order_;
+  std::string probed_;
+  bool answered_ = true;
+  std::uint64_t nonces_ = 0, probe_nonce_ = 0;
+  std::map<std::uint64_t, std::pair<members::Nonce, Address>> helped_;
+};
+
+}  // namespace flintweir::lab
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -171,6 +171,8 @@
   out.probe_price = f.number("probe_price", 0.002, 0, 1000);
   out.crossing_price = f.number("crossing_price", 0.05, 0, 1000);
   out.balancer = f.word("balancer", "module", {"module", "random", "round-robin", "least-connections"});
+  out.count_told = f.number("count_told", 1, 0.001, 1000);
+  out.fleet = f.yes("fleet", false);
   f.done();
   return out;
 }
--- a/src/lab/plan.h
+++ b/src/lab/plan.h
@@ -85,6 +85,8 @@
   bool probes;
   double probe_price, crossing_price;
   std::string balancer;  // "module", or a baseline of the lab's
+  double count_told;     // that share of the true number of nodes stands in their settings
+  bool fleet;            // nodes know each other
 };
 
 // What breaks: at a time, or by chance once in `every` on average, for each thing that it may befall.
--- a/src/lab/rig.h
+++ b/src/lab/rig.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 
+#include "lab/plain_peers.h"
 #include "lab/rig_checker.h"
 #include "lab/rig_plan.h"
 #include "lab/rig_stage.h"
@@ -28,7 +29,7 @@
 RigOutcome play_rig(const RigPlan& plan, RigStage& stage, std::uint64_t seed, const std::string& only = "");
 
 RigOutcome run_rig_virtual(const RigPlan& plan, std::uint64_t seed, const std::string& only = "",
-                           std::string* logged = nullptr);
+                           std::string* logged = nullptr, std::optional<PlainWay> plain = {});
 // Without the troubles that need virtual time.
 RigOutcome run_rig_real(const RigPlan& plan, std::uint64_t seed, const std::string& only,
                         const std::vector<std::string>& program, const std::string& folder);
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -57,6 +57,10 @@
              const std::string& folder) {
   if (e.node.balancer != "module")
     throw BadFile(e.name + ":1: node.balancer: the real program has only 'module'");
+  if (e.node.fleet)
+    throw BadFile(
+        e.name +
+        ":1: node.fleet: only in virtual time; processes that know each other play lab/members.toml");
   for (const FaultPlan& f : e.faults) {
     for (const FaultKind& k : fault_kinds()) {
       if (f.kind == k.name && k.virtual_only)
--- a/src/lab/virtual_stage.h
+++ b/src/lab/virtual_stage.h
@@ -24,7 +24,8 @@
   Address address(MachineNo machine) const override { return Fabric::address(machine, 8081); }
   net::Network& begin(MachineNo machine) override;
   void end(net::Network& process) override;
-  void start_node(NodeNo node, MachineNo machine, const std::string& config) override;
+  void start_node(NodeNo node, MachineNo machine, const std::string& config,
+                  const std::vector<MachineNo>& seeds) override;
   void kill_node(NodeNo node) override;
   void leave_node(NodeNo node) override;
   void reload_node(NodeNo node, const std::string& config) override;
--- a/src/members/asker.h
+++ b/src/members/asker.h
@@ -35,13 +35,6 @@
   void word_came(const From& from, const Word& word) override;
   void age_came(Micros age) override;
   void page_came(const From& from, Nonce nonce, bool last) override;
-  void ping_came(const From&, Nonce) override {}
-  void ack_came(const From&, Nonce) override {}
-  void nack_came(const From&, Nonce) override {}
-  void ask_came(const From&, Nonce, std::string_view, const Address&) override {}
-  void sync_came(const From&, bool, std::span<const std::uint64_t, kBuckets>) override {}
-  void claim_came(const From&, Micros) override {}
-  void query_came(Nonce, std::string_view) override {}
 
   static constexpr int kRestarts = 8;  // a view that changes all the time is taken as it comes after so many
   std::uint64_t nonce_;
--- a/src/members/datagram.h
+++ b/src/members/datagram.h
@@ -27,21 +27,23 @@
   bool exchanges = false;  // its words are of a view exchanged, which others get by exchange as well
 };
 
-// What a datagram says, in these calls: the words first, then what it is for.
+// What a datagram says, in these calls: the words first, then what it is for. Nothing comes of what is not
+// heard.
 class Hearer {
  public:
-  virtual void word_came(const From& from, const Word& word) = 0;
-  virtual void ping_came(const From& from, Nonce nonce) = 0;
-  virtual void ack_came(const From& from, Nonce nonce) = 0;
-  virtual void nack_came(const From& from, Nonce nonce) = 0;
-  virtual void ask_came(const From& from, Nonce nonce, std::string_view whom, const Address& at) = 0;
-  virtual void sync_came(const From& from, bool answered,
-                         std::span<const std::uint64_t, kBuckets> digests) = 0;
-  virtual void claim_came(const From& from, Micros running) = 0;
-  virtual void query_came(Nonce nonce, std::string_view after) = 0;
-  // One part of an answer to a query; `last`: nothing follows. Words come before it, `age` ago each.
-  virtual void page_came(const From& from, Nonce nonce, bool last) = 0;
-  virtual void age_came(Micros age) = 0;  // of the word that came just before
+  virtual void word_came(const From& /*from*/, const Word& /*word*/) {}
+  virtual void age_came(Micros /*age*/) {}  // of the word that came just before
+  virtual void ping_came(const From& /*from*/, Nonce /*nonce*/) {}
+  virtual void ack_came(const From& /*from*/, Nonce /*nonce*/) {}
+  virtual void nack_came(const From& /*from*/, Nonce /*nonce*/) {}
+  virtual void ask_came(const From& /*from*/, Nonce /*nonce*/, std::string_view /*whom*/,
+                        const Address& /*at*/) {}
+  virtual void sync_came(const From& /*from*/, bool /*answered*/,
+                         std::span<const std::uint64_t, kBuckets> /*digests*/) {}
+  virtual void claim_came(const From& /*from*/, Micros /*running*/) {}
+  virtual void query_came(Nonce /*nonce*/, std::string_view /*after*/) {}
+  // One part of an answer to a query; `last`: nothing follows. Words come before it, each with its age.
+  virtual void page_came(const From& /*from*/, Nonce /*nonce*/, bool /*last*/) {}
 
  protected:
   ~Hearer() = default;
--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -1008,8 +1008,6 @@
         writer.add(shown(it->first, it->second), now_ - it->second.facts.since);
     show(writer);
   }
-  void page_came(const From&, Nonce, bool) override {}
-  void age_came(Micros) override {}
 
   void complain(Wrong wrong) {
     if (complained_at_ != kNever && now_ - complained_at_ < 10s) return;
