Leases: voters and would-be holders, without I/O or clock, searched in every order

Need: some work is for one node at a time, and two must never act at once. Eight deliberate faults are caught by it.

--- a/apps/flintweir_lab.cpp
+++ b/apps/flintweir_lab.cpp
@@ -18,6 +18,7 @@
 
 #include "lab/bad_file.h"
 #include "lab/builtin.h"
+#include "lab/lease_search.h"
 #include "lab/report.h"
 #include "lab/results.h"
 #include "lab/rig.h"
@@ -239,6 +240,48 @@
   return broken ? 1 : 0;
 }
 
+int search(std::uint64_t states, Seeds seeds, unsigned jobs) {
+  bool broken = false;
+  const auto tell = [&](const char* what, const LeaseSearch& of, const LeaseFound& found, const char* unit) {
+    std::printf(
+        "%-8s %u would-be holders, voters %s, %s%s: %llu %s, %llu grants, depth %u, %.1f s; rules %s\n", what,
+        of.seekers, of.folders ? "with folders" : "without", of.held ? "one holds" : "all begin",
+        of.restarts  ? ", restarts"
+        : of.doubles ? ", doubles"
+        : of.lets_go ? ", lets go"
+                     : "",
+        static_cast<unsigned long long>(found.states), unit, static_cast<unsigned long long>(found.grants),
+        found.depth, found.took, found.broken ? "broken" : "kept");
+    if (found.broken) std::printf("broken: %s\n", found.broken->c_str());
+    broken = broken || found.broken;
+  };
+  std::vector<LeaseSearch> all;
+  for (const bool folders : {false, true}) {
+    for (const bool held : {false, true}) {
+      LeaseSearch plain;
+      plain.folders = folders, plain.held = held, plain.most_states = states;
+      LeaseSearch restarts = plain, doubles = plain, lets_go = plain;
+      restarts.restarts = 2, doubles.doubles = 1, lets_go.lets_go = true;
+      for (const LeaseSearch& one : {plain, restarts, doubles, lets_go}) all.push_back(one);
+    }
+  }
+  std::vector<LeaseFound> found(all.size());
+  std::atomic<std::size_t> next{0};
+  std::vector<std::thread> threads;
+  for (unsigned i = 0; i < jobs; ++i)
+    threads.emplace_back([&] {
+      for (std::size_t n; (n = next++) < all.size();) found[n] = search_leases(all[n]);
+    });
+  for (std::thread& t : threads) t.join();
+  for (std::size_t i = 0; i < all.size(); ++i) tell("search", all[i], found[i], "states");
+  for (const bool folders : {false, true}) {
+    LeaseSearch of;
+    of.folders = folders;
+    tell("walks", of, walk_leases(of, seeds.first, seeds.last, 400), "steps");
+  }
+  return broken ? 1 : 0;
+}
+
 int run(const std::string& file, const std::string& variant, Seeds seeds, RunWays ways, bool alone,
         bool json) {
   const Experiment e = read(file, variant);
@@ -448,6 +491,13 @@
   run_command->add_flag("--logs", ways.keep_logs, "keep event logs and what nodes log, in the folder");
   run_command->add_flag("--until-broken", ways.until_broken, "stop at the first seed that breaks a rule");
 
+  CLI::App* const search_command =
+      app.add_subcommand("search", "play the leases' decisions in every order, then in long walks by seed");
+  std::uint64_t states = 300'000;
+  search_command->add_option("--states", states, "told apart at most, for each beginning");
+  search_command->add_option("--seeds", seeds, "walks, a range A..B")->default_str("1..2000");
+  search_command->add_option("--jobs", ways.jobs, "searches at a time")->check(CLI::Range(1u, 256u));
+
   CLI::App* const compare_command = app.add_subcommand("compare", "the same seeds, before and now");
   compare_command->add_option("FILE", file, "the experiment")->required();
   compare_command->add_option("--base", base, "an earlier flintweir-lab, a variant, or 'file' for none")
@@ -474,6 +524,8 @@
   }
   try {
     if (*list_command) return list(folder);
+    if (*search_command)
+      return search(states, seeds_of(search_command->count("--seeds") ? seeds : "1..2000"), ways.jobs);
     if (*run_command) {
       if (ways.real) ways.program = program_of(program);
       if (!file.empty() && RigPlan::is_one(file))
--- a/tests/flaws.cmake
+++ b/tests/flaws.cmake
@@ -26,8 +26,12 @@
     list(GET day 1 variant)
     set(variant --variant ${variant})
   endif()
-  add_test(NAME caught-${name} COMMAND flaw-${name} run ${PROJECT_SOURCE_DIR}/lab/${of}.toml ${variant}
-    --seeds 1..200 --jobs 4 --alone --until-broken)
+  if(experiment STREQUAL "search")
+    add_test(NAME caught-${name} COMMAND flaw-${name} search --states 20000 --seeds 1..20000 --jobs 4)
+  else()
+    add_test(NAME caught-${name} COMMAND flaw-${name} run ${PROJECT_SOURCE_DIR}/lab/${of}.toml ${variant}
+      --seeds 1..200 --jobs 4 --alone --until-broken)
+  endif()
   set_tests_properties(caught-${name} PROPERTIES PASS_REGULAR_EXPRESSION "broken: rule=${rule}")
 endfunction()
 
@@ -90,3 +94,21 @@
   "kBytesPerSecond = 64 << 10" "kBytesPerSecond = 64 << 20" "kBytesKept = 16 << 10" "kBytesKept = 16 << 20")
 flintweir_flaw(verdict-not-logged members view-log src/node/peers.cpp
   "  log_line(\"member name" "  if (now.standing != members::Standing::failed) log_line(\"member name")
+
+# Leases.
+flintweir_flaw(voter-forgets search two-hold src/leases/voter.cpp
+  "silent_until_(folder ? now : now + longest)" "silent_until_(now)")
+flintweir_flaw(counts-from-answer search two- src/leases/seeker.cpp
+  "std::max(end_, sent_at_ + usable(length_))" "std::max(end_, now_ + usable(length_))")
+flintweir_flaw(rates-not-allowed-for search two-hold src/leases/seeker.cpp
+  "sent_at_ + usable(length_)" "sent_at_ + length_")
+flintweir_flaw(majority-of-answers search two-hold src/leases/seeker.cpp
+  "> voters_;" "> static_cast<std::size_t>(std::popcount(yes_ | no_));")
+flintweir_flaw(token-starts-again search token-falls src/leases/voter.cpp
+  "      if (r.token <= e.promised) return reply(Say::later);" "")
+flintweir_flaw(act-not-measured search two-at-once src/leases/seeker.cpp
+  "most > end_ - now_" "most < Micros{0}")
+flintweir_flaw(smaller-token-renews search two- src/leases/voter.cpp
+  "if (r.token != e.promised || who != e.promised_to) return" "if (r.token > e.promised) return")
+flintweir_flaw(grant-not-kept search two- src/leases/voter.cpp
+  "(e.granted != r.token || e.holder != who) && !keep(it->first, next)" "false")
