Leases between processes: nodes vote, lease hold runs a command, a ledger judges from outside

Need: the decisions of src/leases on real processes. Change: nodes that the operator's [leases] names vote on the fleet's own socket; 'lease hold NAME -- COMMAND' finds them by a node's view, runs the command with FLINTWEIR_TOKEN and ends it before another may start; 'lease list' and 'lease show'. Time is CLOCK_BOOTTIME, which goes on while a machine sleeps.

--- a/apps/flintweir_lab.cpp
+++ b/apps/flintweir_lab.cpp
@@ -18,6 +18,7 @@
 
 #include "lab/bad_file.h"
 #include "lab/builtin.h"
+#include "lab/lease_rig.h"
 #include "lab/lease_search.h"
 #include "lab/report.h"
 #include "lab/results.h"
@@ -240,6 +241,40 @@
   return broken ? 1 : 0;
 }
 
+int leases(Seeds seeds, const RunWays& ways, const std::string& only) {
+  std::vector<double> gaps;
+  std::uint64_t acts = 0, refused = 0, broken = 0, runs = 0;
+  std::map<std::string, std::vector<double>> by_trouble;
+  std::mutex mutex;
+  std::atomic<std::uint64_t> next{seeds.first};
+  const std::string self = fs::read_symlink("/proc/self/exe").string();
+  const auto work = [&] {
+    for (std::uint64_t seed; (seed = next++) <= seeds.last;) {
+      const fs::path folder = (ways.out.empty() ? fs::temp_directory_path() : ways.out) /
+                              ("leases-" + std::to_string(getpid()) + "-" + std::to_string(seed));
+      fs::create_directories(folder);
+      const LeaseRun one = run_leases(seed, only, ways.program, self, folder.string());
+      if (ways.out.empty()) fs::remove_all(folder);
+      const std::lock_guard lock(mutex);
+      ++runs, acts += one.acts, refused += one.refused;
+      by_trouble[one.trouble].push_back(one.gap);
+      for (const std::string& b : one.broken)
+        if (++broken <= 20)
+          std::printf("broken: %s seed=%llu trouble=%s\n", b.c_str(), static_cast<unsigned long long>(seed),
+                      one.trouble.c_str());
+    }
+  };
+  std::vector<std::thread> threads;
+  for (unsigned i = 0; i < ways.jobs; ++i) threads.emplace_back(work);
+  for (std::thread& t : threads) t.join();
+  std::printf("%llu runs, %llu acts, %llu refused; rules %s\n", static_cast<unsigned long long>(runs),
+              static_cast<unsigned long long>(acts), static_cast<unsigned long long>(refused),
+              broken ? "broken" : "kept");
+  for (const auto& [trouble, values] : by_trouble)
+    std::printf("%-16s nobody acted for: %s\n", trouble.c_str(), spread_of(values, "ms").c_str());
+  return broken ? 1 : 0;
+}
+
 int search(std::uint64_t states, Seeds seeds, unsigned jobs) {
   bool broken = false;
   const auto tell = [&](const char* what, const LeaseSearch& of, const LeaseFound& found, const char* unit) {
@@ -491,6 +526,18 @@
   run_command->add_flag("--logs", ways.keep_logs, "keep event logs and what nodes log, in the folder");
   run_command->add_flag("--until-broken", ways.until_broken, "stop at the first seed that breaks a rule");
 
+  std::string ledger, as;
+  CLI::App* const act_command =
+      app.add_subcommand("act", "acts on the ledger of a rig under FLINTWEIR_TOKEN, until TERM");
+  act_command->add_option("--ledger", ledger, "its address")->required();
+  act_command->add_option("--as", as, "whose acts they are")->required();
+  CLI::App* const leases_command = app.add_subcommand(
+      "leases", "processes that hold a lease in turn, with faults between them, and a ledger");
+  leases_command->add_option("--seeds", seeds, "a range A..B");
+  leases_command->add_option("--only", only, "one kind of trouble");
+  leases_command->add_option("--program", program, "the real program; without it the one beside this");
+  leases_command->add_option("--jobs", ways.jobs, "rigs at a time")->check(CLI::Range(1u, 64u));
+  leases_command->add_option("--out", ways.out, "folder for logs");
   CLI::App* const search_command =
       app.add_subcommand("search", "play the leases' decisions in every order, then in long walks by seed");
   std::uint64_t states = 300'000;
@@ -524,6 +571,11 @@
   }
   try {
     if (*list_command) return list(folder);
+    if (*act_command) return act_on_ledger(ledger, as);
+    if (*leases_command) {
+      ways.program = program_of(program);
+      return leases(seeds_of(seeds), ways, only);
+    }
     if (*search_command)
       return search(states, seeds_of(search_command->count("--seeds") ? seeds : "1..2000"), ways.jobs);
     if (*run_command) {
--- a/src/lab/rig_loopback.cpp
+++ b/src/lab/rig_loopback.cpp
@@ -16,7 +16,8 @@
 
 std::atomic<unsigned> runs{0};
 
-constexpr std::uint16_t kHears = 7946, kRelayed = 7947, kServes = 8081, kOnlooks = 7948, kHosts = 9001;
+constexpr std::uint16_t kHears = 7946, kRelayed = 7947, kServes = 8081, kOnlooks = 7948, kHosts = 9001,
+                        kLedger = 9002;
 
 // Each run has addresses of its own, so that two at a time don't meet, in one process or in two.
 Address loopback(unsigned block, unsigned of, std::uint16_t port) {
@@ -191,6 +192,7 @@
 Address RigLoopback::serves_at(RigPlace at) const {
   return loopback(block_, 1 + at.address * nodes_ + at.node, kServes);
 }
+Address RigLoopback::ledger_at() const { return loopback(block_, 0, kLedger); }
 Address RigLoopback::onlooker_at() const { return loopback(block_, 0, kOnlooks); }
 
 void RigLoopback::run_until(Micros end) {
@@ -211,7 +213,25 @@
       << to_text(told_at(at)) << "\"\ninterval = \"" << interval_.count() << "us\"\nseeds = [";
   for (const RigPlace& s : seeds)
     out << (s == seeds.front() ? "" : ", ") << '"' << to_text(told_at(s)) << '"';
-  out << "]\n";
+  out << "]\n" << more_;
+}
+
+void RigLoopback::hold(RigPlace at, const std::string& lease, const std::vector<std::string>& command,
+                       unsigned nodes) {
+  if (!relays_.contains(at)) relays_[at] = std::make_unique<Relay>(*this, at);
+  senders_[hears_at(at)] = at;
+  {
+    // Views are asked for past the relays; what is said of leases goes through them.
+    std::ofstream out(file(at, ".toml"), std::ios::trunc);
+    out << "[fleet]\nname = \"rig\"\naddress = \"" << to_text(hears_at({0, 0})) << "\"\nseeds = [";
+    for (unsigned n = 0; n < nodes; ++n) out << (n ? ", " : "") << '"' << to_text(hears_at({n, 0})) << '"';
+    out << "]\n" << more_;
+  }
+  std::vector<std::string> words = program_;
+  words.insert(words.end(), {"lease", "hold", lease, "--operator", file(at, ".toml"), "--from",
+                             to_text(hears_at(at)), "--told", to_text(told_at(at)), "--"});
+  words.insert(words.end(), command.begin(), command.end());
+  processes_[at] = std::make_unique<Child>(std::move(words), file(at, ".log"));
 }
 
 void RigLoopback::start(RigPlace at, const std::string& name, const std::vector<RigPlace>& seeds) {
--- a/src/lab/rig_loopback.h
+++ b/src/lab/rig_loopback.h
@@ -25,6 +25,13 @@
   void at(Micros when, std::function<void()> act) override { timeline_.at(when, std::move(act)); }
   void run_until(Micros end) override;
   void start(RigPlace at, const std::string& name, const std::vector<RigPlace>& seeds) override;
+  // Written behind [fleet] in every operator's file from now on.
+  void add_section(std::string text) { more_ = std::move(text); }
+  // A process of `program lease hold` at that place, which runs the command while it holds.
+  void hold(RigPlace at, const std::string& lease, const std::vector<std::string>& command, unsigned nodes);
+  std::string log_of(RigPlace at) const { return file(at, ".log"); }
+  net::KernelNetwork& network() { return clock_; }
+  Address ledger_at() const;
   void kill(RigPlace at) override;
   void leave(RigPlace at) override;
   void freeze(RigPlace at, bool on) override;
@@ -51,7 +58,7 @@
   unsigned block_, nodes_;
   Micros interval_;
   std::vector<std::string> program_;
-  std::string folder_;
+  std::string folder_, more_;
   net::KernelNetwork clock_;
   net::KernelNetwork onlooker_{clock_};
   Timeline timeline_;
--- a/src/lab/virtual_stage.cpp
+++ b/src/lab/virtual_stage.cpp
@@ -60,10 +60,11 @@
   n.node = std::make_unique<node::Node>(*n.process, *node::NodeFile::of_text(config), make_);
   if (!seeds.empty()) {
     const auto hears = [](MachineNo m) { return Fabric::address(m, 7946); };
-    setup::FleetSection fleet{"lab", "", hears(machine), hears(machine), {}, 300ms, 1h, 4096};
+    setup::OperatorFile own;
+    setup::FleetSection& fleet = own.fleet.emplace(
+        setup::FleetSection{"lab", "", hears(machine), hears(machine), {}, 300ms, 1h, 4096});
     for (const MachineNo s : seeds) fleet.seeds.push_back(hears(s));
-    n.node->join(fleet, "n" + std::to_string(node.value), "lab",
-                 machine.value + std::uint64_t(now().count()));
+    n.node->join(own, "n" + std::to_string(node.value), "lab", machine.value + std::uint64_t(now().count()));
   }
   n.node->serve();
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,10 +10,12 @@
 #include <string>
 #include <thread>
 
+#include "lease_command.h"
 #include "members/asker.h"
 #include "net/kernel_network.h"
 #include "net/nowhere.h"
 #include "node/node.h"
+#include "plain_text.h"
 
 namespace {
 
@@ -25,6 +27,7 @@
     "  serve      run a node until SIGTERM; SIGHUP reads its files again\n"
     "  check      read the files given as serve would, and say all that is wrong\n"
     "  members    ask the node at --at ADDRESS (its fleet.address) for its view of the fleet\n"
+    "  lease      hold NAME -- COMMAND: run it while holding the lease; list, show NAME: who holds what\n"
     "  version    print the version\n"
     "  help       print this\n"
     "\n"
@@ -72,7 +75,7 @@
             const flintweir::setup::OperatorFile& own) {
   if (!own.fleet) return;
   const std::string name = given("EDGE_NAME");
-  node.join(*own.fleet, name.empty() ? file.name() : name, kVersion, file.seed());
+  node.join(own, name.empty() ? file.name() : name, kVersion, file.seed());
 }
 
 int serve(const std::string& config, const std::string& own) {
@@ -165,13 +168,41 @@
   }
 }
 
+// lease hold NAME -- COMMAND..., lease list, lease show NAME.
+int lease(const std::vector<std::string>& words, const std::string& own, const std::string& from,
+          const std::string& told, bool json) {
+  const std::string what = words.size() > 1 ? words[1] : "", name = words.size() > 2 ? words[2] : "";
+  if (what != "hold" && what != "list" && what != "show")
+    return wrong_use("lease takes 'hold NAME -- COMMAND', 'list' or 'show NAME'");
+  if ((what == "hold" && words.size() < 4) || (what == "show" && words.size() != 3) ||
+      (what == "list" && words.size() != 2))
+    return wrong_use("lease " + what + ": wrong number of words");
+  if (name.size() > flintweir::leases::kLongestLease || !flintweir::is_plain(name))
+    return wrong_use("lease: a name has at most 64 printable characters without blanks and quotes");
+  for (const std::string& a : {from, told})
+    if (!a.empty() && !flintweir::address_of(a)) return wrong_use("'" + a + "' is no address with a port");
+  if (own.empty()) return wrong_use("no operator's file: name one with --operator or EDGE_OPERATOR");
+  try {
+    const auto file = operator_file(own);
+    if (!file.leases) return wrong_use(own + " has no section [leases]");
+    if (what != "hold") return flintweir::lease_list(file, name, json);
+    hold_reloads(false);
+    return flintweir::lease_hold(file, name, from, told, {words.begin() + 3, words.end()});
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "flintweir: %s\n", e.what());
+    return 1;
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   hold_reloads(true);
   std::string config = given("EDGE_CONFIG"), own = given("EDGE_OPERATOR"), at;
   bool json = false, watch = false;
+  std::string from, told;
   const option options[] = {
+      {"from", required_argument, nullptr, 'f'},   {"told", required_argument, nullptr, 't'},
       {"config", required_argument, nullptr, 'c'}, {"operator", required_argument, nullptr, 'o'},
       {"at", required_argument, nullptr, 'a'},     {"json", no_argument, nullptr, 'j'},
       {"watch", no_argument, nullptr, 'w'},        {"help", no_argument, nullptr, 'h'},
@@ -185,6 +216,10 @@
       own = optarg;
     else if (o == 'a')
       at = optarg;
+    else if (o == 'f')
+      from = optarg;
+    else if (o == 't')
+      told = optarg;
     else if (o == 'j')
       json = true;
     else if (o == 'w')
@@ -197,6 +232,8 @@
       return wrong_use("unknown option or missing value: '" + std::string(argv[optind - 1]) + "'");
   }
   const std::string command = optind < argc ? argv[optind] : help ? "help" : version ? "version" : "";
+  const std::vector<std::string> words(argv + std::min(optind, argc), argv + argc);
+  if (command == "lease") return lease(words, own, from, told, json);
   if (optind + 1 < argc) return wrong_use("too many words: '" + std::string(argv[optind + 1]) + "'");
   if (help || command == "help") return std::fputs(kHelp, stdout), 0;
   if (version || command == "version") return std::printf("flintweir %s\n", kVersion), 0;
--- a/src/members/datagram.cpp
+++ b/src/members/datagram.cpp
@@ -1,93 +1,18 @@
 #include "members/datagram.h"
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cstring>
-#include <msgpack.hpp>
 #include <vector>
 
-#include "plain_text.h"
+#include "packing.h"
 
 namespace flintweir::members {
 namespace {
 
-constexpr std::size_t kHead = 12;
+using namespace packing;
+
 constexpr char kMark[2] = {'f', 'w'};
 constexpr std::size_t kMostWords = 64;
 
-using Packer = msgpack::packer<msgpack::sbuffer>;
-
-std::uint32_t checksum(std::string_view bytes) {
-  const auto kind = static_cast<std::uint64_t>(static_cast<std::uint8_t>(bytes[3]));
-  return static_cast<std::uint32_t>(XXH3_64bits_withSeed(bytes.data() + 8, bytes.size() - 8,
-                                                         kind << 8 | static_cast<std::uint8_t>(bytes[2])));
-}
-
-void text(Packer& p, std::string_view s) {
-  p.pack_str(static_cast<std::uint32_t>(s.size()));
-  p.pack_str_body(s.data(), static_cast<std::uint32_t>(s.size()));
-}
-
-void place(Packer& p, const Address& a) {
-  char bytes[18];
-  const std::size_t n = a.v6 ? 16 : 4;
-  std::memcpy(bytes, a.bytes.data(), n);
-  bytes[n] = static_cast<char>(a.port >> 8);
-  bytes[n + 1] = static_cast<char>(a.port);
-  p.pack_bin(static_cast<std::uint32_t>(n + 2));
-  p.pack_bin_body(bytes, static_cast<std::uint32_t>(n + 2));
-}
-
-struct Malformed {};
-
-// One array of a datagram, taken field by field.
-class Fields {
- public:
-  explicit Fields(const msgpack::object& o) {
-    if (o.type != msgpack::type::ARRAY) throw Malformed();
-    at_ = o.via.array.ptr;
-    end_ = at_ + o.via.array.size;
-  }
-  std::uint64_t number() {
-    const msgpack::object& o = next();
-    if (o.type != msgpack::type::POSITIVE_INTEGER) throw Malformed();
-    return o.via.u64;
-  }
-  std::string_view text(std::size_t longest) {
-    const msgpack::object& o = next();
-    if (o.type != msgpack::type::STR || o.via.str.size > longest) throw Malformed();
-    const std::string_view out(o.via.str.ptr, o.via.str.size);
-    // They are written to logs and tables.
-    if (!is_plain(out)) throw Malformed();
-    return out;
-  }
-  std::string_view bytes(std::size_t longest) {
-    const msgpack::object& o = next();
-    if (o.type != msgpack::type::BIN || o.via.bin.size > longest) throw Malformed();
-    return {o.via.bin.ptr, o.via.bin.size};
-  }
-  Address place() {
-    const std::string_view b = bytes(18);
-    Address out;
-    if (b.size() != 6 && b.size() != 18) throw Malformed();
-    out.v6 = b.size() == 18;
-    std::memcpy(out.bytes.data(), b.data(), b.size() - 2);
-    out.port = static_cast<std::uint16_t>(static_cast<std::uint8_t>(b[b.size() - 2]) << 8 |
-                                          static_cast<std::uint8_t>(b[b.size() - 1]));
-    return out;
-  }
-  bool more() const { return at_ != end_; }
-
- private:
-  const msgpack::object& next() {
-    if (at_ == end_) throw Malformed();
-    return *at_++;
-  }
-  const msgpack::object *at_, *end_;
-};
-
 struct Said {
   Word word;
   std::optional<Micros> age;
@@ -190,9 +115,7 @@
   if (bytes.size() < kHead || bytes.size() > kLongestDatagram) return Wrong::size;
   if (bytes[0] != kMark[0] || bytes[1] != kMark[1]) return Wrong::mark;
   if (static_cast<std::uint8_t>(bytes[2]) != kVersion) return Wrong::version;
-  std::uint32_t sum;
-  std::memcpy(&sum, bytes.data() + 4, sizeof sum);
-  if (sum != checksum(bytes)) return Wrong::checksum;
+  if (!sealed(bytes)) return Wrong::checksum;
   const auto kind = static_cast<std::uint8_t>(bytes[3]);
   if (kind < 1 || kind > static_cast<std::uint8_t>(Kind::views)) return Wrong::malformed;
   if (bytes[8] != 0 || bytes[9] != 0) return Wrong::malformed;  // sealed: this version knows no seals
@@ -306,13 +229,10 @@
   return append({out.data(), out.size()});
 }
 
-void seal(std::string& bytes) {
-  const std::uint32_t sum = checksum(bytes);
-  std::memcpy(bytes.data() + 4, &sum, sizeof sum);
-}
+void seal(std::string& bytes) { packing::seal(bytes); }
 
 std::string_view Writer::done() {
-  seal(bytes_);
+  packing::seal(bytes_);
   return bytes_;
 }
 
--- a/src/net/kernel_network.cpp
+++ b/src/net/kernel_network.cpp
@@ -1,5 +1,7 @@
 #include "net/kernel_network.h"
 
+#include <ctime>
+
 #include <netinet/tcp.h>
 
 #include <algorithm>
@@ -58,6 +60,12 @@
   });
 }
 
+Micros KernelNetwork::ticking() const {
+  std::timespec t{};
+  clock_gettime(CLOCK_BOOTTIME, &t);
+  return Micros{static_cast<std::int64_t>(t.tv_sec) * 1'000'000 + t.tv_nsec / 1000};
+}
+
 Micros KernelNetwork::now() const {
   return std::chrono::duration_cast<Micros>(zero_ + (std::chrono::steady_clock::now() - began_));
 }
--- a/src/net/kernel_network.h
+++ b/src/net/kernel_network.h
@@ -36,6 +36,7 @@
   void hear_signals(std::initializer_list<int> numbers, std::function<void(int)> heard);
 
   Micros now() const override;
+  Micros ticking() const override;
   void ring(Micros at, Alarm& whom) override;
   Address listen(const Address& at) override;
   void wait_accept(DoorEvents& whom) override;
--- /dev/null
+++ b/src/node/holder.cpp
@@ -0,0 +1,112 @@
+#include "node/holder.h"
+
+#include <algorithm>
+
+namespace flintweir::node {
+
+using namespace leases;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Micros kLooks = 300ms,
+                 kLooksAgain = 2s;  // for voters that are not known yet, and that may have moved
+
+}  // namespace
+
+VoterPlaces::VoterPlaces(net::Network& network, const setup::FleetSection& fleet,
+                         std::vector<std::string> voters, std::uint64_t seed)
+    : network_(network), nodes_{fleet.address}, voters_(std::move(voters)), nonces_(seed << 20) {
+  for (const Address& s : fleet.seeds)
+    if (s != fleet.address) nodes_.push_back(s);
+}
+
+void VoterPlaces::ask() {
+  asked_ = nodes_[next_++ % nodes_.size()];
+  asker_ = members::Asker(nonces_ += 1 << 10);
+  network_.post(asked_, asker_.question());
+}
+
+bool VoterPlaces::received(const Address& from, std::string_view bytes) {
+  if (from != asked_) return false;
+  if (!asker_.received(bytes)) {
+    network_.post(asked_, asker_.question());
+    return true;
+  }
+  for (const members::Asker::Row& row : asker_.rows())
+    if (const auto voter = named(row.name)) known_[*voter] = row.address;
+  return true;
+}
+
+const Address* VoterPlaces::of(std::size_t voter) const {
+  const auto it = known_.find(voter);
+  return it == known_.end() ? nullptr : &it->second;
+}
+
+std::optional<std::size_t> VoterPlaces::named(std::string_view name) const {
+  const auto it = std::find(voters_.begin(), voters_.end(), name);
+  return it == voters_.end() ? std::nullopt : std::optional(static_cast<std::size_t>(it - voters_.begin()));
+}
+
+Holder::Holder(net::Network& network, net::Wakes& wakes, const setup::OperatorFile& own, std::string lease,
+               std::string who, const Address& here, std::optional<Address> told, std::uint64_t seed,
+               Told& whom)
+    : network_(network),
+      wakes_(wakes),
+      who_(std::move(who)),
+      here_(here),
+      told_(told),
+      set_(set_of(own.leases->voters, own.leases->length)),
+      whom_(whom),
+      places_(network, *own.fleet, own.leases->voters, seed),
+      seeker_(*this, std::move(lease), own.leases->voters.size(), own.leases->length,
+              Token{static_cast<std::uint64_t>(wakes.now().count())}, seed) {}
+
+void Holder::begin() {
+  here_ = network_.open_post(here_);
+  network_.wait_post(*this);
+  woken(look_for_voters);
+  seeker().want();
+}
+
+Seeker& Holder::seeker() {
+  seeker_.at(network_.ticking());
+  return seeker_;
+}
+
+void Holder::let_go() { seeker().let_go(); }
+Micros Holder::left() { return seeker().left(); }
+
+void Holder::post_came() {
+  char bytes[members::kLongestDatagram + 1];
+  for (;;) {
+    const net::Received got = network_.receive(bytes, sizeof bytes);
+    if (got.how == net::Io::later) break;
+    if (got.how != net::Io::done) continue;
+    const std::string_view text(bytes, got.bytes);
+    is_lease(text) ? void(decode(text, *this)) : void(places_.received(got.from, text));
+  }
+  network_.wait_post(*this);
+}
+
+void Holder::woken(std::uint64_t token) {
+  if (token != look_for_voters) return seeker().woken(WakeId{token});
+  places_.ask();
+  wakes_.after(places_.all() ? kLooksAgain : kLooks, *this, look_for_voters);
+}
+
+void Holder::ask(VoterNo voter, const Request& request) {
+  const Address* const at = places_.of(voter.value);
+  if (!at) return;
+  Writer writer(Writer::Kind::requests, {set_, who_, told_.value_or(here_)});
+  writer.add(request);
+  network_.post(*at, writer.done());
+}
+
+void Holder::reply_came(const Sender& from, const Reply& reply) {
+  const auto voter = places_.named(from.name);
+  if (voter && from.set == set_ && reply.lease == seeker_.lease())
+    seeker().answered(VoterNo{static_cast<std::uint32_t>(*voter)}, reply);
+}
+
+}  // namespace flintweir::node
--- /dev/null
+++ b/src/node/holder.h
@@ -0,0 +1,85 @@
+// A would-be holder of one lease, beside the nodes: finds the voters by the view of a node that it knows,
+// asks them, and tells whether it holds.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "leases/datagram.h"
+#include "leases/seeker.h"
+#include "members/asker.h"
+#include "net/network.h"
+#include "net/wakes.h"
+#include "setup/operator.h"
+
+namespace flintweir::node {
+
+// Where the voters are, as a node's view has it. Views are asked for until all are known, and now and then.
+class VoterPlaces {
+ public:
+  VoterPlaces(net::Network& network, const setup::FleetSection& fleet, std::vector<std::string> voters,
+              std::uint64_t seed);
+  void ask();                                                  // the next node that may answer
+  bool received(const Address& from, std::string_view bytes);  // whether it was a part of a view
+  const Address* of(std::size_t voter) const;
+  std::optional<std::size_t> named(std::string_view name) const;
+  bool all() const { return known_.size() == voters_.size(); }
+  const std::vector<std::string>& voters() const { return voters_; }
+
+ private:
+  net::Network& network_;
+  std::vector<Address> nodes_;
+  std::vector<std::string> voters_;
+  std::map<std::size_t, Address> known_;
+  std::size_t next_ = 0;
+  std::uint64_t nonces_;
+  Address asked_;
+  members::Asker asker_{0};
+};
+
+class Holder final : net::PostEvents, net::Woken, leases::Hearer, leases::Seeker::Outlet {
+ public:
+  class Told {
+   public:
+    virtual void held(leases::Token token) = 0;
+    virtual void lost(leases::Token token, std::string_view why) = 0;
+    virtual void waits(std::string_view why) = 0;
+
+   protected:
+    ~Told() = default;
+  };
+  // `who`: its name and start. `here`: where it hears; `told`: what voters answer to, the same if left out.
+  Holder(net::Network& network, net::Wakes& wakes, const setup::OperatorFile& own, std::string lease,
+         std::string who, const Address& here, std::optional<Address> told, std::uint64_t seed, Told& whom);
+  void begin();  // throws std::system_error where it can't have its address
+  void let_go();
+  // Of a lease that is held, by the clock now; looks whether it is.
+  Micros left();
+
+ private:
+  enum Due : std::uint64_t { look_for_voters = ~0ull };
+  void post_came() override;
+  void woken(std::uint64_t token) override;
+  void ask(leases::VoterNo voter, const leases::Request& request) override;
+  void wake(Micros in, WakeId wake) override { wakes_.after(in, *this, wake.value); }
+  void held(leases::Token token) override { whom_.held(token); }
+  void lost(leases::Token token, std::string_view why) override { whom_.lost(token, why); }
+  void waits(std::string_view why) override { whom_.waits(why); }
+  void reply_came(const leases::Sender& from, const leases::Reply& reply) override;
+  leases::Seeker& seeker();  // at the present time
+
+  net::Network& network_;
+  net::Wakes& wakes_;
+  std::string who_;
+  Address here_;
+  std::optional<Address> told_;
+  std::uint64_t set_;
+  Told& whom_;
+  VoterPlaces places_;
+  leases::Seeker seeker_;
+};
+
+}  // namespace flintweir::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -78,13 +78,16 @@
   sessions_.balancer_now();
 }
 
-void Node::join(const setup::FleetSection& fleet, std::string name, std::string version, std::uint64_t seed) {
+void Node::join(const setup::OperatorFile& own, std::string name, std::string version, std::uint64_t seed) {
   if (name.empty()) setup::bad("configuration: name is missing, which the operator's [fleet] needs");
   if (name.size() > members::kLongestName || !is_plain(name))
     setup::bad("configuration: name '" + name +
                "' is over 64 characters or not all printable ASCII without blanks and quotes");
-  peers_ = std::make_unique<Peers>(network_, wakes_, fleet, std::move(name), std::move(version), seed,
+  peers_ = std::make_unique<Peers>(network_, wakes_, *own.fleet, name, std::move(version), seed,
                                    [this](unsigned nodes) { balancer_now().nodes_are(nodes); });
+  leases_ = own.leases;
+  if (leases_ && std::find(leases_->voters.begin(), leases_->voters.end(), name) != leases_->voters.end())
+    peers_->vote(*leases_);
 }
 
 void Node::serve() {
@@ -106,6 +109,7 @@
       log_line("reload: fleet: holds until the next start");
     else if (peers_)
       peers_->reload(*own.fleet);
+    if (own.leases != leases_) log_line("reload: leases: holds until the next start");
   } catch (const std::exception& e) {
     log_line("reload: %s; nothing is changed", e.what());
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -22,7 +22,7 @@
   // Reads all of the file and makes the parts, but serves nobody. Throws setup::BadInput.
   Node(Network& network, const NodeFile& file, MakeBalancer make = setup::balancer_for);
   // Will speak to the other nodes of the fleet from serve() on. Throws setup::BadInput.
-  void join(const setup::FleetSection& fleet, std::string name, std::string version, std::uint64_t seed);
+  void join(const setup::OperatorFile& own, std::string name, std::string version, std::uint64_t seed);
   // From now on takes clients, on the network's loop. Throws std::system_error where it can't listen.
   void serve();
   // Takes the new address of discovery and the fleet's new seeds; all else holds until the next start. What
@@ -48,7 +48,8 @@
   Micros longest_dial_;
   Sessions sessions_;
   Discovery discovery_;
-  std::unique_ptr<Peers> peers_;  // none without the operator's word
+  std::unique_ptr<Peers> peers_;
+  std::optional<setup::LeasesSection> leases_;  // none without the operator's word
 };
 
 }  // namespace flintweir::node
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -28,6 +28,9 @@
   log_line("fleet: %s at %s told=%s name=%s", fleet_.name.c_str(), to_text(at).c_str(),
            to_text(fleet_.told).c_str(), name_.c_str());
   network_.wait_post(*this);
+  if (leases_)
+    voting_ = std::make_unique<Voting>(network_, *leases_, name_, fleet_.told,
+                                       static_cast<std::uint64_t>(wakes_.now().count()));
   view_.at(wakes_.now());
   view_.begin();
 }
@@ -52,7 +55,12 @@
   for (int i = 0; i < kDatagramsInARow; ++i) {
     const Received got = network_.receive(bytes, sizeof bytes);
     if (got.how == Io::later) break;
-    if (got.how == Io::done) view_.received(got.from, {bytes, got.bytes});
+    if (got.how != Io::done) continue;
+    const std::string_view text(bytes, got.bytes);
+    if (!leases::is_lease(text))
+      view_.received(got.from, text);
+    else if (voting_ && view_.joined())  // a second process of this name has no vote
+      voting_->received(text);
   }
   network_.wait_post(*this);
 }
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -4,10 +4,12 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "members/view.h"
 #include "net/wakes.h"
+#include "node/voting.h"
 #include "setup/operator.h"
 
 namespace flintweir::node {
@@ -21,6 +23,8 @@
         std::string version, std::uint64_t seed, std::function<void(unsigned)> count);
   // Throws std::system_error where the address can't be had.
   void begin();
+  // This node is one of the voters for leases, from begin() on.
+  void vote(const setup::LeasesSection& leases) { leases_ = leases; }
   // Takes new seeds; all else holds until the next start.
   void reload(const setup::FleetSection& fleet);
   void leave();
@@ -42,6 +46,8 @@
   Micros joined_at_ = kNever;
   unsigned told_ = 0;
   members::View view_;
+  std::optional<setup::LeasesSection> leases_;
+  std::unique_ptr<Voting> voting_;
 };
 
 }  // namespace flintweir::node
--- a/src/setup/operator.cpp
+++ b/src/setup/operator.cpp
@@ -108,6 +108,23 @@
     for (const toml::node& one : *n->as_array()) out.push_back(address_in(one, key));
     return out;
   }
+  std::vector<std::string> names(const char* key, const std::vector<std::size_t>& how_many) {
+    std::vector<std::string> out;
+    const toml::node* const n = find(key, true);
+    if (!n) return out;
+    bool good = n->is_array();
+    if (good)
+      for (const toml::node& one : *n->as_array()) {
+        out.push_back(one.value_exact<std::string>().value_or(""));
+        good = good && !out.back().empty() && out.back().size() <= 64 && is_plain(out.back()) &&
+               std::count(out.begin(), out.end(), out.back()) == 1;
+      }
+    good = good && std::find(how_many.begin(), how_many.end(), out.size()) != how_many.end();
+    if (!good)
+      complain(*n, key,
+               R"(has to be a list of 1, 3, 5 or 7 different names of nodes like ["n1", "n2", "n3"])");
+    return out;
+  }
   Micros time(const char* key, Micros least, Micros most, Micros other) {
     const toml::node* const n = find(key, false);
     if (!n) return other;
@@ -179,7 +196,7 @@
     complaints.add(e.source(), "toml", std::string(e.description()));
     return out;
   }
-  const std::vector<std::string> sections = {"fleet"};
+  const std::vector<std::string> sections = {"fleet", "leases"};
   for (const auto& [key, node] : table) {
     const std::string name(key.str());
     if (std::find(sections.begin(), sections.end(), name) == sections.end())
@@ -188,6 +205,12 @@
       complaints.add(key.source(), name, "has to be a section, [" + name + ']');
   }
   if (const toml::table* const fleet = table["fleet"].as_table()) out.fleet = fleet_of(*fleet, complaints);
+  if (const toml::table* const leases = table["leases"].as_table()) {
+    Section s(*leases, "leases", complaints);
+    out.leases = LeasesSection{s.names("voters", {1, 3, 5, 7}), s.time("length", 500ms, 1h, 2s)};
+    if (!out.fleet)
+      complaints.add(leases->source(), "leases", "needs [fleet] as well: voters are reached through it");
+  }
   return out;
 }
 
--- a/src/setup/operator.h
+++ b/src/setup/operator.h
@@ -22,6 +22,13 @@
   bool operator==(const FleetSection&) const = default;
 };
 
+// Section [leases]: leases for fleet-wide tasks, granted by a majority of these nodes.
+struct LeasesSection {
+  std::vector<std::string> voters;  // by name
+  Micros length;
+  bool operator==(const LeasesSection&) const = default;
+};
+
 class OperatorFile {
  public:
   // All that is wrong is found, a line for each: FILE:LINE:COLUMN: KEY: what, and what is allowed.
@@ -32,6 +39,7 @@
   static OperatorFile read(const std::string& path);
 
   std::optional<FleetSection> fleet;
+  std::optional<LeasesSection> leases;  // only beside a fleet
 };
 
 }  // namespace flintweir::setup
