Voters keep promises on disk; tests of leases on processes, on failing disks and by search

A voter with a folder answers only for what is written, synced and renamed into place, and need not wait after a restart; one whose folder is new waits, another's or a spoilt one ends the start with a line. Tests: each call of the disk fails in turn, going on or dying there; answers to an earlier renewal count for nothing; sixteen troubles on processes.

--- a/src/lab/lease_rig.cpp
+++ b/src/lab/lease_rig.cpp
@@ -4,7 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <charconv>
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <random>
@@ -107,6 +107,7 @@
   LeaseRig(std::uint64_t seed, const std::string& only, const std::vector<std::string>& program,
            std::string actor, const std::string& folder)
       : actor_(std::move(actor)),
+        folder_(folder),
         stage_(program, folder, kVoters + kHolders, 300ms, seed),
         ledger_(stage_.network(), stage_.ledger_at()),
         chance_(static_cast<std::knuth_b::result_type>(mix(seed + 77) | 1)) {
@@ -124,7 +125,8 @@
     };
     std::string voters;
     for (unsigned v = 0; v < kVoters; ++v) voters += (v ? ", \"n" : "\"n") + std::to_string(v) + '"';
-    stage_.add_section("[leases]\nvoters = [" + voters + "]\nlength = \"2s\"\n");
+    section_ = "[leases]\nvoters = [" + voters + "]\nlength = \"2s\"\n";
+    stage_.add_section(section_);
   }
 
   LeaseRun play() {
@@ -149,7 +151,14 @@
 
  private:
   void run(Micros in) { stage_.run_until(stage_.now() + in); }
-  void start_voter(unsigned v) { stage_.start({v, 0}, "n" + std::to_string(v), {{0, 0}, {1, 0}, {2, 0}}); }
+  std::string promises_of(unsigned v) const { return folder_ + "/promises-" + std::to_string(v); }
+  void start_voter(unsigned v) {
+    if (out_.trouble.starts_with("folders")) {
+      std::filesystem::create_directories(promises_of(v));
+      stage_.add_section(section_ + "folder = \"" + promises_of(v) + "\"\n");
+    }
+    stage_.start({v, 0}, "n" + std::to_string(v), {{0, 0}, {1, 0}, {2, 0}});
+  }
   void hold(unsigned h) {
     stage_.hold({kVoters + h, 0}, kLease,
                 {actor_, "act", "--ledger", to_text(stage_.ledger_at()), "--as", std::to_string(h)}, kVoters);
@@ -195,6 +204,13 @@
       if (kind == "majority-gone") run(6s);
       for (unsigned v = 0; v < n; ++v) start_voter(v);
       run(kLength * 2);  // they answer nobody for the longest lease
+    } else if (kind.starts_with("folders")) {
+      // All at once, with what they had kept: nobody has to wait; or some with nothing any more.
+      for (unsigned v = 0; v < kVoters; ++v) stage_.kill({v, 0});
+      if (kind == "folders-lost")
+        for (unsigned v = 0; v < kVoters; v += 2) std::filesystem::remove_all(promises_of(v));
+      for (unsigned v = 0; v < kVoters; ++v) start_voter(v);
+      run(kLength * 2);
     } else if (kind == "minority-gone") {
       for (unsigned v = 0; v < kVoters / 2; ++v) stage_.kill({v, 0});
       run(5s);
@@ -244,7 +260,7 @@
         ledger_.broken("rule=lease-log: acts under a token that nobody logs as held");
   }
 
-  std::string actor_;
+  std::string actor_, folder_, section_;
   RigLoopback stage_;
   Ledger ledger_;
   std::knuth_b chance_;
@@ -259,8 +275,9 @@
 
 const std::vector<std::string>& lease_troubles() {
   static const std::vector<std::string> all = {
-      "killed",  "leaves",         "stopped-short", "stopped-lease", "stopped-long", "cut",  "cut-in",
-      "cut-out", "voters-restart", "majority-gone", "minority-gone", "fifth-flaps",  "loss", "late"};
+      "killed", "leaves",  "stopped-short",  "stopped-lease", "stopped-long",  "cut",
+      "cut-in", "cut-out", "voters-restart", "majority-gone", "minority-gone", "fifth-flaps",
+      "loss",   "late",    "folders-kept",   "folders-lost"};
   return all;
 }
 
--- a/src/lab/lease_search.cpp
+++ b/src/lab/lease_search.cpp
@@ -238,7 +238,7 @@
     Folder* const folder = what_.folders ? &kept_[v] : nullptr;
     // The wall clock of whoever starts again shows more than any token: seconds, where tokens grow by one.
     const Token floor{again ? 1000 * (1 + restarts_) : 100};
-    return Voter(kLength, floor, voter_clock(v), folder, folder ? kept_[v].all : std::vector<Folder::Kept>());
+    return Voter(kLength, floor, voter_clock(v), folder, folder ? std::optional(kept_[v].all) : std::nullopt);
   }
 
   void fly(Message m) {
--- a/src/leases/voter.cpp
+++ b/src/leases/voter.cpp
@@ -5,9 +5,11 @@
 
 namespace flintweir::leases {
 
-Voter::Voter(Micros longest, Token floor, Micros now, Folder* folder, const std::vector<Folder::Kept>& kept)
-    : longest_(longest), silent_until_(folder ? now : now + longest), floor_(floor), folder_(folder) {
-  for (const Folder::Kept& k : kept) {
+Voter::Voter(Micros longest, Token floor, Micros now, Folder* folder,
+             const std::optional<std::vector<Folder::Kept>>& kept)
+    : longest_(longest), silent_until_(kept ? now : now + longest), floor_(floor), folder_(folder) {
+  if (!kept) return;
+  for (const Folder::Kept& k : *kept) {
     Entry& e = entries_[k.lease];
     e.promised = k.promised, e.promised_to = k.promised_to;
     e.granted = k.granted, e.holder = k.holder;
--- a/src/leases/voter.h
+++ b/src/leases/voter.h
@@ -29,9 +29,9 @@
  public:
   // `longest`: a lease that may be asked for. `floor`: promises only larger tokens; the wall clock at the
   // start, so that tokens grow where all was forgotten. Without `folder` it answers nobody until the longest
-  // lease that it can have granted before is over; with one it goes on from `kept`.
+  // lease that it can have granted before is over; so does one whose folder is new. With `kept` it goes on.
   Voter(Micros longest, Token floor, Micros now, Folder* folder = nullptr,
-        const std::vector<Folder::Kept>& kept = {});
+        const std::optional<std::vector<Folder::Kept>>& kept = std::nullopt);
 
   void keep_in(Folder* folder) { folder_ = folder; }  // which holds the same as the one before
 
--- a/src/node/voting.cpp
+++ b/src/node/voting.cpp
@@ -20,10 +20,15 @@
       name_(std::move(name)),
       told_(told),
       set_(set_of(leases.voters, leases.length)),
-      voter_(leases.length, Token{start}, network.ticking()),
+      disk_(leases.folder),
+      folder_(leases.folder.empty() ? std::optional<PromiseFolder>()
+                                    : std::optional<PromiseFolder>(std::in_place, disk_, name_)),
+      voter_(leases.length, Token{start}, network.ticking(), folder_ ? &*folder_ : nullptr,
+             folder_ ? folder_->kept() : std::nullopt),
       complained_at_(kNever) {
   net::log_line("leases: voter name=%s set=%016llx silent_ms=%lld", name_.c_str(),
-                static_cast<unsigned long long>(set_), static_cast<long long>(leases.length.count() / 1000));
+                static_cast<unsigned long long>(set_),
+                static_cast<long long>(voter_.silent(network.ticking()) ? leases.length.count() / 1000 : 0));
 }
 
 void Voting::received(std::string_view bytes) { decode(bytes, *this); }
--- a/src/setup/operator.cpp
+++ b/src/setup/operator.cpp
@@ -207,7 +207,8 @@
   if (const toml::table* const fleet = table["fleet"].as_table()) out.fleet = fleet_of(*fleet, complaints);
   if (const toml::table* const leases = table["leases"].as_table()) {
     Section s(*leases, "leases", complaints);
-    out.leases = LeasesSection{s.names("voters", {1, 3, 5, 7}), s.time("length", 500ms, 1h, 2s)};
+    out.leases = LeasesSection{s.names("voters", {1, 3, 5, 7}), s.time("length", 500ms, 1h, 2s),
+                               s.word("folder", 200, "")};
     if (!out.fleet)
       complaints.add(leases->source(), "leases", "needs [fleet] as well: voters are reached through it");
   }
--- a/src/setup/operator.h
+++ b/src/setup/operator.h
@@ -26,6 +26,7 @@
 struct LeasesSection {
   std::vector<std::string> voters;  // by name
   Micros length;
+  std::string folder;  // where a voter keeps its promises; empty: nowhere
   bool operator==(const LeasesSection&) const = default;
 };
 
--- a/tests/flaws.cmake
+++ b/tests/flaws.cmake
@@ -97,7 +97,7 @@
 
 # Leases.
 flintweir_flaw(voter-forgets search two-hold src/leases/voter.cpp
-  "silent_until_(folder ? now : now + longest)" "silent_until_(now)")
+  "silent_until_(kept ? now : now + longest)" "silent_until_(now)")
 flintweir_flaw(counts-from-answer search two- src/leases/seeker.cpp
   "std::max(end_, sent_at_ + usable(length_))" "std::max(end_, now_ + usable(length_))")
 flintweir_flaw(rates-not-allowed-for search two-hold src/leases/seeker.cpp
--- /dev/null
+++ b/tests/leases_test.cpp
@@ -0,0 +1,236 @@
+// Leases: their datagrams, promises on disk with each single write and sync failing in turn, the decisions in
+// every order, and several processes of the program with faults between them, judged by a ledger.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include "lab/lease_rig.h"
+#include "lab/lease_search.h"
+#include "leases/datagram.h"
+#include "leases/seeker.h"
+#include "leases/voter.h"
+#include "node/promise_folder.h"
+#include "setup/operator.h"
+
+namespace flintweir {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace leases;
+
+struct Counting final : Hearer {
+  std::size_t items = 0;
+  void request_came(const Sender&, const Request&) override { ++items; }
+  void reply_came(const Sender&, const Reply&) override { ++items; }
+  void shown_came(const Sender&, const Shown&) override { ++items; }
+};
+
+// Each kind comes back as it was said; one byte changed, or a byte less, and nothing of it is heard.
+TEST(LeaseDatagrams, AreHeardWholeOrNotAtAll) {
+  std::knuth_b chance(7);
+  const Sender from{chance(), "n1/17", *address_of("127.0.0.1:7946")};
+  for (int round = 0; round < 3000; ++round) {
+    const auto kind = static_cast<Writer::Kind>(1 + chance() % 3);
+    Writer w(kind, from);
+    if (kind == Writer::Kind::page) w.last(chance() % 2);
+    std::size_t items = chance() % 9, said = 0;
+    for (; said < items; ++said) {
+      const bool fits = kind == Writer::Kind::requests
+                            ? w.add(Request{Ask::grant, "job", {chance()}, {chance()}, 2s})
+                        : kind == Writer::Kind::replies
+                            ? w.add(Reply{Say::held, "job", {chance()}, {chance()}, {chance()}, "n2/9", 1s})
+                            : w.add(Shown{"job", "n2/9", {chance()}, 1s, 3});
+      ASSERT_TRUE(fits);
+    }
+    const std::string good(w.done());
+    Counting heard, silent;
+    ASSERT_TRUE(decode(good, heard));
+    EXPECT_EQ(heard.items, said);
+    std::string bad = good;
+    if (chance() % 2)
+      bad.resize(chance() % bad.size());
+    else
+      bad[chance() % bad.size()] ^= static_cast<char>(1 + chance() % 255);
+    EXPECT_FALSE(decode(bad, silent));
+    EXPECT_EQ(silent.items, 0u);
+  }
+}
+
+// A disk of which the call of that number fails, or is the last one before a crash.
+struct BadDisk final : node::Disk {
+  std::map<std::string, std::string> files;
+  int calls = 0, fails_at = -1;
+  bool dies = false, dead = false;
+  bool fails() {
+    if (dead) return true;
+    const bool now = calls++ == fails_at;
+    dead = now && dies;
+    return now;
+  }
+  bool write(const std::string& name, std::string_view bytes) override {
+    if (fails()) {
+      files[name] = bytes.substr(0, bytes.size() / 2);  // as far as it came
+      return false;
+    }
+    files[name] = bytes;
+    return true;
+  }
+  bool rename(const std::string& from, const std::string& to) override {
+    if (fails()) return false;
+    files[to] = files[from];
+    files.erase(from);
+    return true;
+  }
+  bool sync_folder() override { return !fails(); }
+  std::optional<std::string> read(const std::string& name) override { return files.at(name); }
+  std::vector<std::string> names() override {
+    std::vector<std::string> out;
+    for (const auto& [name, text] : files) out.push_back(name);
+    return out;
+  }
+};
+
+// Guards against a vote that is answered and then forgotten, and against a promise found in part: each call
+// of the disk fails in turn, with the process going on or ended there.
+TEST(Promises, OutlastEachFailureOfTheDisk) {
+  for (const bool dies : {false, true}) {
+    for (int fails_at = 3; fails_at < 21; ++fails_at) {
+      BadDisk disk;
+      std::uint64_t answered = 0;
+      {
+        node::PromiseFolder folder(disk, "n1");
+        EXPECT_FALSE(folder.kept());
+        disk.fails_at = fails_at, disk.dies = dies;
+        Voter voter(2s, Token{10}, 0s, &folder);
+        for (std::uint64_t t = 11; t < 14; ++t) {
+          if (voter.asked(3s, {Ask::promise, "job", Token{t}, Round{1}, 2s}, "a") &&
+              voter.asked(3s, {Ask::grant, "job", Token{t}, Round{1}, 2s}, "a"))
+            answered = t;
+        }
+      }
+      disk.dead = false, disk.fails_at = -1;
+      node::PromiseFolder again(disk, "n1");
+      ASSERT_TRUE(again.kept());
+      Voter voter(2s, Token{0}, 0s, &again, again.kept());
+      // Whatever was granted still stands in the way of another, and tokens go on from there.
+      const auto reply = voter.asked(1ms, {Ask::promise, "job", Token{1000}, Round{1}, 2s}, "b");
+      if (answered > 0) {
+        ASSERT_TRUE(reply);
+        EXPECT_EQ(reply->say, Say::held) << fails_at << ' ' << dies;
+        EXPECT_GE(reply->highest.value, answered);
+      }
+      EXPECT_THROW(node::PromiseFolder(disk, "n2"), std::runtime_error);
+    }
+  }
+}
+
+struct Asked final : Seeker::Outlet {
+  std::vector<Round> rounds;
+  Token token;
+  bool holds = false;
+  void ask(VoterNo, const Request& r) override { rounds.push_back(r.round), token = r.token; }
+  void wake(Micros, WakeId id) override { last = id; }
+  void held(Token) override { holds = true; }
+  void lost(Token, std::string_view) override { holds = false; }
+  void waits(std::string_view) override {}
+  WakeId last;
+};
+
+// Guards against an answer to an earlier renewal that is counted from the later one's time: the voter's time
+// runs from the earlier. Guards as well against an act that does not fit into what is left.
+TEST(Holder, CountsOnlyAnswersToItsLastQuestion) {
+  Asked asked;
+  Seeker seeker(asked, "job", 3, 10s, Token{1}, 3);
+  seeker.at(0s);
+  seeker.want();
+  const auto answer = [&](std::uint32_t voter, Say say, Round round) {
+    seeker.answered(VoterNo{voter}, {say, "job", asked.token, round, asked.token, {}, 0s});
+  };
+  for (const std::uint32_t v : {0u, 1u}) answer(v, Say::promised, asked.rounds.back());
+  answer(0, Say::granted, asked.rounds.back());
+  answer(0, Say::granted, asked.rounds.back());  // doubled: still one voter
+  EXPECT_FALSE(asked.holds);
+  answer(1, Say::granted, asked.rounds.back());
+  ASSERT_TRUE(asked.holds);
+  EXPECT_EQ(seeker.left(), usable(10s));
+  EXPECT_TRUE(seeker.act(9s));
+  EXPECT_FALSE(seeker.act(usable(10s) + 1us));
+  seeker.at(4s);
+  seeker.woken(asked.last);
+  const Round first = asked.rounds.back();
+  seeker.at(8s);
+  seeker.woken(asked.last);
+  ASSERT_NE(asked.rounds.back(), first);
+  for (const std::uint32_t v : {0u, 1u}) answer(v, Say::granted, first);
+  EXPECT_EQ(seeker.left(), usable(10s) - 8s);
+  seeker.at(10s);
+  EXPECT_FALSE(asked.holds);
+  EXPECT_FALSE(seeker.act(1us));
+}
+
+TEST(Search, FindsNoOrderInWhichTwoHold) {
+  for (const bool folders : {false, true}) {
+    lab::LeaseSearch of;
+    of.folders = folders, of.held = true, of.restarts = 1, of.most_states = FLINTWEIR_LEASE_STATES;
+    const lab::LeaseFound searched = search_leases(of),
+                          walked = walk_leases(of, 1, FLINTWEIR_LEASE_STATES / 15, 400);
+    EXPECT_FALSE(searched.broken) << *searched.broken;
+    EXPECT_FALSE(walked.broken) << *walked.broken;
+    EXPECT_GT(walked.grants, 200u);  // else nothing was at stake
+  }
+}
+
+int status_of(const std::string& words) {
+  return WEXITSTATUS(
+      std::system((std::string(FLINTWEIR_PROGRAM) + ' ' + words + " >/dev/null 2>&1").c_str()));
+}
+
+TEST(LeaseTool, TellsByItsStatus) {
+  const auto file = std::filesystem::temp_directory_path() / ("flintweir-leases-" + std::to_string(getpid()));
+  const auto with = [&](const std::string& voters) {
+    std::ofstream(file, std::ios::trunc)
+        << "[fleet]\nname = \"a\"\naddress = \"127.0.0.1:9\"\n[leases]\nvoters = " << voters << '\n';
+    return " --operator " + file.string();
+  };
+  EXPECT_EQ(status_of("check" + with("[\"n1\", \"n2\", \"n3\"]")), 0);
+  EXPECT_EQ(status_of("check" + with("[\"n1\", \"n2\"]")), 1);          // an even number
+  EXPECT_EQ(status_of("check" + with("[\"n1\", \"n1\", \"n2\"]")), 1);  // one twice
+  EXPECT_EQ(status_of("lease list" + with("[\"n1\"]")), 3);             // nobody answers
+  EXPECT_EQ(status_of("lease hold job" + with("[\"n1\"]")), 2);
+  EXPECT_EQ(status_of("lease list"), 2);
+  std::filesystem::remove(file);
+}
+
+// Five voters and four would-be holders each, one kind of trouble, eight rigs at a time.
+TEST(LeaseProcesses, NeverActTwoAtOnce) {
+  const auto& kinds = lab::lease_troubles();
+  std::atomic<std::size_t> next{0};
+  std::mutex mutex;
+  const auto folder =
+      std::filesystem::temp_directory_path() / ("flintweir-leases-rig-" + std::to_string(getpid()));
+  const auto work = [&] {
+    for (std::size_t i; (i = next++) < kinds.size();) {
+      const auto own = folder / kinds[i];
+      std::filesystem::create_directories(own);
+      const lab::LeaseRun out =
+          lab::run_leases(5 + i, kinds[i], {FLINTWEIR_PROGRAM}, FLINTWEIR_LAB_TOOL, own.string());
+      const std::lock_guard lock(mutex);
+      for (const std::string& b : out.broken) ADD_FAILURE() << kinds[i] << ": " << b;
+      EXPECT_GT(out.acts, 20u) << kinds[i];
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 8; ++i) threads.emplace_back(work);
+  for (std::thread& t : threads) t.join();
+  std::filesystem::remove_all(folder);
+}
+
+}  // namespace
+}  // namespace flintweir
