Count a voter's times from zero; start no second command beside one that is ending

Cause: with sanitizers the search stopped at an overflow: the time of a lease never granted was the least number there is, and the present was taken from it (Voter::tell). A lease lost and won again at once would have started a second command before the first was reaped. Result: leases' tests pass with sanitizers.

--- a/src/lease_command.cpp
+++ b/src/lease_command.cpp
@@ -55,6 +55,8 @@
 
  private:
   void held(Token token) override {
+    // Guards against a second command beside one that was told to end and has not yet.
+    if (child_ != 0) return holder_.let_go();
     net::log_line("lease: held name=%s token=%llu", lease_.c_str(),
                   static_cast<unsigned long long>(token.value));
     start(token);
--- a/src/leases/voter.cpp
+++ b/src/leases/voter.cpp
@@ -28,7 +28,7 @@
   if (it == entries_.end()) {
     if (r.ask == Ask::look || r.ask == Ask::release) return std::nullopt;
     if (entries_.size() >= kMostLeases) return std::nullopt;  // what is promised is never forgotten
-    it = entries_.emplace(std::string(r.lease), Entry{floor_, {}, {}, {}, Micros::min(), {}}).first;
+    it = entries_.emplace(std::string(r.lease), Entry{floor_, {}, {}, {}, Micros{0}, {}}).first;
   }
   Entry& e = it->second;
   const bool live = !e.holder.empty() && now < e.until;
@@ -77,7 +77,7 @@
       next.promised_to.clear();  // a renewal of its own that comes late takes nothing back
       if (!keep(it->first, next)) return std::nullopt;
       e = std::move(next);
-      e.until = Micros::min();
+      e.until = Micros{0};
       return Reply{Say::freed, it->first, r.token, r.round, e.promised, {}, Micros{0}};
     }
   }
--- a/src/leases/voter.h
+++ b/src/leases/voter.h
@@ -55,7 +55,7 @@
   struct Entry {
     Token promised, granted;
     std::string promised_to, holder;
-    Micros until = Micros::min();
+    Micros until{0};
     std::vector<std::string> line;
   };
   bool keep(std::string_view lease, const Entry& e);
