--- a/apps/flintweir_lab.cpp
+++ b/apps/flintweir_lab.cpp
@@ -79,6 +79,7 @@
 struct RunWays {
   unsigned jobs = 1;
   bool real = false, until_broken = false, keep_logs = false;
+  unsigned holders = 4;           // that want one lease, in virtual time
   std::optional<PlainWay> plain;  // an experiment on the fleet's view: how nodes know each other instead
   std::vector<std::string> program;
   fs::path out;
@@ -244,6 +245,7 @@
 int leases(Seeds seeds, const RunWays& ways, const std::string& only) {
   std::vector<double> gaps;
   std::uint64_t acts = 0, refused = 0, broken = 0, runs = 0;
+  double asked = 0;
   std::map<std::string, std::vector<double>> by_trouble;
   std::mutex mutex;
   std::atomic<std::uint64_t> next{seeds.first};
@@ -254,10 +256,10 @@
                               ("leases-" + std::to_string(getpid()) + "-" + std::to_string(seed));
       fs::create_directories(folder);
       const LeaseRun one = ways.real ? run_leases(seed, only, ways.program, self, folder.string())
-                                     : run_leases_virtual(seed, only);
+                                     : run_leases_virtual(seed, only, ways.holders);
       if (ways.out.empty()) fs::remove_all(folder);
       const std::lock_guard lock(mutex);
-      ++runs, acts += one.acts, refused += one.refused;
+      ++runs, acts += one.acts, refused += one.refused, asked += one.asked;
       by_trouble[one.trouble].push_back(one.gap);
       for (const std::string& b : one.broken)
         if (++broken <= 20)
@@ -268,9 +270,10 @@
   std::vector<std::thread> threads;
   for (unsigned i = 0; i < ways.jobs; ++i) threads.emplace_back(work);
   for (std::thread& t : threads) t.join();
-  std::printf("%llu runs, %llu acts, %llu refused; rules %s\n", static_cast<unsigned long long>(runs),
-              static_cast<unsigned long long>(acts), static_cast<unsigned long long>(refused),
-              broken ? "broken" : "kept");
+  std::printf("%llu runs, %llu acts, %llu refused, %.0f datagrams a second at each voter; rules %s\n",
+              static_cast<unsigned long long>(runs), static_cast<unsigned long long>(acts),
+              static_cast<unsigned long long>(refused),
+              asked / static_cast<double>(std::max<std::uint64_t>(runs, 1)), broken ? "broken" : "kept");
   for (const auto& [trouble, values] : by_trouble)
     std::printf("%-16s nobody acted for: %s\n", trouble.c_str(), spread_of(values, "ms").c_str());
   return broken ? 1 : 0;
@@ -537,6 +540,8 @@
   leases_command->add_option("--seeds", seeds, "a range A..B");
   leases_command->add_option("--only", only, "one kind of trouble");
   leases_command->add_flag("--real", ways.real, "with processes of the real program");
+  leases_command->add_option("--holders", ways.holders, "that want it, in virtual time")
+      ->check(CLI::Range(2u, 1000u));
   leases_command->add_option("--program", program, "the real program; without it the one beside this");
   leases_command->add_option("--jobs", ways.jobs, "rigs at a time")->check(CLI::Range(1u, 64u));
   leases_command->add_option("--out", ways.out, "folder for logs");
--- a/src/lab/lease_rig.cpp
+++ b/src/lab/lease_rig.cpp
@@ -21,7 +21,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr unsigned kVoters = 5, kHolders = 4;
+constexpr unsigned kVoters = 5, kProcesses = 4;  // voters, and would-be holders as processes
 constexpr Micros kLength = 2s, kActTakes = 60ms;
 constexpr const char* kLease = "nightly";
 
@@ -85,6 +85,7 @@
  public:
   virtual ~LeaseStage() = default;
   virtual RigStage& rig() = 0;
+  virtual unsigned holders() const = 0;
   virtual void start_voter(unsigned v) = 0;
   virtual void hold(unsigned h) = 0;
   virtual void kill_holder(unsigned h) = 0;
@@ -109,7 +110,7 @@
         actor_(std::move(actor)),
         folder_(folder),
         folders_(folders),
-        stage_(program, folder, kVoters + kHolders, 300ms, seed),
+        stage_(program, folder, kVoters + kProcesses, 300ms, seed),
         network_(stage_.network()) {
     network_.open_post(stage_.ledger_at());
     network_.wait_post(*this);
@@ -120,6 +121,7 @@
   }
   ~Processes() override { network_.retire(); }
   RigStage& rig() override { return stage_; }
+  unsigned holders() const override { return kProcesses; }
   void start_voter(unsigned v) override {
     if (folders_) {
       std::filesystem::create_directories(promises_of(v));
@@ -140,7 +142,7 @@
   void lose_promises(unsigned v) override { std::filesystem::remove_all(promises_of(v)); }
   std::map<std::uint64_t, std::set<unsigned>> held() override {
     std::map<std::uint64_t, std::set<unsigned>> out;
-    for (unsigned h = 0; h < kHolders; ++h) {
+    for (unsigned h = 0; h < kProcesses; ++h) {
       std::ifstream in(stage_.log_of({kVoters + h, 0}));
       for (std::string line; std::getline(in, line);) {
         const std::size_t at = line.find(" token=");
@@ -181,14 +183,14 @@
 // holders run at both ends of the bound.
 class Virtual final : public LeaseStage {
  public:
-  Virtual(Ledger& ledger, std::uint64_t seed)
-      : ledger_(ledger), seed_(seed), stage_(kVoters + kHolders, 300ms, 1h, seed, nullptr) {
+  Virtual(Ledger& ledger, unsigned holders, std::uint64_t seed)
+      : ledger_(ledger), count_(holders), seed_(seed), stage_(kVoters + holders, 300ms, 1h, seed, nullptr) {
     own_.leases = setup::LeasesSection{voters(), kLength, ""};
     own_.fleet = setup::FleetSection{"lab", "", {}, {}, {}, 300ms, 1h, 4096};
     for (unsigned v = 0; v < kVoters; ++v) own_.fleet->seeds.push_back(stage_.hears_at({v, 0}));
     own_.fleet->address = own_.fleet->seeds.front();
     stage_.vote(*own_.leases);
-    for (unsigned n = 0; n < kVoters + kHolders; ++n)
+    for (unsigned n = 0; n < kVoters + count_; ++n)
       stage_.set_rate({n, 0}, mix(seed + n) % 2 ? 1 - leases::kRateBound : 1 + leases::kRateBound);
     ledger_.runs = [this](int pid) {
       return std::any_of(holders_.begin(), holders_.end(),
@@ -196,9 +198,10 @@
     };
   }
   ~Virtual() override {
-    for (unsigned h = 0; h < kHolders; ++h) kill_holder(h);
+    for (unsigned h = 0; h < count_; ++h) kill_holder(h);
   }
   RigStage& rig() override { return stage_; }
+  unsigned holders() const override { return count_; }
   void start_voter(unsigned v) override { stage_.start({v, 0}, voters()[v], {{0, 0}, {1, 0}, {2, 0}}); }
   void hold(unsigned h) override {
     const RigPlace at{kVoters + h, 0};
@@ -260,6 +263,7 @@
   };
 
   Ledger& ledger_;
+  unsigned count_;
   std::uint64_t seed_;
   setup::OperatorFile own_;
   RigVirtual stage_;
@@ -284,14 +288,20 @@
   }
 
   LeaseRun play() {
+    std::uint64_t asked = 0;
+    stage_.rig().on_sent = [&asked](RigPlace from, std::size_t) { asked += from.node >= kVoters; };
     for (unsigned v = 0; v < kVoters; ++v) stage_.start_voter(v);
     run(3s);
-    for (unsigned h = 0; h < kHolders; ++h) stage_.hold(h);
+    for (unsigned h = 0; h < stage_.holders(); ++h) stage_.hold(h);
     // Somebody acts before anything breaks.
     for (const Micros until = stage_.rig().now() + 8s; ledger_.acts == 0 && stage_.rig().now() < until;)
       run(50ms);
     if (ledger_.acts == 0) ledger_.broken("rule=lease-nobody: nobody has begun to act");
     run(600ms + Micros{static_cast<std::int64_t>(chance_() % 600'000)});
+    // While nothing is amiss but that all want it.
+    const std::uint64_t before_rest = asked;
+    run(2s);
+    out_.asked = static_cast<double>(asked - before_rest) / 2 / kVoters;
     measures_ = true;
     trouble(out_.trouble);
     const std::uint64_t before = ledger_.acts;
@@ -301,6 +311,7 @@
     out_.acts = ledger_.acts;
     out_.refused = ledger_.refused;
     logs();
+    stage_.rig().on_sent = nullptr;
     return std::move(out_);
   }
 
@@ -315,8 +326,8 @@
     }
   }
   void all_ways(Post post) {
-    for (unsigned a = 0; a < kVoters + kHolders; ++a)
-      for (unsigned b = 0; b < kVoters + kHolders; ++b) stage_.rig().way(a, b) = post;
+    for (unsigned a = 0; a < kVoters + stage_.holders(); ++a)
+      for (unsigned b = 0; b < kVoters + stage_.holders(); ++b) stage_.rig().way(a, b) = post;
   }
 
   void trouble(const std::string& kind) {
@@ -327,6 +338,14 @@
       kind == "killed" ? stage_.kill_holder(h) : stage_.leave(h);
       run(4s);
       stage_.hold(h);
+    } else if (kind == "fails-returns") {
+      for (int i = 0; i < 4; ++i) {
+        const unsigned now = holder();
+        stage_.kill_holder(now);
+        run(1500ms);
+        stage_.hold(now);
+        run(1500ms);
+      }
     } else if (kind.starts_with("stopped")) {
       // The holder and what it runs, in the middle of whatever they do, for less or more than the lease.
       const Micros lasts = kind == "stopped-short" ? 800ms : kind == "stopped-lease" ? 2s : 5s;
@@ -362,8 +381,8 @@
         return n == kVoters - 1 ? left : n < kVoters ? n % 2 == 0 : (n - kVoters) % 2 == 0;
       };
       for (int i = 0; i < 8; ++i) {
-        for (unsigned a = 0; a < kVoters + kHolders; ++a)
-          for (unsigned b = 0; b < kVoters + kHolders; ++b)
+        for (unsigned a = 0; a < kVoters + stage_.holders(); ++a)
+          for (unsigned b = 0; b < kVoters + stage_.holders(); ++b)
             stage_.rig().way(a, b) = side(a, i % 2 == 0) == side(b, i % 2 == 0) ? Post() : cut;
         run(1s);
       }
@@ -429,9 +448,9 @@
   return LeaseRig(seed, trouble, ledger, stage).play();
 }
 
-LeaseRun run_leases_virtual(std::uint64_t seed, const std::string& only) {
+LeaseRun run_leases_virtual(std::uint64_t seed, const std::string& only, unsigned holders) {
   Ledger ledger;
-  Virtual stage(ledger, seed);
+  Virtual stage(ledger, holders, seed);
   return LeaseRig(seed, lease_trouble(seed, only), ledger, stage).play();
 }
 
--- a/src/lab/lease_rig.h
+++ b/src/lab/lease_rig.h
@@ -17,6 +17,7 @@
   std::uint64_t acts = 0, refused = 0;
   // Milliseconds at most between the begins of two acts, from the trouble's begin to the end.
   double gap = 0;
+  double asked = 0;  // datagrams a second at each voter, before the trouble
 };
 
 // `actor`: the lab's own program. Logs go to `folder`.
@@ -24,7 +25,7 @@
                     const std::string& actor, const std::string& folder);
 
 // In virtual time; there the two troubles of folders are as if there were none.
-LeaseRun run_leases_virtual(std::uint64_t seed, const std::string& only);
+LeaseRun run_leases_virtual(std::uint64_t seed, const std::string& only, unsigned holders = 4);
 
 // What a holder runs: acts until it is told to end.
 int act_on_ledger(const std::string& ledger, const std::string& as);
