Let voters tell who stands in line; whoever does not asks again only seldom

Need: all that want a lease asked again each time it should have ended. Change: three stand in line at each voter and hear so, the others draw their next try from four lengths; whoever in line has not asked for two lengths makes room.

--- a/src/lab/lease_rig.cpp
+++ b/src/lab/lease_rig.cpp
@@ -428,7 +428,7 @@
   static const std::vector<std::string> all = {
       "killed", "leaves",  "stopped-short",  "stopped-lease", "stopped-long",  "cut",
       "cut-in", "cut-out", "voters-restart", "majority-gone", "minority-gone", "fifth-flaps",
-      "loss",   "late",    "folders-kept",   "folders-lost"};
+      "loss",   "late",    "folders-kept",   "folders-lost",  "fails-returns"};
   return all;
 }
 
--- a/src/leases/datagram.cpp
+++ b/src/leases/datagram.cpp
@@ -48,7 +48,7 @@
       requests.push_back(r);
     } else if (kind == Writer::Kind::replies) {
       Reply r;
-      r.say = one_of(f.number(), Say::freed);
+      r.say = one_of(f.number(), Say::in_line);
       r.lease = f.text(kLongestLease);
       r.token = Token{f.number()};
       r.round = Round{f.number()};
--- a/src/leases/seeker.cpp
+++ b/src/leases/seeker.cpp
@@ -10,7 +10,8 @@
 constexpr int kAnswers = 8;  // an answer that takes longer than that part is not waited for
 constexpr int kRenews = 3;   // renewed after each such part of what a holder may count on
 constexpr int kLongestPause = 2;
-constexpr int kSoon = 64;  // between two that hear at once that it is free
+constexpr int kNotInLine = 4;  // whoever does not stand in line asks again within so many
+constexpr int kSoon = 64;      // between two that hear at once that it is free
 
 }  // namespace
 
@@ -44,7 +45,8 @@
       no_(of.no_),
       turn_(of.turn_),
       tries_(of.tries_),
-      wanted_(of.wanted_) {}
+      wanted_(of.wanted_),
+      in_line_(of.in_line_) {}
 
 void Seeker::tell(std::string& out) const {
   out += std::to_string(static_cast<int>(phase_)) + (wanted_ ? 'w' : '-');
@@ -114,6 +116,7 @@
   ++round_.value;
   yes_ = no_ = 0;
   held_for_ = Micros{0};
+  in_line_ = false;
   token_ = seen_ = Token{seen_.value + 1};
   ask_all(Ask::promise);
   wake(length_ / kAnswers, Due::again);
@@ -197,18 +200,23 @@
       else
         give_back();
       return;
+    case Say::in_line:
+      in_line_ = true;
+      [[fallthrough]];
     case Say::held:
     case Say::later:
       if (r.highest < token_ && r.say == Say::later && phase_ != Phase::promising)
         return ask_one(voter, Ask::promise);
       no_ |= bit;
-      if (r.say == Say::held && !r.holder.empty())
+      if (r.say != Say::later && !r.holder.empty())
         holder_ = r.holder, held_for_ = std::max(held_for_, r.left);
       // Of a holder the end comes by itself.
       if (phase_ == Phase::holding || voters_ - static_cast<std::size_t>(std::popcount(no_)) > voters_ / 2)
         return;
       ++tries_;
-      if (held_for_ > Micros{0}) return wait(held_for_ + drawn(length_ / kAnswers), "held by " + holder_);
+      if (held_for_ > Micros{0})
+        return wait(held_for_ + drawn(in_line_ ? length_ / kAnswers : length_ * kNotInLine),
+                    "held by " + holder_);
       return wait(drawn(length_ / kAnswers * (1 << std::min(tries_, 3))), "others ask for it as well");
     case Say::freed:
       return;
--- a/src/leases/seeker.h
+++ b/src/leases/seeker.h
@@ -95,7 +95,7 @@
   std::uint64_t yes_ = 0, no_ = 0;  // of this round, a bit a voter
   std::uint64_t turn_ = 0;
   int tries_ = 0, acts_ = 0;
-  bool wanted_ = false;
+  bool wanted_ = false, in_line_ = false;  // at any voter, in this round
 };
 
 }  // namespace flintweir::leases
--- a/src/leases/voter.cpp
+++ b/src/leases/voter.cpp
@@ -46,9 +46,7 @@
       return reply(live ? Say::held : Say::later);
     case Ask::promise: {
       if (live && e.holder != who) {
-        if (e.line.size() < kLine && std::find(e.line.begin(), e.line.end(), who) == e.line.end())
-          e.line.emplace_back(who);
-        return reply(Say::held);
+        return reply(in_line(e, who, now, longest_) ? Say::in_line : Say::held);
       }
       if (r.token <= e.promised) return reply(Say::later);
       Entry next = e;
@@ -64,7 +62,7 @@
       Entry next = e;
       next.granted = r.token;
       next.holder = who;
-      std::erase(next.line, who);
+      std::erase_if(next.line, [&](const auto& l) { return l.first == who; });
       if ((e.granted != r.token || e.holder != who) && !keep(it->first, next)) return std::nullopt;
       e = std::move(next);
       e.until = std::max(e.until, now + r.length);
@@ -84,9 +82,23 @@
   return std::nullopt;
 }
 
+// Whether it stands in line from now on; one that has not asked for two leases is in nobody's way.
+bool Voter::in_line(Entry& e, std::string_view who, Micros now, Micros longest) {
+  std::erase_if(e.line, [&](const auto& l) { return now - l.second > 2 * longest; });
+  for (auto& [name, asked] : e.line)
+    if (name == who) return asked = now, true;
+  if (e.line.size() >= kLine) return false;
+  e.line.emplace_back(who, now);
+  return true;
+}
+
 std::vector<std::string> Voter::freed(std::string_view lease) {
+  std::vector<std::string> out;
   const auto it = entries_.find(lease);
-  return it == entries_.end() ? std::vector<std::string>() : std::exchange(it->second.line, {});
+  if (it == entries_.end()) return out;
+  for (auto& [name, asked] : it->second.line) out.push_back(std::move(name));
+  it->second.line.clear();
+  return out;
 }
 
 void Voter::tell(Micros now, std::string& out) const {
@@ -102,7 +114,8 @@
   std::vector<Standing> out;
   for (const auto& [name, e] : entries_) {
     const bool live = !e.holder.empty() && now < e.until;
-    out.push_back({name, live ? e.holder : "", e.granted, live ? e.until - now : Micros{0}, e.line});
+    out.push_back({name, live ? e.holder : "", e.granted, live ? e.until - now : Micros{0}, {}});
+    for (const auto& [who, asked] : e.line) out.back().line.push_back(who);
   }
   return out;
 }
--- a/src/leases/voter.h
+++ b/src/leases/voter.h
@@ -56,10 +56,12 @@
     Token promised, granted;
     std::string promised_to, holder;
     Micros until{0};
-    std::vector<std::string> line;
+    std::vector<std::pair<std::string, Micros>> line;  // who, and when it last asked
   };
   bool keep(std::string_view lease, const Entry& e);
 
+  static bool in_line(Entry& e, std::string_view who, Micros now, Micros longest);
+
   static constexpr std::size_t kMostLeases = 4096, kLine = 3;
   Micros longest_, silent_until_;
   Token floor_;
--- a/src/leases/words.h
+++ b/src/leases/words.h
@@ -22,7 +22,8 @@
   granted,       // for the length asked for, from before this was said
   held,          // by another, or promised to a larger token: `highest` says which
   later,         // promised to a larger token
-  freed          // to whoever stands in line: its holder has let go
+  freed,         // to whoever stands in line: its holder has let go
+  in_line        // held by another, and who asks is told when it is free
 };
 
 struct Request {
--- a/src/node/voting.cpp
+++ b/src/node/voting.cpp
@@ -49,7 +49,7 @@
   const auto reply = voter_.asked(now, r, from.name);
   if (!reply) return;
   answer(from.told, *reply);
-  if (reply->say == Say::held && (places_.size() < kMostPlaces || places_.contains(from.name)))
+  if (reply->say == Say::in_line && (places_.size() < kMostPlaces || places_.contains(from.name)))
     places_.insert_or_assign(std::string(from.name), from.told);
   if (reply->say != Say::freed) return;
   for (const std::string& next : voter_.freed(r.lease)) {
--- a/tests/leases_test.cpp
+++ b/tests/leases_test.cpp
@@ -123,7 +123,7 @@
       const auto reply = voter.asked(1ms, {Ask::promise, "job", Token{1000}, Round{1}, 2s}, "b");
       if (answered > 0) {
         ASSERT_TRUE(reply);
-        EXPECT_EQ(reply->say, Say::held) << fails_at << ' ' << dies;
+        EXPECT_EQ(reply->say, Say::in_line) << fails_at << ' ' << dies;
         EXPECT_GE(reply->highest.value, answered);
       }
       EXPECT_THROW(node::PromiseFolder(disk, "n2"), std::runtime_error);
