Reread: one place for who votes and what a lease's post hears; the log rule binds each node

Whether a node is a voter was asked in Node and in the lab's rig, now in Peers::vote. Holder and 'lease list' read their datagrams by one function. The rule view-log passed over a node that logged nothing; it holds for all where anybody logs. Unused: a list of gaps, a header.

--- a/apps/flintweir_lab.cpp
+++ b/apps/flintweir_lab.cpp
@@ -243,7 +243,9 @@
 }
 
 int leases(Seeds seeds, const RunWays& ways, const std::string& only) {
-  std::vector<double> gaps;
+  const auto& kinds = lease_troubles();
+  if (!only.empty() && std::find(kinds.begin(), kinds.end(), only) == kinds.end())
+    throw BadFile("leases: there is no trouble '" + only + "'");
   std::uint64_t acts = 0, refused = 0, broken = 0, runs = 0;
   double asked = 0;
   std::map<std::string, std::vector<double>> by_trouble;
--- a/src/lab/lease_rig.cpp
+++ b/src/lab/lease_rig.cpp
@@ -10,7 +10,6 @@
 #include <random>
 #include <set>
 
-#include "lab/bad_file.h"
 #include "lab/rig_loopback.h"
 #include "lab/rig_virtual.h"
 #include "node/holder.h"
@@ -434,10 +433,7 @@
 
 std::string lease_trouble(std::uint64_t seed, const std::string& only) {
   const auto& all = lease_troubles();
-  if (only.empty()) return all[seed % all.size()];
-  if (std::find(all.begin(), all.end(), only) == all.end())
-    throw BadFile("leases: there is no trouble '" + only + "'");
-  return only;
+  return only.empty() ? all[seed % all.size()] : only;
 }
 
 LeaseRun run_leases(std::uint64_t seed, const std::string& only, const std::vector<std::string>& program,
--- a/src/lab/lease_rig.h
+++ b/src/lab/lease_rig.h
@@ -9,7 +9,7 @@
 
 namespace flintweir::lab {
 
-const std::vector<std::string>& lease_troubles();
+const std::vector<std::string>& lease_troubles();  // one of these, or none, is `only` below
 
 struct LeaseRun {
   std::string trouble;
--- a/src/lab/rig_checker.cpp
+++ b/src/lab/rig_checker.cpp
@@ -157,6 +157,7 @@
   if (line.find("fleet: ") != line.npos && line.find(" told=") != line.npos) it->second.logs_alive.clear();
   const std::size_t at = line.find("member name=");
   if (at == line.npos) return;
+  logs_ = true;
   const auto value = [&](std::string_view key) {
     const std::size_t from = line.find(key, at) + key.size();
     return std::string(line.substr(from, line.find(' ', from) - from));
@@ -168,7 +169,7 @@
 
 void RigChecker::settled(Micros now) {
   for (const auto& [name, r] : running_) {
-    if (!r.logs_alive.empty() && r.logs_alive != r.listed)
+    if (logs_ && r.logs_alive != r.listed)
       broken(RigRule::log, now,
              name + ": its log names " + std::to_string(r.logs_alive.size()) + " there, its view " +
                  std::to_string(r.listed.size()));
--- a/src/lab/rig_checker.h
+++ b/src/lab/rig_checker.h
@@ -89,6 +89,7 @@
   std::map<std::string, members::Start> first_start_, last_start_;  // by what they say of themselves
   std::set<std::string> accused_, accuses_;
   std::set<std::pair<std::string, members::Start>> called_failed_;
+  bool logs_ = false;          // anybody; the plain ways of knowing each other log nothing
   std::uint64_t changes_ = 1;  // of whoever runs
   std::uint64_t looks_ = 0, sent_bytes_ = 0;
 };
--- a/src/lab/rig_virtual.cpp
+++ b/src/lab/rig_virtual.cpp
@@ -1,6 +1,5 @@
 #include "lab/rig_virtual.h"
 
-#include <algorithm>
 #include <cstdio>
 
 #include "numbers.h"
@@ -80,8 +79,7 @@
   }
   u.peers = std::make_unique<node::Peers>(*u.process, *u.wakes, section(at, seeds), name, "lab",
                                           mix(seed_ * 4096 + starts_), [](unsigned) {});
-  if (leases_ && std::find(leases_->voters.begin(), leases_->voters.end(), name) != leases_->voters.end())
-    u.peers->vote(*leases_);
+  if (leases_) u.peers->vote(*leases_);
   called_ = at;
   u.peers->begin();
   called_.reset();
--- a/src/lease_command.cpp
+++ b/src/lease_command.cpp
@@ -188,15 +188,7 @@
     network_.post(*at, writer.done());
   }
   void post_came() override {
-    char bytes[members::kLongestDatagram + 1];
-    for (;;) {
-      const net::Received got = network_.receive(bytes, sizeof bytes);
-      if (got.how == net::Io::later) break;
-      if (got.how != net::Io::done) continue;
-      const std::string_view text(bytes, got.bytes);
-      leases::is_lease(text) ? void(leases::decode(text, *this)) : void(places_.received(got.from, text));
-    }
-    network_.wait_post(*this);
+    node::hear_post(network_, *this, *this, places_);
     network_.stop();
   }
   void shown_came(const leases::Sender& from, const leases::Shown& s) override {
--- a/src/leases/datagram.h
+++ b/src/leases/datagram.h
@@ -2,7 +2,6 @@
 // src/packing.h, with a mark of its own, so that they share a node's address with the fleet's view.
 #pragma once
 
-#include <functional>
 #include <string>
 #include <vector>
 
--- a/src/node/holder.cpp
+++ b/src/node/holder.cpp
@@ -77,18 +77,20 @@
 void Holder::let_go() { seeker().let_go(); }
 Micros Holder::left() { return seeker().left(); }
 
-void Holder::post_came() {
+void hear_post(net::Network& network, net::PostEvents& whom, Hearer& hearer, VoterPlaces& places) {
   char bytes[members::kLongestDatagram + 1];
   for (;;) {
-    const net::Received got = network_.receive(bytes, sizeof bytes);
+    const net::Received got = network.receive(bytes, sizeof bytes);
     if (got.how == net::Io::later) break;
     if (got.how != net::Io::done) continue;
     const std::string_view text(bytes, got.bytes);
-    is_lease(text) ? void(decode(text, *this)) : void(places_.received(got.from, text));
+    is_lease(text) ? void(decode(text, hearer)) : void(places.received(got.from, text));
   }
-  network_.wait_post(*this);
+  network.wait_post(whom);
 }
 
+void Holder::post_came() { hear_post(network_, *this, *this, places_); }
+
 void Holder::woken(std::uint64_t token) {
   if (token != look_for_voters) return seeker().woken(WakeId{token});
   places_.ask();
--- a/src/node/holder.h
+++ b/src/node/holder.h
@@ -40,6 +40,9 @@
   members::Asker asker_{0};
 };
 
+// All that waits: what is said of leases to the one, views to the other; then waits for more.
+void hear_post(net::Network& network, net::PostEvents& whom, leases::Hearer& hearer, VoterPlaces& places);
+
 class Holder final : net::PostEvents, net::Woken, leases::Hearer, leases::Seeker::Outlet {
  public:
   class Told {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -86,8 +86,7 @@
   peers_ = std::make_unique<Peers>(network_, wakes_, *own.fleet, name, std::move(version), seed,
                                    [this](unsigned nodes) { balancer_now().nodes_are(nodes); });
   leases_ = own.leases;
-  if (leases_ && std::find(leases_->voters.begin(), leases_->voters.end(), name) != leases_->voters.end())
-    peers_->vote(*leases_);
+  if (leases_) peers_->vote(*leases_);
 }
 
 void Node::serve() {
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -1,5 +1,7 @@
 #include "node/peers.h"
 
+#include <algorithm>
+
 #include "net/log.h"
 
 namespace flintweir::node {
@@ -35,6 +37,10 @@
   view_.begin();
 }
 
+void Peers::vote(const setup::LeasesSection& leases) {
+  if (std::find(leases.voters.begin(), leases.voters.end(), name_) != leases.voters.end()) leases_ = leases;
+}
+
 void Peers::reload(const setup::FleetSection& fleet) {
   setup::FleetSection with_seeds = fleet_;
   with_seeds.seeds = fleet.seeds;
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -23,8 +23,8 @@
         std::string version, std::uint64_t seed, std::function<void(unsigned)> count);
   // Throws std::system_error where the address can't be had.
   void begin();
-  // This node is one of the voters for leases, from begin() on.
-  void vote(const setup::LeasesSection& leases) { leases_ = leases; }
+  // From begin() on this node votes for leases, if it is one of those named.
+  void vote(const setup::LeasesSection& leases);
   // Takes new seeds; all else holds until the next start.
   void reload(const setup::FleetSection& fleet);
   void leave();
