Leave silent watches in time, follow pushed lists, look once more before a dial's first byte

Ruled out: lists taken wrongly (the logs show "no answer in time" just before each break). Causes, and the lines at fault: - discovery.cpp left a watch 22 s after its call, the moment from which what it missed counts as told, and paused before asking again. Now half a second after its wait, at once, for the whole list. What is left, a list that does not come: ListClock tells when something may count as told, and the module sends nothing until it comes (list_overdue), for a while at most. - Nothing watched where lists are pushed: the module asks only where they are asked for. The node does now, whole list first. - Node::leave ended 0.2 s after the longest dial timeout, before the first move (0.5 s) where that is 300 ms. Now 0.2 s before the kill. - HostConn::connected sent without a look at its client or at its host's standing; now both are looked at. - Probe and HttpGet took what lay on a kept connection for the next answer; a whole list on a watch was taken however old.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -439,6 +439,7 @@
 
   void list_ends() override {
     list_wait_ = kProbeEvery;
+    blind_until_ = kNever;
     if (std::exchange(listing_whole_, false))
       for (Host& h : hosts_)
         if (!h.listed) h.list_lacks_it(now_, list_.only_draining_binds);
@@ -458,6 +459,18 @@
     list_wait_ = std::min(2 * list_wait_, std::max(kProbeEvery, list_.ask_every / 4));
   }
 
+  // A service that only is silent: hosts may drain unheard of. Sessions wait for the list as for any host. It
+  // ends by itself, as a list that nobody can give must not end all service.
+  void list_overdue() override {
+    if (blind_until_ != kNever) return;
+    out_.log("the list is overdue, sending nothing until it comes");
+    blind_until_ = now_ + std::max(list_.ask_every, kQuietRest);
+  }
+  bool may_send(HostId id) override {
+    const Host* h = hosts_.find(id);
+    return h && h->usable() && !blind();
+  }
+
  private:
   static constexpr Micros kBeat = kProbeEvery / kBeatsPerProbe;
 
@@ -573,7 +586,10 @@
     h.shedding = h.shedding && h.suspended;
   }
 
+  bool blind() const { return blind_until_ != kNever && now_ < blind_until_; }
+
   Host* choose(const Session& s, const Dials& dials) {
+    if (blind()) return nullptr;
     take_means();
     int more_ill = 0;
     bool held = false;
@@ -685,8 +701,9 @@
     if (!dials.again(s, now_) || (full() && heavy(s))) return give_up(key, s, dials);
     Host* h = choose(s, dials);
     if (!h) {
-      const bool all_full = std::any_of(hosts_.begin(), hosts_.end(),
-                                        [&](const Host& x) { return x.usable() && no_room(x, load_of(x)); });
+      const bool all_full = !blind() && std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
+        return x.usable() && no_room(x, load_of(x));
+      });
       if (all_full && mean_load_ >= kFullAt - kLightAt) {
         if (!full()) out_.log("no host has room, refusing sessions");
         full_at_ = now_;
@@ -922,7 +939,7 @@
   std::vector<double> ranks_, sorted_;
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, full_at_ = kNever,
-                  list_wait_ = kProbeEvery;
+                  list_wait_ = kProbeEvery, blind_until_ = kNever;
   bool listing_whole_ = false, mean_known_ = false, suspect_ = false, sees_groups_ = false, told_ = false;
   double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, mean_session_ = 0, per_share_ = 0, full_ = 0;
   unsigned beats_ = 0, patience_ = 1;
--- a/src/balance.h
+++ b/src/balance.h
@@ -135,6 +135,10 @@
                       Micros started) = 0;
   virtual void list_ends() = 0;
   virtual void list_failed() = 0;
+  // What this node has not heard may count as told by now: nothing is sent until a list comes, or for a while.
+  virtual void list_overdue() = 0;
+  // Whether a dial that has not begun may still go there: a list may have come since it was decided.
+  virtual bool may_send(HostId host) = 0;
 
  private:
   friend class Sess;
--- a/src/line/client_conn.cpp
+++ b/src/line/client_conn.cpp
@@ -21,7 +21,9 @@
     if (stream_.at_end() || drained_ > kMostDrained) return close();
   }
   // A client that ends its sending before it is accepted has nothing to say on the connection it asked for.
-  if (phase_ == Phase::waiting && stream_.at_end()) return owner_.client_left();
+  // One that goes on talking until there is no place for more waits for no answer: its end could not be seen
+  // behind it.
+  if (phase_ == Phase::waiting && gone()) return owner_.client_left();
   if (phase_ != Phase::given) stream_.want_read();
 }
 
@@ -99,6 +101,18 @@
   stream_.want_read();
 }
 
+// Guards against a dial for a client that left while this node had no time to hear of it.
+bool ClientConn::still_waits() {
+  if (phase_ != Phase::waiting) return false;
+  while (!stream_.in().full()) {
+    const std::size_t before = stream_.in().held().size();
+    if (!stream_.look()) break;
+    if (stream_.in().held().size() == before) return true;
+  }
+  owner_.client_left();
+  return false;
+}
+
 Stream& ClientConn::accepted() {
   phase_ = Phase::given;
   ++token_;
--- a/src/line/client_conn.h
+++ b/src/line/client_conn.h
@@ -35,6 +35,8 @@
 
   void begin(SocketKey socket);
   std::string_view head() const { return head_; }  // where it lies in the buffer
+  // Whether it still waits, looked at anew; where not, its owner has been told.
+  bool still_waits();
   // The final answer; the connection is closed once the client has had time to read it.
   void answer(std::string_view line);
   Stream& accepted();  // from now on another's
@@ -47,6 +49,7 @@
   void woken(std::uint64_t token) override;
   void show_out() override;
   void look_for_head();
+  bool gone() { return stream_.at_end() || stream_.in().full(); }
   void fail();
   bool say(std::string_view text);  // false: the connection is broken, or there is no place for it
   bool flush();
--- a/src/line/host_conn.cpp
+++ b/src/line/host_conn.cpp
@@ -38,6 +38,7 @@
 
 void HostConn::connected(Stream&, bool failed) {
   if (failed) return end(Ending::unconnected);
+  if (!owner_.still_wanted()) return;
   phase_ = Phase::sending;
   if (!time_left_.empty()) {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until_ - wakes_.now()).count();
--- a/src/line/host_conn.h
+++ b/src/line/host_conn.h
@@ -13,6 +13,7 @@
 
 class HostOwner {
  public:
+  virtual bool still_wanted() = 0;          // before the first byte; where not, the dial has been given up
   virtual void host_accepted() = 0;         // the UP line lies unread in the stream
   virtual void dial_ended(Ending how) = 0;  // the connection is closed
 
--- a/src/line/link.cpp
+++ b/src/line/link.cpp
@@ -109,6 +109,14 @@
   sessions_.free(key_);
 }
 
+bool Link::still_wanted() {
+  if (!client_.still_waits()) return false;
+  if (inherited_ || sessions_.balancer_now().may_send(at_)) return true;
+  host_.give_up();
+  dial_ended(Ending::unsent);
+  return false;
+}
+
 void Link::host_accepted() {
   open_ = answered_ = true;
   Balancer& balancer = sessions_.balancer_now();
--- a/src/line/probes.cpp
+++ b/src/line/probes.cpp
@@ -51,6 +51,8 @@
   if (at && at_ != *at) stream_.close();
   if (at) at_ = *at;
   ++token_;
+  // What lies there already answers no question of now: taken for this one's it would be an older load.
+  if (stream_.open() && !stream_.fit_to_ask()) stream_.close();
   kept_ = stream_.open();
   if (kept_)
     send();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -85,11 +85,12 @@
   const auto file = node_file(config);
   flintweir::node::Node node(network, *file);
   set_up(node, *file, operator_file(own));
-  node.serve();
+  // Before anybody can be taken: a signal that came in between would end the program with its clients.
   network.hear_signals({SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
     if (signal != SIGHUP) return node.leave();
     node.reload([&] { return std::pair(node_file(config), operator_file(own)); });
   });
+  node.serve();
   hold_reloads(false);  // one that came meanwhile is heard now
   network.run();
   return 0;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -56,6 +56,16 @@
   events_->came(*this);
 }
 
+bool Stream::look() {
+  if (!open() || at_end_) return false;
+  if (in_.full()) return true;
+  const auto [to, size] = in_.room();
+  const Passed got = sockets_.network().read(socket_, to, size);
+  if (got.how == Io::ended) at_end_ = true;
+  in_.came(got.bytes);
+  return got.how == Io::done || got.how == Io::later;
+}
+
 std::optional<std::size_t> Stream::write(std::span<const std::string_view> parts) {
   if (!open() || shut_) return std::nullopt;
   const Passed taken = sockets_.network().write(socket_, parts);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -45,6 +45,11 @@
 
   void want_read();
   void read();  // what is there at once, else when it comes
+  // Takes in what is there without a callback; false: the other side has ended its sending, or the connection
+  // is broken, as far as can be seen behind what is held.
+  bool look();
+  // A kept connection that may be asked again: open, not ended, and nothing on it that nobody asked for.
+  bool fit_to_ask() { return look() && in_.empty(); }
   void want_write();
   // What the kernel took of it; nothing where the connection is broken.
   std::optional<std::size_t> write(std::span<const std::string_view> parts);
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -10,8 +10,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr Micros kWait = 20s,
-                 kSlack = 2s;  // of a watch; what it has not told by then counts as told all the same
+constexpr Micros kWait = 20s, kSlack = ListClock::kAfterWait;
+// A watch that has not answered so long after its wait is taken to have fallen silent: what it misses counts
+// as told after the slack, and a whole list has to be here by then.
+constexpr Micros kSilent = kSlack / 4;
 
 std::optional<Standing> standing_of(std::string_view state) {
   if (state == "SERVING") return Standing::in;
@@ -22,45 +24,73 @@
 
 }  // namespace
 
-void Discovery::watch() {
-  if (!std::exchange(watching_, true)) ask();
+void Discovery::watch(bool fresh) {
+  if (std::exchange(watching_, true)) return;
+  if (fresh) version_.reset();
+  ask();
 }
 
 void Discovery::turn_to(const Address& at) {
   get_.turn_to(at);
   version_.reset();
   watching_ = true;
+  ++turn_;
   ask();
 }
 
 // Without a pause after the last answer, so that it stays one watch.
 void Discovery::ask() {
-  if (!version_) return get_.get("/api/targets", kSlack);
-  get_.get("/api/targets?since=" + std::to_string(*version_) +
-               "&timeout_ms=" + std::to_string(std::chrono::milliseconds(kWait / 1ms).count()),
-           kWait + kSlack);
+  // No two nodes wait equally long. Guards against watches that all fell silent, or were answered, in one
+  // moment and would all be renewed in one: a service that takes a call from each in some seconds answers
+  // late then.
+  std::uniform_int_distribution<std::int64_t> part(kWait / 2ms, kWait / 1ms);
+  const std::chrono::milliseconds wait(version_ ? part(chance_) : 0);
+  clock_.called(wakes_.now(), wait);
+  wakes_.after(clock_.told_from() - wakes_.now(), *this, token(Due::overdue));
+  if (!version_) return get_.get("/api/targets", 0s, kSlack);
+  get_.get("/api/targets?since=" + std::to_string(*version_) + "&timeout_ms=" + std::to_string(wait.count()),
+           wait, kSilent);
 }
 
 void Discovery::http_answered(unsigned status, std::string& body) {
   simdjson::dom::element list;
+  const bool first = !std::exchange(spoken_, true);
   if (status != 200) {
     log_line("discovery: status %u", status);
+    clock_.failed(false);
   } else if (parser_.parse(body).get(list) || !take(list)) {
     log_line("discovery: an answer of %zu bytes is malformed or stale", body.size());
+    clock_.failed(true);
   } else {
-    return ask();
+    clock_.answered();
+    ask();
+    if (first) told_.first_word();
+    return;
   }
-  failed();
+  failed(first);
 }
 
-void Discovery::http_failed(const char* why) {
+void Discovery::http_failed(const char* why, bool silent) {
   log_line("discovery: %s", why);
-  failed();
+  clock_.failed(silent);
+  // A watch that has fallen silent has kept something back for some time: the whole list, and at once.
+  if (silent && std::exchange(version_, std::nullopt)) return ask();
+  failed(!std::exchange(spoken_, true));
+}
+
+void Discovery::failed(bool first) {
+  if (agent_again_)
+    wakes_.after(*agent_again_, *this, token(Due::again));
+  else {
+    watching_ = false;
+    told_.balancer_now().list_failed();
+  }
+  if (first) told_.first_word();
 }
 
-void Discovery::failed() {
-  watching_ = false;
-  told_.balancer_now().list_failed();
+void Discovery::woken(std::uint64_t t) {
+  if (t == token(Due::again)) ask();
+  if (t == token(Due::overdue) && wakes_.now() >= clock_.told_from()) told_.balancer_now().list_overdue();
 }
 
 template <class Entry>
@@ -99,8 +129,9 @@
   if (list.get(o) || o["rev"].get(version) || o["all"].get(whole) || o["targets"].get(targets)) return false;
   // Read through once before anything is told: half a list would take hosts for gone that are not.
   if (!each_target(targets, [](auto&&...) {})) return false;
-  // Older than what is known, or changes to a list that this service never gave.
-  if (!whole && (!version_ || version < *version_)) return version_.reset(), false;
+  // Older than what is known, whole or not, or changes to a list that this service never gave. Only a whole
+  // list that was asked for as such may be older, as after the service's own restart.
+  if (version_ ? version < *version_ : !whole) return version_.reset(), false;
   Balancer& balancer = told_.balancer_now();
   balancer.list_begins(whole);
   each_target(targets, [&](HostId id, std::string_view name, const Address& at, ZoneId zone, CellId cell,
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -3,39 +3,53 @@
 
 #include <simdjson.h>
 
+#include <random>
+
 #include "balance.h"
 #include "line/hosts.h"
 #include "net/http_get.h"
+#include "node/list_clock.h"
 
 namespace flintweir::node {
 
 using namespace net;
 using namespace line;
 
-class Discovery final : HttpGet::Told {
+class Discovery final : HttpGet::Told, Woken {
  public:
   class Told {
    public:
     virtual Balancer& balancer_now() = 0;  // with the time said
+    virtual void first_word() = 0;         // the first call has been answered, or has failed
 
    protected:
     ~Told() = default;
   };
   Discovery(Sockets& sockets, Wakes& wakes, const Address& at, std::vector<std::string> zones, Hosts& hosts,
-            Told& told)
-      : get_(sockets, wakes, at, *this), zones_(std::move(zones)), hosts_(hosts), told_(told) {}
+            std::optional<Micros> agent_again, std::uint64_t seed, Told& told)
+      : get_(sockets, wakes, at, *this),
+        zones_(std::move(zones)),
+        hosts_(hosts),
+        agent_again_(agent_again),
+        chance_(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32))),
+        wakes_(wakes),
+        told_(told) {}
 
   // Takes a list in discovery's form; false, with nothing changed, where it is malformed.
   bool take(const simdjson::dom::element& list);
-  void watch();
+  // `fresh`: a whole list first, whatever is known.
+  void watch(bool fresh = false);
   // Asks there from now on, at once and for a whole list: its versions have nothing to do with those so far.
   void turn_to(const Address& at);
 
  private:
+  enum class Due : std::uint64_t { again, overdue };
+  std::uint64_t token(Due due) const { return turn_ << 1 | static_cast<std::uint64_t>(due); }
   void http_answered(unsigned status, std::string& body) override;
-  void http_failed(const char* why) override;
+  void http_failed(const char* why, bool silent) override;
+  void woken(std::uint64_t token) override;
   void ask();
-  void failed();
+  void failed(bool first);
   // Calls entry(id, name, endpoint, zone, cell, standing, share, started) for each target; false: malformed.
   template <class Entry>
   bool each_target(const simdjson::dom::array& targets, Entry entry) const;
@@ -43,10 +57,17 @@
   HttpGet get_;
   std::vector<std::string> zones_;
   Hosts& hosts_;
+  // Where lists are pushed, an agent at this node has them: it is asked again after so long, not the module's
+  // pause, as whatever it has counts as told.
+  std::optional<Micros> agent_again_;
+  std::knuth_b chance_;
+  Wakes& wakes_;
   Told& told_;
+  ListClock clock_;
   simdjson::dom::parser parser_;
   std::optional<std::uint64_t> version_;  // of the list that changes are asked for; none: a whole one is
-  bool watching_ = false;
+  bool watching_ = false, spoken_ = false;
+  std::uint64_t turn_ = 0;  // of the service asked
 };
 
 }  // namespace flintweir::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -15,6 +15,10 @@
 constexpr std::size_t kOwnDescriptors = 16;  // standard streams, the event queue, the door
 constexpr std::size_t kIdleShare = 8;  // that part of the descriptors is for clients that ask for nothing
 constexpr Micros kFirstLine = 2s;      // a client that says nothing hears of it within 3 s
+constexpr Micros kFirstWord = 1s;      // for an agent at this node to give its list, before clients are taken
+// Until a node that was told to end may be killed: so long after the longest dial timeout. It ends a little
+// before.
+constexpr Micros kKilled = 700ms, kEndsBefore = 200ms;
 constexpr int kAcceptsInARow = 8;  // so that those taken get their hosts before the next take the descriptors
 
 std::vector<Micros> listener_times(const setup::Values& settings, std::string_view key) {
@@ -46,6 +50,15 @@
           setup::longest_stay_away(settings)};
 }
 
+bool pushed(const setup::Values& settings) { return settings.text("discovery", "") == "pushed"; }
+
+// Whatever an agent has counts as told, watch or no watch: it is asked again well within the grace of a
+// drain.
+std::optional<Micros> agent_again(const setup::Values& settings) {
+  if (!pushed(settings)) return std::nullopt;
+  return std::clamp<Micros>(setup::Values(settings, "rules").time("drainGrace") / 4, 10ms, 1s);
+}
+
 std::size_t socket_limit(const NodeFile& file) {
   if (file.sockets() < 4 * kOwnDescriptors) {
     setup::bad("configuration: limits.sockets is under " + std::to_string(4 * kOwnDescriptors));
@@ -67,10 +80,11 @@
       listen_(file.listen()),
       sockets_(network, socket_limit(file)),
       longest_dial_(longest(listener_times(file.settings(), "dialTimeout"))),
+      pushed_(pushed(file.settings())),
       sessions_(sockets_, wakes_, hosts_, patience(file.settings()), message_target(file.settings()),
                 head_reader(file.settings()), most_sessions(file), socket_limit(file) / kIdleShare, *this),
       discovery_(sockets_, wakes_, file.discovery(), setup::names(file.settings(), "failureDomains"), hosts_,
-                 *this) {
+                 agent_again(file.settings()), file.seed(), *this) {
   sessions_.serve(make(file.settings(), sessions_, file.seed()));
   if (const auto known = file.known(); known && !discovery_.take(*known)) {
     setup::bad("configuration: known is not a list of hosts");
@@ -93,7 +107,14 @@
   const Address at = network_.listen(listen_);
   if (peers_) peers_->begin();
   log_line("serving at %s", to_text(at).c_str());
-  network_.wait_accept(*this);
+  if (!pushed_) return open();
+  // What the agent has counts as told from the first moment on: clients wait until it is known.
+  discovery_.watch(true);
+  wakes_.after(kFirstWord, *this, open_door);
+}
+
+void Node::open() {
+  if (!std::exchange(open_, true)) network_.wait_accept(*this);
 }
 
 void Node::reload(const std::function<Files()>& read) {
@@ -114,34 +135,40 @@
   }
 }
 
-void Node::accept() {
+bool Node::accept() {
   for (int i = 0; i < kAcceptsInARow; ++i) {
     const bool room = sockets_.room(1) || sessions_.make_room();
     const Accepted next = room ? network_.accept() : Accepted{{}, Io::broken, "too many open sockets"};
-    if (next.how == Io::later) break;
+    if (next.how == Io::later) return network_.wait_accept(*this), false;
     if (next.how == Io::ended) continue;
     if (next.how == Io::broken) {
       // Those that wait are taken as soon as others have gone.
       log_line("accept: %s", next.why);
-      return wakes_.after(10ms, *this, accept_again);
+      return wakes_.after(10ms, *this, accept_again), false;
     }
     sessions_.take(next.socket);
   }
   network_.wait_accept(*this);
+  return true;
 }
 
 void Node::woken(std::uint64_t due) {
-  if (due == accept_again) return accept();
+  if (due == open_door) return open();
+  if (due == accept_again) return void(accept());
+  // Guards against clients left without an answer that knocked while this node had no time for them.
+  while (accept()) continue;
   log_line("left");
   network_.stop();
 }
 
-// They are moved over half the longest dial timeout; those that still come are answered until it is over.
+// They are moved over half the longest dial timeout; those that still come are answered until the end.
 void Node::leave() {
+  if (std::exchange(leaving_, true)) return;
+  open();
   log_line("leaving: moving all sessions");
   if (peers_) peers_->leave();
   sessions_.leave(longest_dial_ / 2);
-  wakes_.after(longest_dial_ + 200ms, *this, left);
+  wakes_.after(longest_dial_ + kKilled - kEndsBefore, *this, left);
 }
 
 }  // namespace flintweir::node
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -33,12 +33,14 @@
   void leave();
 
  private:
-  enum Due : std::uint64_t { accept_again, left };
+  enum Due : std::uint64_t { accept_again, open_door, left };
   void watch_list() override { discovery_.watch(); }
   Balancer& balancer_now() override { return sessions_.balancer_now(); }
   void woken(std::uint64_t due) override;
   void knocked() override { accept(); }
-  void accept();
+  void first_word() override { open(); }
+  void open();    // from now on clients are taken
+  bool accept();  // false: nobody waits any more
 
   Network& network_;
   Address listen_;
@@ -46,6 +48,7 @@
   Wakes wakes_{network_};
   Hosts hosts_;
   Micros longest_dial_;
+  bool pushed_, open_ = false, leaving_ = false;  // pushed: an agent at this node has the list
   Sessions sessions_;
   Discovery discovery_;
   std::unique_ptr<Peers> peers_;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -269,6 +269,36 @@
   EXPECT_GT(w.watched, before);
 }
 
+// Guards against hosts that drain unheard of while a watch is silent: what it misses counts as told.
+TEST(ListOverdue, HoldsSessionsUntilTheListComesOrAWhileIsOver) {
+  Three w;
+  w.balancer->list_overdue();
+  const SessId held = w.arrive(0);
+  w.pass(200ms);
+  EXPECT_TRUE(w.clients.at(held).dials.empty());
+  EXPECT_FALSE(w.balancer->may_send(w.hosts.begin()->first));
+  w.tell_all();
+  w.pass(200ms);
+  EXPECT_EQ(w.clients.at(held).dials.size(), 1u);
+  // A list that nobody can give does not end all service.
+  w.balancer->list_overdue();
+  const SessId refused = w.arrive(0);
+  w.pass(600ms);
+  EXPECT_TRUE(w.clients.at(refused).answered && w.clients.at(refused).dials.empty());
+  w.pass(10s);
+  w.balancer->list_overdue();  // of the same silence
+  EXPECT_EQ(w.clients.at(w.arrive(0)).dials.size(), 1u);
+}
+
+TEST(List, SaysOfADialThatHasNotBegunWhetherItStillMay) {
+  Three w;
+  const HostId host = w.hosts.begin()->first;
+  EXPECT_TRUE(w.balancer->may_send(host));
+  w.change(host, Standing::draining);
+  EXPECT_FALSE(w.balancer->may_send(host));
+  EXPECT_FALSE(w.balancer->may_send(HostId{404}));
+}
+
 TEST(Probes, AreNotSentWhereTheyAreNotAllowed) {
   Three w;
   w.probes.clear();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -13,6 +13,7 @@
 #include "net/kernel_network.h"
 #include "net/line_buffer.h"
 #include "net/wakes.h"
+#include "node/list_clock.h"
 
 namespace flintweir::net {
 
@@ -97,6 +98,34 @@
   EXPECT_FALSE(r.piled_up);
 }
 
+// Each of the protocol's figures from both sides.
+TEST(ListClock, TellsWhenWhatACallKeepsBackCountsAsTold) {
+  constexpr Micros kNothing = Micros::max();
+  node::ListClock clock;
+  EXPECT_EQ(clock.told_from(), kNothing);
+  clock.called(100s, 20s);  // may have fallen silent at once
+  EXPECT_EQ(clock.told_from(), 122s);
+  clock.answered();
+  EXPECT_EQ(clock.told_from(), kNothing);
+  clock.called(100s, 4s);
+  EXPECT_EQ(clock.told_from(), 106s);
+  clock.called(100s, 4s + 1us);
+  EXPECT_EQ(clock.told_from(), 106s + 1us);
+  clock.called(100s, 0s);
+  EXPECT_EQ(clock.told_from(), 106s);
+  clock.failed(false);  // an open failure kept nothing back
+  EXPECT_EQ(clock.told_from(), kNothing);
+  // What a silent call missed stays missed, whatever comes after it, until a list does.
+  clock.called(100s, 10s);
+  clock.failed(true);
+  clock.called(111s, 20s);
+  clock.failed(false);
+  EXPECT_EQ(clock.told_from(), 112s);
+  clock.called(130s, 0s);
+  clock.answered();
+  EXPECT_EQ(clock.told_from(), kNothing);
+}
+
 TEST(Hosts, AddressesAreNumbers) {
   EXPECT_EQ(address_of("127.0.0.1:81")->port, 81);
   EXPECT_TRUE(address_of("[::1]:81"));
