--- a/apps/flintweir_lab.cpp
+++ b/apps/flintweir_lab.cpp
@@ -18,6 +18,7 @@
 
 #include "lab/bad_file.h"
 #include "lab/builtin.h"
+#include "lab/crossing.h"
 #include "lab/lease_rig.h"
 #include "lab/lease_search.h"
 #include "lab/report.h"
@@ -281,6 +282,29 @@
   return broken ? 1 : 0;
 }
 
+int crossings(const std::string& only, unsigned jobs) {
+  const std::vector<Crossing> all = all_crossings();
+  std::atomic<std::size_t> next{0}, played{0}, broken{0};
+  std::vector<std::string> first(all.size());
+  std::vector<std::thread> threads;
+  for (unsigned i = 0; i < jobs; ++i)
+    threads.emplace_back([&] {
+      for (std::size_t n; (n = next++) < all.size();) {
+        if (to_text(all[n]).find(only) == std::string::npos) continue;
+        ++played;
+        const auto found = play(all[n]);
+        if (!found.empty()) ++broken, first[n] = found.front();
+      }
+    });
+  for (std::thread& t : threads) t.join();
+  unsigned told = 0;
+  for (std::size_t n = 0; n < all.size() && told < 20; ++n)
+    if (!first[n].empty())
+      ++told, std::printf("broken: rule=%s (%s)\n", first[n].c_str(), to_text(all[n]).c_str());
+  std::printf("%zu crossings played, %zu broken\n", played.load(), broken.load());
+  return broken ? 1 : 0;
+}
+
 int search(std::uint64_t states, Seeds seeds, unsigned jobs) {
   bool broken = false;
   const auto tell = [&](const char* what, const LeaseSearch& of, const LeaseFound& found, const char* unit) {
@@ -554,6 +578,11 @@
   search_command->add_option("--seeds", seeds, "walks, a range A..B")->default_str("1..2000");
   search_command->add_option("--jobs", ways.jobs, "searches at a time")->check(CLI::Range(1u, 256u));
 
+  CLI::App* const crossings_command =
+      app.add_subcommand("crossings", "one exchange cut after each byte, with each event there");
+  crossings_command->add_option("--only", only, "those whose description holds this text");
+  crossings_command->add_option("--jobs", ways.jobs, "at a time")->check(CLI::Range(1u, 256u));
+
   CLI::App* const compare_command = app.add_subcommand("compare", "the same seeds, before and now");
   compare_command->add_option("FILE", file, "the experiment")->required();
   compare_command->add_option("--base", base, "an earlier flintweir-lab, a variant, or 'file' for none")
@@ -585,6 +614,7 @@
       if (ways.real) ways.program = program_of(program);
       return leases(seeds_of(seeds), ways, only);
     }
+    if (*crossings_command) return crossings(only, ways.jobs);
     if (*search_command)
       return search(states, seeds_of(search_command->count("--seeds") ? seeds : "1..2000"), ways.jobs);
     if (*run_command) {
--- a/tests/flaws.cmake
+++ b/tests/flaws.cmake
@@ -28,6 +28,8 @@
   endif()
   if(experiment STREQUAL "search")
     add_test(NAME caught-${name} COMMAND flaw-${name} search --states 20000 --seeds 1..20000 --jobs 4)
+  elseif(experiment STREQUAL "crossings")
+    add_test(NAME caught-${name} COMMAND flaw-${name} crossings --jobs 4)
   elseif(rule STREQUAL "view-ghost")
     # Counted by rule at the end: a view that does not settle is seen before.
     add_test(NAME caught-${name} COMMAND flaw-${name} run ${PROJECT_SOURCE_DIR}/lab/${of}.toml ${variant}
@@ -116,3 +118,18 @@
   "if (r.token != e.promised || who != e.promised_to) return" "if (r.token > e.promised) return")
 flintweir_flaw(grant-not-kept search two- src/leases/voter.cpp
   "(e.granted != r.token || e.holder != who) && !keep(it->first, next)" "false")
+
+# What happens between two lines: one exchange cut after each byte, with each event there.
+flintweir_flaw(gone-and-dialled crossings left-dialled src/line/link.cpp
+  "if (!client_.still_waits()) return false;" "")
+flintweir_flaw(drained-while-connecting crossings drain src/line/link.cpp
+  "inherited_ || sessions_.balancer_now().may_send(at_)" "true")
+flintweir_flaw(silent-watch-kept crossings drain src/node/discovery.cpp
+  "kSilent = kSlack / 4;" "kSilent = 100 * kSlack;"
+  "told_.balancer_now().list_overdue()" "void()")
+flintweir_flaw(answer-lost-at-stop crossings answer src/node/node.cpp
+  "  while (accept()) continue;" ""
+  "wakes_.after(longest_dial_ + kKilled - kEndsBefore, *this, left)" "wakes_.after(Micros{0}, *this, left)")
+flintweir_flaw(move-within-a-line crossings line src/line/relay.cpp
+  "if (moving_ && between_lines_)" "if (moving_)"
+  "host_->at_end() ? bytes.held().size() : seen_" "bytes.held().size()")
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -11,6 +11,7 @@
 
 #include "lab/bad_file.h"
 #include "lab/builtin.h"
+#include "lab/crossing.h"
 #include "lab/fabric.h"
 #include "lab/results.h"
 #include "lab/runner.h"
@@ -342,6 +343,16 @@
   EXPECT_EQ(RunSet::of_json(set.to_json()).to_json(), set.to_json());
 }
 
+// Every exchange cut after each byte in turn, with each event there. Guards against what happens between two
+// lines only: a client that has left and is dialled, an answer lost at SIGTERM, a silent watch that is kept.
+TEST(Crossings, KeepEveryRule) {
+  const std::vector<Crossing> all = all_crossings();
+  std::size_t played = 0;
+  for (std::size_t i = 0; i<all.size(); i += FLINTWEIR_LAB_SEEDS> 1 ? 1 : 9, ++played)
+    for (const std::string& what : play(all[i])) ADD_FAILURE() << to_text(all[i]) << ": " << what;
+  EXPECT_GT(played, 400u);
+}
+
 // The same models and the same rules against the real program, in real time.
 TEST(Lab, TheRealProgramKeepsTheRulesOnLoopback) {
   Experiment e = Experiment::of_text(kBuiltinDay, "day");
