Keep the budget of further dials that settings state, in every window

Cause: Decisions::place dialled again as long as the session's own limit allowed; nothing counted over sessions. Now one object, DialBudget, counts sessions taken and further dials over the window that ends at each such dial, exactly; place() asks it before a session's second dial. A session for which none is left is answered at once, and a dial that can have none after it gets all the time there is. Tests: brute force over every window, and a case the old code fails.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -10,6 +10,7 @@
 #include <random>
 #include <utility>
 
+#include "dial_budget.h"
 #include "host.h"
 #include "session.h"
 
@@ -205,9 +206,10 @@
   }
   // Leaves room for another dial before the handshake target; the last one has all the time there is. Where
   // dials time out at one host after the other the cause is shared, and dialling again would feed it.
-  Micros limit(const Session& s, Micros now, unsigned patience) const {
+  Micros limit(const Session& s, Micros now, unsigned patience, bool another) const {
     const Micros left = s.taken.valid_until - now;
-    return s.dials + 1 >= most_ ? left : std::min(left, listener_.handshake_target / 2 * patience);
+    return s.dials + 1 >= most_ || !another ? left
+                                            : std::min(left, listener_.handshake_target / 2 * patience);
   }
 
  private:
@@ -273,6 +275,7 @@
         listeners_(std::move(listeners)),
         message_target_(shortest_message_target(listeners_)),
         dial_limits_(dials),
+        budget_(dials.further),
         guard_(cold),
         ended_load_(4 * cold.warm_within),
         load_time_(4 * cold.warm_within),
@@ -299,6 +302,7 @@
     fresh.give_up_at = std::min(now_ + listeners_[taken.listener.value].handshake_target, taken.valid_until);
     if (taken.client) fresh.load = sent_away_.of(*taken.client, now_ - kQuietRest).value_or(fresh.load);
     const SlabKey key = sessions_.add(fresh);
+    budget_.took(now_);
     // Repeats and returns would make a storm look like more sessions.
     if (!taken.returned && !taken.repeat) pace_.took(now_);
     place(key, *sessions_.find(key));
@@ -698,7 +702,9 @@
   void place(SlabKey key, Session& s) {
     const Dials dials(listeners_[s.taken.listener.value], dial_limits_.most);
     s.state = State::held;
-    if (!dials.again(s, now_) || (full() && heavy(s))) return give_up(key, s, dials);
+    // Where the rules ration further dials and none is left, waiting for one would hold the answer back.
+    if (!dials.again(s, now_) || (s.dials > 0 && !budget_.allows(now_)) || (full() && heavy(s)))
+      return give_up(key, s, dials);
     Host* h = choose(s, dials);
     if (!h) {
       const bool all_full = !blind() && std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
@@ -719,7 +725,9 @@
       return hold(key, s);
     }
     if (guard_.cold(now_, h->started)) h->cold_sent.add(now_, cold_cost(s), now_ - guard_.window());
-    const Micros limit = dials.limit(s, now_, patience_);
+    if (s.dials > 0) budget_.spend(now_);
+    // With no other dial to be had after it, this one has all the time there is.
+    const Micros limit = dials.limit(s, now_, patience_, budget_.allows(now_));
     s.dialed(h->id, now_);
     ++h->dialing;
     s.charged = s.load + copy_charge(*h, s);
@@ -920,6 +928,7 @@
   std::vector<Listener> listeners_;
   Micros message_target_;  // the shortest
   DialLimits dial_limits_;
+  DialBudget budget_;
   ColdGuard guard_;
   // Of own sessions that ended of themselves; of all, in load seconds; and the hosts that all load fills.
   FadingSum ended_load_, load_time_, full_time_;
--- a/src/balance.h
+++ b/src/balance.h
@@ -40,9 +40,17 @@
   return least;
 }
 
+// Beyond each session's first, of one node, in any window of the span.
+struct FurtherDials {
+  double floor;  // however few sessions come
+  double share;  // for each session taken
+  Micros span;
+};
+
 struct DialLimits {
-  unsigned most;             // dials of one session
-  Micros longest_stay_away;  // zero where clients cannot be told when to come back
+  unsigned most;                             // dials of one session
+  Micros longest_stay_away;                  // zero where clients cannot be told when to come back
+  std::optional<FurtherDials> further = {};  // none: no budget
 };
 
 struct ColdRule {
@@ -135,7 +143,8 @@
                       Micros started) = 0;
   virtual void list_ends() = 0;
   virtual void list_failed() = 0;
-  // What this node has not heard may count as told by now: nothing is sent until a list comes, or for a while.
+  // What this node has not heard may count as told by now: nothing is sent until a list comes, or for a
+  // while.
   virtual void list_overdue() = 0;
   // Whether a dial that has not begun may still go there: a list may have come since it was decided.
   virtual bool may_send(HostId host) = 0;
--- a/src/setup/deployment.cpp
+++ b/src/setup/deployment.cpp
@@ -40,6 +40,19 @@
   if (part > 0 && wanted <= 0) bad("settings.goal.ninesWanted is missing or not above zero");
 }
 
+// Further dials are rationed where all three say so, and nowhere else.
+std::optional<FurtherDials> further_dials(const Values& rules) {
+  const bool floor = rules.has("extraFloor"), share = rules.has("extraPerRequest"),
+             span = rules.has("budgetSpan");
+  if (!floor && !share && !span) return std::nullopt;
+  if (!floor || !share || !span)
+    bad("settings.rules: extraFloor, extraPerRequest and budgetSpan come together");
+  const double micros = rules.positive_or_zero("budgetSpan");
+  if (micros < 1 || micros > 1e15) bad("settings.rules.budgetSpan is not a time above zero");
+  return FurtherDials{rules.positive_or_zero("extraFloor"), rules.positive_or_zero("extraPerRequest"),
+                      Micros{std::llround(micros)}};
+}
+
 }  // namespace
 
 std::vector<Listener> listeners(const Values& settings) {
@@ -60,7 +73,8 @@
   return make_balancer(
       outlet, seed, static_cast<unsigned>(settings.real("balancers", 1)),
       ZoneId{static_cast<std::uint32_t>(settings.real("myZone", 0))}, listeners(settings),
-      DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)), longest_stay_away(settings)},
+      DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)), longest_stay_away(settings),
+                 further_dials(rules)},
       ColdRule{rules.time("cold"), rules.real("coldShare", 1), rules.real("overloadFactor", 1),
                rules.time("tipAfter")},
       ListRule{settings.text("discovery", "") == "on_request", rules.time("askEvery"),
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -1,5 +1,6 @@
 #include <set>
 
+#include "dial_budget.h"
 #include "world.h"
 
 namespace flintweir::test {
@@ -299,6 +300,53 @@
   EXPECT_FALSE(w.balancer->may_send(HostId{404}));
 }
 
+// Guards against a window that slides and lets one dial over, at its edges too: counted anew by brute force.
+TEST(DialBudget, HoldsInEveryWindow) {
+  for (const FurtherDials rule :
+       {FurtherDials{1, 0.03, 2s}, FurtherDials{3, 0.15, 5s}, FurtherDials{0, 0.5, 1s}}) {
+    DialBudget budget(rule);
+    std::mt19937_64 chance(5);
+    std::vector<Micros> taken, spent;
+    unsigned refused = 0;
+    for (Micros now = 10s; now < 60s; now += 500ms / (1 + chance() % 50)) {
+      if (chance() % 3) budget.took(now), taken.push_back(now);
+      const bool allowed = budget.allows(now);
+      if (allowed) budget.spend(now), spent.push_back(now);
+      refused += allowed ? 0 : 1;
+      const auto in = [&](const std::vector<Micros>& all, Micros from) {
+        return static_cast<double>(
+            std::count_if(all.begin(), all.end(), [&](Micros t) { return t >= from; }));
+      };
+      ASSERT_TRUE(!allowed ||
+                  in(spent, now - rule.span) <= rule.floor + rule.share * in(taken, now - rule.span + 1us));
+    }
+    EXPECT_GT(refused, 10u);
+    EXPECT_GT(spent.size(), 5u);
+  }
+}
+
+// The case of ams-builds: further dials of one node come to more than its budget on a day of failing hosts.
+TEST(DialBudget, EndsASessionAtOnceWhereNoFurtherDialIsLeft) {
+  Three w;
+  w.further = FurtherDials{2, 0, 5s};
+  w.restart();
+  w.pass(100ms);
+  const auto fail_first = [&] {
+    const SessId id = w.arrive(0);
+    w.finish(id, Ending::unconnected);
+    return w.clients.at(id).dials.size();
+  };
+  EXPECT_EQ(fail_first(), 2u);
+  EXPECT_EQ(fail_first(), 2u);
+  const SessId last = w.arrive(0);  // has all its time, as there is no other dial
+  EXPECT_EQ(w.clients.at(last).dials.back().until, w.clients.at(last).valid_until);
+  w.finish(last, Ending::unconnected);
+  EXPECT_TRUE(w.clients.at(last).answered);
+  EXPECT_EQ(w.clients.at(last).dials.size(), 1u);
+  w.pass(5100ms);
+  EXPECT_EQ(fail_first(), 2u);
+}
+
 TEST(Probes, AreNotSentWhereTheyAreNotAllowed) {
   Three w;
   w.probes.clear();
--- a/tests/world.h
+++ b/tests/world.h
@@ -66,7 +66,7 @@
     wakes.clear();
     probes.clear();
     for (auto& [id, p] : hosts) p.drained = p.standing == Standing::draining;  // it knows no older list
-    balancer = make_balancer(*this, chance(), nodes, ZoneId{0}, listeners, DialLimits{kMostDials, 1s}, kCold,
+    balancer = make_balancer(*this, chance(), nodes, ZoneId{0}, listeners, DialLimits{kMostDials, 1s, further}, kCold,
                              ListRule{true, 10s, only_draining_binds}, Prices{0.1, probe_price});
     balancer->at(now);
     tell_all();
@@ -214,6 +214,7 @@
   double capacity = 0;  // sessions a second that fill a warm host; 0: not looked at
   unsigned refused = 0, watched = 0;
   std::optional<double> probe_price = 0;
+  std::optional<FurtherDials> further;  // none: no budget
   bool only_draining_binds = false;
   unsigned nodes = kNodes;  // taken up by the next restart
 
