--- a/apps/flintweir_lab.cpp
+++ b/apps/flintweir_lab.cpp
@@ -16,14 +16,14 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "lab/bad_file.h"
-#include "lab/builtin.h"
-#include "lab/crossing.h"
-#include "lab/lease_rig.h"
-#include "lab/lease_search.h"
-#include "lab/report.h"
-#include "lab/results.h"
-#include "lab/rig.h"
+#include "lab/checks/crossing.h"
+#include "lab/faults/bad_file.h"
+#include "lab/faults/builtin.h"
+#include "lab/fleet/rig.h"
+#include "lab/leases/lease_rig.h"
+#include "lab/leases/lease_search.h"
+#include "lab/reports/report.h"
+#include "lab/reports/results.h"
 #include "lab/runner.h"
 
 namespace {
--- a/src/lab/checker.cpp
+++ b/src/lab/checks/checker.cpp
@@ -1,4 +1,4 @@
-#include "lab/checker.h"
+#include "lab/checks/checker.h"
 
 #include <algorithm>
 
--- a/src/lab/checker.h
+++ b/src/lab/checks/checker.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "lab/front_model.h"
-#include "lab/plan.h"
+#include "lab/faults/plan.h"
+#include "lab/models/front_model.h"
 
 namespace flintweir::lab {
 
--- a/src/lab/crossing.cpp
+++ b/src/lab/checks/crossing.cpp
@@ -1,4 +1,4 @@
-#include "lab/crossing.h"
+#include "lab/checks/crossing.h"
 
 #include <algorithm>
 #include <list>
@@ -8,7 +8,7 @@
 #include <set>
 #include <string_view>
 
-#include "lab/fabric.h"
+#include "lab/network/fabric.h"
 #include "net/log.h"
 #include "net/stream.h"
 #include "node/node.h"
--- a/src/lab/faults.cpp
+++ b/src/lab/faults/faults.cpp
@@ -1,4 +1,4 @@
-#include "lab/faults.h"
+#include "lab/faults/faults.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/lab/faults.h
+++ b/src/lab/faults/faults.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "lab/plan.h"
+#include "lab/faults/plan.h"
 #include "numbers.h"
 
 namespace flintweir::lab {
--- a/src/lab/fields.h
+++ b/src/lab/faults/fields.h
@@ -12,7 +12,7 @@
 #include <toml++/toml.h>
 
 #include "ids.h"
-#include "lab/bad_file.h"
+#include "lab/faults/bad_file.h"
 
 namespace flintweir::lab {
 
--- a/src/lab/plan.cpp
+++ b/src/lab/faults/plan.cpp
@@ -1,9 +1,9 @@
-#include "lab/plan.h"
+#include "lab/faults/plan.h"
 
 #include <algorithm>
 
-#include "lab/fields.h"
-#include "lab/meter.h"
+#include "lab/faults/fields.h"
+#include "lab/reports/meter.h"
 
 namespace flintweir::lab {
 namespace {
--- a/src/lab/plan.h
+++ b/src/lab/faults/plan.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "balance.h"
-#include "lab/fabric.h"
+#include "lab/network/fabric.h"
 
 namespace flintweir::lab {
 
--- a/src/lab/plain_peers.cpp
+++ b/src/lab/fleet/plain_peers.cpp
@@ -1,4 +1,4 @@
-#include "lab/plain_peers.h"
+#include "lab/fleet/plain_peers.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/lab/rig.cpp
+++ b/src/lab/fleet/rig.cpp
@@ -1,12 +1,12 @@
-#include "lab/rig.h"
+#include "lab/fleet/rig.h"
 
 #include <algorithm>
 #include <deque>
 #include <random>
 
-#include "lab/bad_file.h"
-#include "lab/rig_loopback.h"
-#include "lab/rig_virtual.h"
+#include "lab/faults/bad_file.h"
+#include "lab/fleet/rig_loopback.h"
+#include "lab/fleet/rig_virtual.h"
 #include "numbers.h"
 
 namespace flintweir::lab {
--- a/src/lab/rig.h
+++ b/src/lab/fleet/rig.h
@@ -4,10 +4,10 @@
 
 #include <optional>
 
-#include "lab/plain_peers.h"
-#include "lab/rig_checker.h"
-#include "lab/rig_plan.h"
-#include "lab/rig_stage.h"
+#include "lab/fleet/plain_peers.h"
+#include "lab/fleet/rig_checker.h"
+#include "lab/fleet/rig_plan.h"
+#include "lab/fleet/rig_stage.h"
 
 namespace flintweir::lab {
 
--- a/src/lab/rig_checker.cpp
+++ b/src/lab/fleet/rig_checker.cpp
@@ -1,4 +1,4 @@
-#include "lab/rig_checker.h"
+#include "lab/fleet/rig_checker.h"
 
 #include <algorithm>
 
--- a/src/lab/rig_loopback.cpp
+++ b/src/lab/fleet/rig_loopback.cpp
@@ -1,4 +1,4 @@
-#include "lab/rig_loopback.h"
+#include "lab/fleet/rig_loopback.h"
 
 #include <unistd.h>
 
--- a/src/lab/rig_loopback.h
+++ b/src/lab/fleet/rig_loopback.h
@@ -7,9 +7,9 @@
 #include <memory>
 #include <random>
 
-#include "lab/rig_stage.h"
-#include "lab/spawn.h"
-#include "lab/timeline.h"
+#include "lab/fleet/rig_stage.h"
+#include "lab/network/spawn.h"
+#include "lab/network/timeline.h"
 #include "net/kernel_network.h"
 
 namespace flintweir::lab {
--- a/src/lab/rig_plan.cpp
+++ b/src/lab/fleet/rig_plan.cpp
@@ -1,8 +1,8 @@
-#include "lab/rig_plan.h"
+#include "lab/fleet/rig_plan.h"
 
 #include <algorithm>
 
-#include "lab/fields.h"
+#include "lab/faults/fields.h"
 
 namespace flintweir::lab {
 
--- a/src/lab/rig_stage.h
+++ b/src/lab/fleet/rig_stage.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "lab/post.h"
+#include "lab/network/post.h"
 #include "net/network.h"
 
 namespace flintweir::lab {
--- a/src/lab/rig_virtual.cpp
+++ b/src/lab/fleet/rig_virtual.cpp
@@ -1,4 +1,4 @@
-#include "lab/rig_virtual.h"
+#include "lab/fleet/rig_virtual.h"
 
 #include <cstdio>
 
--- a/src/lab/rig_virtual.h
+++ b/src/lab/fleet/rig_virtual.h
@@ -5,9 +5,9 @@
 #include <memory>
 #include <optional>
 
-#include "lab/fabric.h"
-#include "lab/plain_peers.h"
-#include "lab/rig_stage.h"
+#include "lab/fleet/plain_peers.h"
+#include "lab/fleet/rig_stage.h"
+#include "lab/network/fabric.h"
 #include "net/log.h"
 #include "node/peers.h"
 
--- a/src/lab/lease_rig.cpp
+++ b/src/lab/leases/lease_rig.cpp
@@ -1,4 +1,4 @@
-#include "lab/lease_rig.h"
+#include "lab/leases/lease_rig.h"
 
 #include <signal.h>
 #include <unistd.h>
@@ -10,8 +10,8 @@
 #include <random>
 #include <set>
 
-#include "lab/rig_loopback.h"
-#include "lab/rig_virtual.h"
+#include "lab/fleet/rig_loopback.h"
+#include "lab/fleet/rig_virtual.h"
 #include "node/holder.h"
 #include "numbers.h"
 
--- a/src/lab/lease_search.cpp
+++ b/src/lab/leases/lease_search.cpp
@@ -1,4 +1,4 @@
-#include "lab/lease_search.h"
+#include "lab/leases/lease_search.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/lab/baselines.cpp
+++ b/src/lab/models/baselines.cpp
@@ -1,4 +1,4 @@
-#include "lab/baselines.h"
+#include "lab/models/baselines.h"
 
 #include <algorithm>
 #include <array>
--- a/src/lab/client_model.cpp
+++ b/src/lab/models/client_model.cpp
@@ -1,4 +1,4 @@
-#include "lab/client_model.h"
+#include "lab/models/client_model.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/lab/client_model.h
+++ b/src/lab/models/client_model.h
@@ -4,7 +4,7 @@
 
 #include <random>
 
-#include "lab/plan.h"
+#include "lab/faults/plan.h"
 
 namespace flintweir::lab {
 
--- a/src/lab/client_peer.cpp
+++ b/src/lab/models/client_peer.cpp
@@ -1,4 +1,4 @@
-#include "lab/client_peer.h"
+#include "lab/models/client_peer.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/lab/client_peer.h
+++ b/src/lab/models/client_peer.h
@@ -3,11 +3,11 @@
 
 #include <deque>
 
-#include "lab/checker.h"
-#include "lab/client_model.h"
-#include "lab/event_log.h"
-#include "lab/meter.h"
-#include "lab/talk.h"
+#include "lab/checks/checker.h"
+#include "lab/models/client_model.h"
+#include "lab/models/talk.h"
+#include "lab/reports/event_log.h"
+#include "lab/reports/meter.h"
 #include "net/wakes.h"
 
 namespace flintweir::lab {
--- a/src/lab/front_model.h
+++ b/src/lab/models/front_model.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <vector>
 
-#include "lab/plan.h"
+#include "lab/faults/plan.h"
 
 namespace flintweir::lab {
 
--- a/src/lab/host_model.cpp
+++ b/src/lab/models/host_model.cpp
@@ -1,4 +1,4 @@
-#include "lab/host_model.h"
+#include "lab/models/host_model.h"
 
 #include <algorithm>
 
--- a/src/lab/host_model.h
+++ b/src/lab/models/host_model.h
@@ -6,7 +6,7 @@
 #include <map>
 #include <random>
 
-#include "lab/plan.h"
+#include "lab/faults/plan.h"
 
 namespace flintweir::lab {
 
--- a/src/lab/host_server.cpp
+++ b/src/lab/models/host_server.cpp
@@ -1,4 +1,4 @@
-#include "lab/host_server.h"
+#include "lab/models/host_server.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/lab/host_server.h
+++ b/src/lab/models/host_server.h
@@ -3,10 +3,10 @@
 
 #include <deque>
 
-#include "lab/checker.h"
-#include "lab/event_log.h"
-#include "lab/host_model.h"
-#include "lab/talk.h"
+#include "lab/checks/checker.h"
+#include "lab/models/host_model.h"
+#include "lab/models/talk.h"
+#include "lab/reports/event_log.h"
 #include "net/wakes.h"
 #include "slab.h"
 
--- a/src/lab/list_server.cpp
+++ b/src/lab/models/list_server.cpp
@@ -1,4 +1,4 @@
-#include "lab/list_server.h"
+#include "lab/models/list_server.h"
 
 #include <cstdlib>
 #include <nlohmann/json.hpp>
--- a/src/lab/list_server.h
+++ b/src/lab/models/list_server.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "lab/checker.h"
-#include "lab/list_model.h"
-#include "lab/talk.h"
+#include "lab/checks/checker.h"
+#include "lab/models/list_model.h"
+#include "lab/models/talk.h"
 #include "net/wakes.h"
 #include "slab.h"
 
--- a/src/lab/talk.cpp
+++ b/src/lab/models/talk.cpp
@@ -1,4 +1,4 @@
-#include "lab/talk.h"
+#include "lab/models/talk.h"
 
 #include <xxhash.h>
 
--- a/src/lab/talk.h
+++ b/src/lab/models/talk.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "lab/checker.h"
+#include "lab/checks/checker.h"
 #include "net/stream.h"
 
 namespace flintweir::lab {
--- a/src/lab/fabric.cpp
+++ b/src/lab/network/fabric.cpp
@@ -1,4 +1,4 @@
-#include "lab/fabric.h"
+#include "lab/network/fabric.h"
 
 #include <system_error>
 
--- a/src/lab/fabric.h
+++ b/src/lab/network/fabric.h
@@ -12,8 +12,8 @@
 #include <string>
 #include <vector>
 
-#include "lab/post.h"
-#include "lab/timeline.h"
+#include "lab/network/post.h"
+#include "lab/network/timeline.h"
 #include "net/network.h"
 
 namespace flintweir::lab {
--- a/src/lab/loopback_stage.cpp
+++ b/src/lab/network/loopback_stage.cpp
@@ -1,4 +1,4 @@
-#include "lab/loopback_stage.h"
+#include "lab/network/loopback_stage.h"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
--- a/src/lab/loopback_stage.h
+++ b/src/lab/network/loopback_stage.h
@@ -6,9 +6,9 @@
 #include <memory>
 #include <vector>
 
-#include "lab/spawn.h"
-#include "lab/stage.h"
-#include "lab/timeline.h"
+#include "lab/network/spawn.h"
+#include "lab/network/stage.h"
+#include "lab/network/timeline.h"
 #include "net/kernel_network.h"
 
 namespace flintweir::lab {
--- a/src/lab/spawn.cpp
+++ b/src/lab/network/spawn.cpp
@@ -1,4 +1,4 @@
-#include "lab/spawn.h"
+#include "lab/network/spawn.h"
 
 #include <fcntl.h>
 #include <sys/wait.h>
--- a/src/lab/stage.h
+++ b/src/lab/network/stage.h
@@ -6,8 +6,8 @@
 #include <memory>
 #include <string>
 
-#include "lab/checker.h"
-#include "lab/fabric.h"
+#include "lab/checks/checker.h"
+#include "lab/network/fabric.h"
 #include "net/network.h"
 
 namespace flintweir::lab {
--- a/src/lab/virtual_stage.cpp
+++ b/src/lab/network/virtual_stage.cpp
@@ -1,4 +1,4 @@
-#include "lab/virtual_stage.h"
+#include "lab/network/virtual_stage.h"
 
 #include <algorithm>
 
--- a/src/lab/virtual_stage.h
+++ b/src/lab/network/virtual_stage.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <vector>
 
-#include "lab/stage.h"
+#include "lab/network/stage.h"
 #include "net/log.h"
 #include "node/node.h"
 
--- a/src/lab/event_log.cpp
+++ b/src/lab/reports/event_log.cpp
@@ -1,4 +1,4 @@
-#include "lab/event_log.h"
+#include "lab/reports/event_log.h"
 
 #include <xxhash.h>
 
--- a/src/lab/meter.cpp
+++ b/src/lab/reports/meter.cpp
@@ -1,4 +1,4 @@
-#include "lab/meter.h"
+#include "lab/reports/meter.h"
 
 #include <optional>
 
--- a/src/lab/report.cpp
+++ b/src/lab/reports/report.cpp
@@ -1,4 +1,4 @@
-#include "lab/report.h"
+#include "lab/reports/report.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/lab/report.h
+++ b/src/lab/reports/report.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "lab/results.h"
+#include "lab/reports/results.h"
 
 namespace flintweir::lab {
 
--- a/src/lab/results.cpp
+++ b/src/lab/reports/results.cpp
@@ -1,4 +1,4 @@
-#include "lab/results.h"
+#include "lab/reports/results.h"
 
 #include <cstdio>
 #include <nlohmann/json.hpp>
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -8,9 +8,9 @@
 #include <mutex>
 #include <thread>
 
-#include "lab/baselines.h"
-#include "lab/loopback_stage.h"
-#include "lab/virtual_stage.h"
+#include "lab/models/baselines.h"
+#include "lab/network/loopback_stage.h"
+#include "lab/network/virtual_stage.h"
 
 namespace flintweir::lab {
 namespace {
--- a/src/lab/runner.h
+++ b/src/lab/runner.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "lab/bad_file.h"
-#include "lab/plan.h"
+#include "lab/faults/bad_file.h"
+#include "lab/faults/plan.h"
 #include "lab/world.h"
 
 namespace flintweir::lab {
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -5,14 +5,14 @@
 #include <string>
 #include <vector>
 
-#include "lab/client_peer.h"
-#include "lab/event_log.h"
-#include "lab/faults.h"
-#include "lab/front_peer.h"
-#include "lab/host_server.h"
-#include "lab/list_server.h"
-#include "lab/meter.h"
-#include "lab/stage.h"
+#include "lab/faults/faults.h"
+#include "lab/models/client_peer.h"
+#include "lab/models/front_peer.h"
+#include "lab/models/host_server.h"
+#include "lab/models/list_server.h"
+#include "lab/network/stage.h"
+#include "lab/reports/event_log.h"
+#include "lab/reports/meter.h"
 
 namespace flintweir::lab {
 
--- a/src/net/kernel_network.cpp
+++ b/src/net/kernel_network.cpp
@@ -1,12 +1,11 @@
 #include "net/kernel_network.h"
 
-#include <ctime>
-
 #include <netinet/tcp.h>
 
 #include <algorithm>
 #include <array>
 #include <asio/bind_allocator.hpp>
+#include <ctime>
 
 namespace flintweir::net {
 namespace {
--- a/src/net/network.h
+++ b/src/net/network.h
@@ -72,7 +72,8 @@
 
   // Steady time that starts as Unix time, so that it never steps and is comparable with hosts' start times.
   virtual Micros now() const = 0;
-  // Microseconds that go on while the machine sleeps, from any beginning: for leases, whose end comes all the same.
+  // Microseconds that go on while the machine sleeps, from any beginning: for leases, whose end comes all the
+  // same.
   virtual Micros ticking() const { return now(); }
   // One alarm for each network: a later call takes the place of an earlier one.
   virtual void ring(Micros at, Alarm& whom) = 0;
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -9,11 +9,11 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "lab/bad_file.h"
-#include "lab/builtin.h"
-#include "lab/crossing.h"
-#include "lab/fabric.h"
-#include "lab/results.h"
+#include "lab/checks/crossing.h"
+#include "lab/faults/bad_file.h"
+#include "lab/faults/builtin.h"
+#include "lab/network/fabric.h"
+#include "lab/reports/results.h"
 #include "lab/runner.h"
 #include "net/stream.h"
 #include "net/wakes.h"
--- a/tests/leases_test.cpp
+++ b/tests/leases_test.cpp
@@ -11,8 +11,8 @@
 #include <random>
 #include <thread>
 
-#include "lab/lease_rig.h"
-#include "lab/lease_search.h"
+#include "lab/leases/lease_rig.h"
+#include "lab/leases/lease_search.h"
 #include "leases/datagram.h"
 #include "leases/seeker.h"
 #include "leases/voter.h"
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -11,7 +11,7 @@
 #include <random>
 #include <thread>
 
-#include "lab/rig.h"
+#include "lab/fleet/rig.h"
 #include "members/datagram.h"
 #include "setup/operator.h"
 
--- /dev/null
+++ b/tests/node_life_test.cpp
@@ -0,0 +1,123 @@
+// From start to end: wrong starts, reload, graceful shutdown.
+#include "node_fixture.h"
+
+namespace flintweir::node_tests {
+namespace {
+
+TEST_F(Node, FollowsDiscoveryToItsNewAddressOnReload) {
+  start(2);
+  auto [client, host] = accepted();
+  Peer old = discovery.take();
+  asked(old);
+  // A file that could not be started with changes nothing.
+  for (const std::string& wrong : {std::string("{"), std::string("[]"), config(70000)}) {
+    program->rewrite(wrong);
+    program->signal(SIGHUP);
+    EXPECT_NE(program->logged("reload: ").find("nothing is changed"), std::string::npos) << wrong;
+  }
+  tell(old, list(40, true, target("s-0", hosts[0].port())));
+  expect_watch(asked(old), 40);
+  // The file goes before the variable of the start; repeats are harmless.
+  Door next;
+  program->rewrite(config(next.port()));
+  for (int i = 0; i < 3; ++i) {
+    program->signal(SIGHUP);
+    EXPECT_FALSE(program->logged("reload: discovery at 127.0.0.1:" + std::to_string(next.port())).empty());
+  }
+  EXPECT_EQ(old.line(), "(end)");
+  Peer watch;
+  while (next.knocked(watch.fd() < 0 ? kPatience : 200ms)) watch = next.take();
+  EXPECT_EQ(asked(watch), "GET /api/targets HTTP/1.1");
+  // The old service's list is no ground for changes that the new one tells.
+  tell(watch, list(41, false, target("s-0", hosts[0].port(), "DELETED")));
+  EXPECT_FALSE(program->logged("malformed or stale").empty());
+  EXPECT_EQ(asked(watch), "GET /api/targets HTTP/1.1");
+  tell(watch, list(3, true, target("s-1", hosts[1].port())));  // its versions may be lower
+  expect_watch(asked(watch), 3);
+  for (int i = 0; i < 3; ++i) {
+    Peer another = open();
+    EXPECT_EQ(dialled().first, 1u);
+  }
+  EXPECT_FALSE(discovery.knocked(0ms));
+  client.say("still there?\r\n");
+  EXPECT_EQ(host.line(), "still there?");
+}
+
+// Guards against the end that SIGHUP brings to a program that does not expect it yet.
+TEST_F(Node, HearsOfAReloadAskedForBeforeItIsReady) {
+  start(1, false, 1000, false, true);
+  EXPECT_FALSE(program->logged("reload: discovery at 127.0.0.1:1").empty());
+  accepted();
+}
+
+TEST_F(Node, MovesAllAndAnswersThoseStillComingBeforeItLeaves) {
+  start(1, false, 1000, true);
+  std::vector<std::pair<Peer, Peer>> open_ones;
+  for (int i = 0; i < 5; ++i) open_ones.push_back(accepted());
+  Peer waiting = open();
+  Peer waited = dialled().second;
+  waited.line();
+  Peer half = Peer::to(port);
+  half.say("OPEN 99 1 c=chat");
+  program->signal(SIGTERM);
+  EXPECT_FALSE(program->logged("leaving").empty());
+  Peer front = Peer::to(port);
+  front.say("PING\r\n");
+  EXPECT_EQ(front.line(), "ERR");  // no PONG: fronts are to send nobody here
+  EXPECT_FALSE(program->logged("end checked").empty());
+  EXPECT_EQ(open().line(), "BUSY 500");
+  // Nobody is moved while fronts may still send it back here.
+  EXPECT_EQ(open_ones[0].first.line(300ms), "(nothing)");
+  half.say(",d=2000\r\n");
+  EXPECT_EQ(half.line(), "BUSY 500");
+  waited.say("UP late\r\n");
+  EXPECT_EQ(waiting.line(), "UP late");
+  EXPECT_EQ(waiting.line(), "MOVE");
+  for (auto& [client, host] : open_ones) {
+    EXPECT_EQ(client.line(), "MOVE");
+    EXPECT_EQ(client.line(), "(end)");
+    EXPECT_TRUE(host.over());
+  }
+  EXPECT_EQ(program->ended(), 0);
+  program.reset();
+}
+
+// Guards against a node that ends before its last move: where dials time out early that came first.
+TEST_F(Node, MovesAllInTimeWhereDialsTimeOutEarly) {
+  dial_timeout = 300'000;
+  start(1);
+  std::vector<std::pair<Peer, Peer>> open_ones;
+  for (int i = 0; i < 6; ++i) open_ones.push_back(accepted());
+  const auto told = Steady::now();
+  for (int i = 0; i < 3; ++i) program->signal(SIGTERM);  // told again it goes on as it was
+  EXPECT_FALSE(program->logged("leaving").empty());
+  for (auto& [client, host] : open_ones) {
+    EXPECT_EQ(client.line(), "MOVE");
+    EXPECT_EQ(client.line(), "(end)");
+  }
+  EXPECT_EQ(program->ended(), 0);
+  EXPECT_LT(Steady::now() - told, 1s);  // the longest dial timeout and 0.7 s
+  program.reset();
+}
+
+class WrongStart : public testing::TestWithParam<std::pair<const char*, const char*>> {};
+TEST_P(WrongStart, EndsWithOnePlainLine) {
+  std::istringstream words(GetParam().first);
+  std::vector<std::string> args;
+  for (std::string w; words >> w;) args.push_back(w);
+  Program program(GetParam().second, args);
+  EXPECT_GT(program.ended(), 0);
+  EXPECT_GT(program.logged("flintweir: ").size(), 25u);
+  EXPECT_EQ(program.logged(""), "");
+}
+INSTANTIATE_TEST_SUITE_P(
+    All, WrongStart,
+    testing::Values(
+        std::pair("serve", "{"), std::pair("serve", "[]"), std::pair("serve", "{}"),
+        std::pair("serve", R"({"listen":"127.0.0.1:0","discovery":"x","limits":{},"settings":{}})"),
+        std::pair("check", R"({"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","limits":{},"settings":{}})"),
+        std::pair("serve --config /none", "{}"), std::pair("", "{}"), std::pair("frob", "{}"),
+        std::pair("serve twice", "{}"), std::pair("serve --frob", "{}"), std::pair("serve -c", "{}")));
+
+}  // namespace
+}  // namespace flintweir::node_tests
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -44,12 +44,13 @@
 
 // A wrong or missing value among the new settings is one clear line.
 TEST(Wire, RefusesSettingsThatSayNothing) {
-  for (const char* wrong : {R"("softRemoval":"yes")", R"("softRemoval":1)", R"("extraFloor":3)",
-                            R"("extraFloor":3,"budgetSpan":5000000)", R"("extraPerRequest":0.1,"extraFloor":1)",
-                            R"("extraFloor":-1,"extraPerRequest":0.1,"budgetSpan":5000000)",
-                            R"("extraFloor":1,"extraPerRequest":-0.1,"budgetSpan":5000000)",
-                            R"("extraFloor":1,"extraPerRequest":"few","budgetSpan":5000000)",
-                            R"("extraFloor":1,"extraPerRequest":0.1,"budgetSpan":0)"})
+  for (const char* wrong :
+       {R"("softRemoval":"yes")", R"("softRemoval":1)", R"("extraFloor":3)",
+        R"("extraFloor":3,"budgetSpan":5000000)", R"("extraPerRequest":0.1,"extraFloor":1)",
+        R"("extraFloor":-1,"extraPerRequest":0.1,"budgetSpan":5000000)",
+        R"("extraFloor":1,"extraPerRequest":-0.1,"budgetSpan":5000000)",
+        R"("extraFloor":1,"extraPerRequest":"few","budgetSpan":5000000)",
+        R"("extraFloor":1,"extraPerRequest":0.1,"budgetSpan":0)"})
     EXPECT_THROW(Wire().answer(batch(1000, configure_with(wrong, "cold"))), setup::BadInput) << wrong;
   for (const char* wrong : {R"({"ninesPart":0.2})", R"({"ninesPart":0.2,"ninesWanted":0})",
                             R"({"ninesPart":"much","ninesWanted":3})", R"({"ninesPart":-1,"ninesWanted":3})"})
--- a/tests/world.h
+++ b/tests/world.h
@@ -67,8 +67,9 @@
     wakes.clear();
     probes.clear();
     for (auto& [id, p] : hosts) p.drained = p.standing == Standing::draining;  // it knows no older list
-    balancer = make_balancer(*this, chance(), nodes, ZoneId{0}, listeners, DialLimits{kMostDials, 1s, further}, kCold,
-                             ListRule{true, 10s, weights_are_sizes, only_draining_binds}, Prices{0.1, probe_price});
+    balancer = make_balancer(
+        *this, chance(), nodes, ZoneId{0}, listeners, DialLimits{kMostDials, 1s, further}, kCold,
+        ListRule{true, 10s, weights_are_sizes, only_draining_binds}, Prices{0.1, probe_price});
     balancer->at(now);
     tell_all();
   }
