--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -265,9 +265,9 @@
     }
     config = [=, this](int at) {
       return R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" + std::to_string(at) +
-             R"(","seed":"8c1f","limits":{"cores":1.0,"memory_mb":192,"sockets":)" + std::to_string(sockets) +
-             R"(},"known":)" + list(1, true, targets) + R"(,"settings":)" +
-             settings(probes, stay_away, pushed, dial_timeout) + '}';
+             R"(","seed":"8c1f","limits":{"cores":1.0,"memory_mb":)" + std::to_string(memory_mb) +
+             R"(,"sockets":)" + std::to_string(sockets) + R"(},"known":)" + list(1, true, targets) +
+             R"(,"settings":)" + settings(probes, stay_away, pushed, dial_timeout) + '}';
     };
     program = std::make_unique<Program>(config(1), std::vector<std::string>{"serve"},
                                         "127.0.0.1:" + std::to_string(discovery.port()), reload_first);
@@ -325,7 +325,7 @@
   Door discovery;
   std::unique_ptr<Program> program;
   std::function<std::string(int)> config;  // with discovery at a port
-  int port = 0, ids = 0, dial_timeout = 2'000'000;
+  int port = 0, ids = 0, dial_timeout = 2'000'000, memory_mb = 192;
   bool pushed = false;
 };
 
--- a/tests/node_life_test.cpp
+++ b/tests/node_life_test.cpp
@@ -1,4 +1,7 @@
 // From start to end: wrong starts, reload, graceful shutdown.
+#include <set>
+#include <tuple>
+
 #include "node_fixture.h"
 
 namespace flintweir::node_tests {
@@ -119,5 +122,58 @@
         std::pair("serve --config /none", "{}"), std::pair("", "{}"), std::pair("frob", "{}"),
         std::pair("serve twice", "{}"), std::pair("serve --frob", "{}"), std::pair("serve -c", "{}")));
 
+// How soon processes that start alone, a few or many at once take clients, whatever discovery does and
+// whatever list they start from: within 3 s each, where nine in ten may take 10 s.
+enum class Service { down, silent, failing };
+enum class Known { none, old, gone };
+class Ready : public testing::TestWithParam<std::tuple<Service, Known, bool>> {};
+TEST_P(Ready, WithinSeconds) {
+  const auto [service, known, pushed] = GetParam();
+  Door discovery, host;
+  const int at = discovery.port();
+  if (service == Service::down) discovery.shut();
+  const std::string targets =
+      known == Known::none ? "" : target("s-0", known == Known::gone ? 1 : host.port());
+  for (const std::size_t count : {1u, 3u, 20u}) {
+    std::vector<std::unique_ptr<Program>> programs;
+    std::vector<Peer> fronts, calls;
+    const auto began = Steady::now();
+    for (std::size_t i = 0; i < count; ++i)
+      programs.push_back(std::make_unique<Program>(
+          R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" + std::to_string(at) +
+              R"(","seed":")" + std::to_string(i) +
+              R"(","limits":{"cores":1.0,"memory_mb":64,"sockets":256},"known":)" + list(1, true, targets) +
+              R"(,"settings":)" + settings(true, false, pushed, 2'000'000) + '}',
+          std::vector<std::string>{"serve"}));
+    for (const auto& p : programs) {
+      const std::string line = p->logged("serving at ");
+      ASSERT_FALSE(line.empty());
+      fronts.push_back(Peer::to(std::stoi(line.substr(line.rfind(':') + 1))));
+      fronts.back().say("PING\r\n");
+    }
+    std::set<std::size_t> ready;
+    while (ready.size() < count && Steady::now() - began < 3s) {
+      while (service != Service::down && discovery.knocked(0ms)) {
+        calls.push_back(discovery.take());
+        if (service == Service::failing)
+          calls.back().say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+      }
+      for (std::size_t i = 0; i < count; ++i)
+        if (!ready.contains(i) && readable(fronts[i].fd(), 1ms)) {
+          EXPECT_EQ(fronts[i].line(), "PONG");
+          ready.insert(i);
+        }
+    }
+    EXPECT_EQ(ready.size(), count) << "of " << count;
+    const auto slowest = std::chrono::duration_cast<std::chrono::milliseconds>(Steady::now() - began).count();
+    RecordProperty("slowest_of_" + std::to_string(count), static_cast<int>(slowest));
+    for (const auto& p : programs) EXPECT_TRUE(p->running());
+  }
+}
+INSTANTIATE_TEST_SUITE_P(Of, Ready,
+                         testing::Combine(testing::Values(Service::down, Service::silent, Service::failing),
+                                          testing::Values(Known::none, Known::old, Known::gone),
+                                          testing::Bool()));
+
 }  // namespace
 }  // namespace flintweir::node_tests
