--- a/src/lab/checks/crossing.cpp
+++ b/src/lab/checks/crossing.cpp
@@ -223,6 +223,12 @@
       // Its watch is broken off, or says no more; a new configuration turns to another service.
       if (c_.event == E::host_resets && dial_of_list_) dial_of_list_->stream.abort();
       if (c_.event == E::reload) reload();
+      // SIGTERM, twice, while the file of a SIGHUP is read: they are heard one after the other.
+      if (c_.event == E::stop) {
+        stopped_at_ = now() + when_free();
+        reload();
+        for (int i = 0; i < 2; ++i) signal([this] { node_->leave(); });
+      }
       return;
     }
     Client& first = clients_.front();
@@ -494,7 +500,7 @@
           using E = Crossing::Event;
           const bool of_list = c.event >= E::turned_away;
           if (text == 2 ? how & 6 || !(of_list || c.event == E::silence || c.event == E::host_resets ||
-                                       c.event == E::reload)
+                                       c.event == E::reload || c.event == E::stop)
                         : of_list)
             continue;
           if (of_list && (c.busy || byte % 28)) continue;
