--- a/apps/flintweir_lab.cpp
+++ b/apps/flintweir_lab.cpp
@@ -16,7 +16,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "lab/checks/crossing.h"
+#include "lab/checks/interleaving.h"
 #include "lab/faults/bad_file.h"
 #include "lab/faults/builtin.h"
 #include "lab/fleet/rig.h"
@@ -283,7 +283,7 @@
 }
 
 int crossings(const std::string& only, unsigned jobs) {
-  const std::vector<Crossing> all = all_crossings();
+  const std::vector<Interleaving> all = all_interleavings();
   std::atomic<std::size_t> next{0}, played{0}, broken{0};
   std::vector<std::string> first(all.size());
   std::vector<std::thread> threads;
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -818,7 +818,7 @@
       }
     }
     if (++beats_ % kBeatsPerProbe == 0) {
-      even_out();
+      rebalance();
       if (mean_load_ >= kFullAt) let_go_heavy();
     }
   }
@@ -850,7 +850,7 @@
   }
 
   // The paper's two schedules: heaviest with lightest on overload, else now and then toward a light one.
-  void even_out() {
+  void rebalance() {
     take_means();
     order_.clear();
     for (Host& h : hosts_) {
--- a/src/lab/checks/crossing.cpp
+++ b/src/lab/checks/interleaving.cpp
@@ -1,4 +1,4 @@
-#include "lab/checks/crossing.h"
+#include "lab/checks/interleaving.h"
 
 #include <algorithm>
 #include <list>
@@ -64,13 +64,13 @@
 };
 
 // A machine with one process on it, which may listen.
-struct Actor final : net::DoorEvents {
+struct Actor final : net::AcceptEvents {
   Actor(Fabric& fabric, MachineNo no) : machine(no), process(fabric, no, 1000), sockets(process, 1000) {}
   void listen() {
     process.listen(Fabric::address(machine, 8081));
     process.wait_accept(*this);
   }
-  void knocked() override {
+  void connection_waits() override {
     for (net::Accepted a = process.accept(); a.how == net::Io::done; a = process.accept()) {
       End& end = ends.emplace_back(sockets);
       end.stream.adopt(a.socket, end);
@@ -88,7 +88,7 @@
 
 class Play final : net::LogSink {
  public:
-  explicit Play(const Crossing& c)
+  explicit Play(const Interleaving& c)
       : c_(c),
         timeline_(kStart),
         fabric_(timeline_, Carriage{kCrosses, kToHosts, {}, 0, 64 << 10, 0}, c.seed),
@@ -96,7 +96,7 @@
         client_(fabric_, fabric_.add_machine({0})),
         hosts_{{fabric_, fabric_.add_machine({1})}, {fabric_, fabric_.add_machine({1})}},
         lists_{{fabric_, fabric_.add_machine({0})}, {fabric_, fabric_.add_machine({0})}},
-        end_(kStart + (c.text == Crossing::Text::list ? kListLasts : kLasts)) {
+        end_(kStart + (c.text == Interleaving::Text::list ? kListLasts : kLasts)) {
     net::log_to(this);
     for (std::size_t i = 0; i < 2; ++i) {
       hosts_[i].heard = [this, i](End& e) { host_heard(i, e); };
@@ -116,7 +116,7 @@
 
   std::vector<std::string> run() {
     watch_process();
-    if (c_.text == Crossing::Text::list) {
+    if (c_.text == Interleaving::Text::list) {
       for (Micros at = kStart + 500ms; at < end_ - 3s; at += 200ms)
         timeline_.at(at, [this] { begin_client(); });
     } else {
@@ -202,7 +202,7 @@
     say(text.substr(0, before));
     if (std::exchange(crossed_, true)) return say(text.substr(before));
     const auto rest = [say, rest = std::string(text.substr(before))] { say(rest); };
-    using E = Crossing::Event;
+    using E = Interleaving::Event;
     if (!c_.busy) {
       timeline_.after(kPause, [this] { happen(); });
       if (c_.event != E::silence) timeline_.after(c_.event == E::late ? kLate : 2 * kPause, rest);
@@ -218,8 +218,8 @@
   }
 
   void happen() {
-    using E = Crossing::Event;
-    if (c_.text == Crossing::Text::list) {
+    using E = Interleaving::Event;
+    if (c_.text == Interleaving::Text::list) {
       // Its watch is broken off, or says no more; a new configuration turns to another service.
       if (c_.event == E::host_resets && dial_of_list_) dial_of_list_->stream.abort();
       if (c_.event == E::reload) reload();
@@ -256,7 +256,7 @@
         return;
       case E::late:
       case E::silence:
-        first.host_failed = first.host_failed || c_.text == Crossing::Text::host;
+        first.host_failed = first.host_failed || c_.text == Interleaving::Text::host;
         return;
       case E::turned_away:
       case E::queued:
@@ -292,7 +292,7 @@
         *sent += part.size();
         if (*sent >= c.head.size() && !c.asked) c.asked = now();
       };
-      if (c.number == 1 && c_.text == Crossing::Text::client) return cut(text, c_.byte, say);
+      if (c.number == 1 && c_.text == Interleaving::Text::client) return cut(text, c_.byte, say);
       say(text);
     };
     c.end.heard = [this, &c, eager] {
@@ -335,7 +335,7 @@
       if ((*sent += part.size()) == kServed.size())
         timeline_.after(kCrosses, [&e] { e.stream.end_sending(); });
     };
-    if (c->number == 1 && c_.text == Crossing::Text::host) return cut(kServed, c_.byte, finish);
+    if (c->number == 1 && c_.text == Interleaving::Text::host) return cut(kServed, c_.byte, finish);
     finish(kServed);
   }
 
@@ -344,7 +344,7 @@
     if (!call.got.ends_with("\r\n\r\n")) return;
     const bool watch = call.got.find("since=") != call.got.npos;
     if (troubled(list, call)) return;
-    if (c_.text == Crossing::Text::list && list == 0 && !crossed_) {
+    if (c_.text == Interleaving::Text::list && list == 0 && !crossed_) {
       dial_of_list_ = &call;
       // What the watch keeps back counts as told so long after it fell silent, or after its wait.
       const Micros told = std::max(now() + 400ms + kTold, now() + wait_of(call) + 2s);
@@ -365,7 +365,7 @@
   }
   // The service that fails in one of the ways of the list alone. The byte says how long after a call came.
   bool troubled(std::size_t list, End& call) {
-    using E = Crossing::Event;
+    using E = Interleaving::Event;
     if (c_.event < E::turned_away) return false;
     const Micros step = 7ms * static_cast<std::int64_t>(c_.byte);
     if (!std::exchange(crossed_, true)) {
@@ -380,7 +380,7 @@
         if (c_.event == E::silent_turn) return reload();
         if (c_.event == E::away) {
           for (End& e : lists_[0].ends) e.stream.abort();
-          lists_[0].process.shut_door();
+          lists_[0].process.stop_listening();
           timeline_.after(kAway, [this] {
             lists_[0].listen();
             drained_ = true;
@@ -442,20 +442,20 @@
       // Served to its end, unless its host failed it, it had to move, or left.
       const bool moved = c.end.got.ends_with("MOVE\r\n");
       if (up && !moved && !c.left && !c.host_failed && got != kServed) broke("line", who + ", lost a line");
-      if (c.number > 1 && c_.text != Crossing::Text::list && got != kServed)
+      if (c.number > 1 && c_.text != Interleaving::Text::list && got != kServed)
         broke("spoilt", who + ", came when all was over");
       if (c.end.over && c.dial && c.dial->stream.open() && !c.dial->over)
         broke("ended", who + ": its host was left");
     }
     // A list that nobody can reach keeps nobody waiting, and one that is back is read in time.
     const auto all_served = [](const Client& c) { return c.left || c.end.got == kServed; };
-    if (c_.event == Crossing::Event::away && !std::all_of(clients_.begin(), clients_.end(), all_served))
+    if (c_.event == Interleaving::Event::away && !std::all_of(clients_.begin(), clients_.end(), all_served))
       broke("answer", "a client was not served, though no list could be had");
-    if (c_.event >= Crossing::Event::turned_away && clients_.back().end.got != kServed)
+    if (c_.event >= Interleaving::Event::turned_away && clients_.back().end.got != kServed)
       broke("spoilt", "the last client was not served");
   }
 
-  Crossing c_;
+  Interleaving c_;
   Timeline timeline_;
   Fabric fabric_;
   MachineNo node_machine_;
@@ -474,30 +474,30 @@
 
 }  // namespace
 
-std::string to_text(const Crossing& c) {
+std::string to_text(const Interleaving& c) {
   return std::string(kTexts[static_cast<int>(c.text)]) + " byte " + std::to_string(c.byte) + ", " +
          kEventNames[static_cast<int>(c.event)] + (c.busy ? ", busy" : "") + (c.eager ? ", eager" : "") +
          (c.once ? ", once only" : "");
 }
 
-std::vector<std::string> play(const Crossing& crossing) { return Play(crossing).run(); }
+std::vector<std::string> play(const Interleaving& interleaving) { return Play(interleaving).run(); }
 
-std::vector<Crossing> all_crossings() {
+std::vector<Interleaving> all_interleavings() {
   const std::size_t sizes[] = {std::string_view("OPEN 1 7f c=chat,d=2000\r\n").size() + kSaid.size(),
                                kServed.size(), 420};
-  std::vector<Crossing> all;
+  std::vector<Interleaving> all;
   for (int text = 0; text < 3; ++text) {
     for (std::size_t byte = 0; byte <= sizes[text]; byte += text == 2 ? 7 : 1) {
-      for (std::size_t event = 0; event < Crossing::kEvents; ++event) {
+      for (std::size_t event = 0; event < Interleaving::kEvents; ++event) {
         for (unsigned how = 0; how < 8; ++how) {
-          const Crossing c{static_cast<Crossing::Text>(text),
-                           byte,
-                           static_cast<Crossing::Event>(event),
-                           (how & 1) != 0,
-                           (how & 2) != 0,
-                           (how & 4) != 0,
-                           1 + byte};
-          using E = Crossing::Event;
+          const Interleaving c{static_cast<Interleaving::Text>(text),
+                               byte,
+                               static_cast<Interleaving::Event>(event),
+                               (how & 1) != 0,
+                               (how & 2) != 0,
+                               (how & 4) != 0,
+                               1 + byte};
+          using E = Interleaving::Event;
           const bool of_list = c.event >= E::turned_away;
           if (text == 2 ? how & 6 || !(of_list || c.event == E::silence || c.event == E::host_resets ||
                                        c.event == E::reload || c.event == E::stop)
--- a/src/lab/checks/crossing.h
+++ b/src/lab/checks/interleaving.h
@@ -12,7 +12,7 @@
 
 namespace flintweir::lab {
 
-struct Crossing {
+struct Interleaving {
   enum class Text { client, host, list };  // whose text is cut
   enum class Event {
     client_ends,
@@ -41,11 +41,11 @@
   std::uint64_t seed = 1;
 };
 
-std::string to_text(const Crossing& crossing);
+std::string to_text(const Interleaving& interleaving);
 // What was broken, each as its rule's name and what was seen; empty where every rule held.
-std::vector<std::string> play(const Crossing& crossing);
-// Every crossing there is: each byte of each text with each event, in both kinds of session, in time and
+std::vector<std::string> play(const Interleaving& interleaving);
+// Every interleaving there is: each byte of each text with each event, in both kinds of session, in time and
 // late.
-std::vector<Crossing> all_crossings();
+std::vector<Interleaving> all_interleavings();
 
 }  // namespace flintweir::lab
--- a/src/lab/fleet/plain_peers.cpp
+++ b/src/lab/fleet/plain_peers.cpp
@@ -30,15 +30,15 @@
       chance_(static_cast<std::knuth_b::result_type>(seed | 1)) {}
 
 void PlainPeers::begin() {
-  network_.open_post(at_);
-  network_.wait_post(*this);
+  network_.open_datagrams(at_);
+  network_.wait_datagram(*this);
   const Micros now = wakes_.now();
   members_[name_] = {Start{static_cast<std::uint64_t>(now.count())}, 0, Standing::alive, at_, now, now, 0};
   wakes_.after(Micros{static_cast<std::int64_t>(below(static_cast<std::size_t>(interval_.count())))}, *this,
                static_cast<std::uint64_t>(Due::beat));
 }
 
-void PlainPeers::post_came() {
+void PlainPeers::datagram_waits() {
   char bytes[kLongestDatagram + 1];
   for (;;) {
     const net::Received got = network_.receive(bytes, sizeof bytes);
@@ -46,7 +46,7 @@
     came_from_ = got.from;
     if (got.how == net::Io::done) decode({bytes, got.bytes}, "lab", *this);
   }
-  network_.wait_post(*this);
+  network_.wait_datagram(*this);
 }
 
 void PlainPeers::woken(std::uint64_t token) {
@@ -72,7 +72,7 @@
     if (helper == members_.end() || helper->first == probed_ || !there(helper->second.standing)) continue;
     Writer writer(Kind::ask, "lab", from(), Nonce{probe_nonce_});
     writer.ask(probed_, it->second.address);
-    network_.post(helper->second.address, writer.done());
+    network_.send_datagram(helper->second.address, writer.done());
   }
 }
 
@@ -180,24 +180,24 @@
   writer.add(word_of(name_, members_.find(name_)->second));
   if (all) {
     for (auto it = members_.begin(); it != members_.end();) {
-      Writer part(Kind::news, "lab", from(), nonce);
+      Writer part(Kind::gossip, "lab", from(), nonce);
       while (it != members_.end() &&
              (!there(it->second.standing) || part.add(word_of(it->first, it->second))))
         ++it;
-      network_.post(to, part.done());
+      network_.send_datagram(to, part.done());
     }
   } else if (way_ == PlainWay::swim) {
-    std::vector<Members::value_type*> news;
+    std::vector<Members::value_type*> gossip;
     for (auto& m : members_)
-      if (m.second.sends > 0 && m.first != name_) news.push_back(&m);
-    std::sort(news.begin(), news.end(),
+      if (m.second.sends > 0 && m.first != name_) gossip.push_back(&m);
+    std::sort(gossip.begin(), gossip.end(),
               [](const auto* a, const auto* b) { return a->second.sends > b->second.sends; });
-    for (auto* n : news) {
+    for (auto* n : gossip) {
       if (!writer.add(word_of(n->first, n->second))) break;
       --n->second.sends;
     }
   }
-  network_.post(to, writer.done());
+  network_.send_datagram(to, writer.done());
 }
 
 void PlainPeers::query_came(Nonce nonce, std::string_view after) {
@@ -209,7 +209,7 @@
     while (it != members_.end() &&
            writer.add(word_of(it->first, it->second), wakes_.now() - it->second.since))
       ++it;
-    if (it == members_.end() || !last) return network_.post(came_from_, writer.done());
+    if (it == members_.end() || !last) return network_.send_datagram(came_from_, writer.done());
   }
 }
 
--- a/src/lab/fleet/plain_peers.h
+++ b/src/lab/fleet/plain_peers.h
@@ -15,7 +15,7 @@
 
 enum class PlainWay { heartbeats, swim };
 
-class PlainPeers final : members::Hearer, net::PostEvents, net::Woken {
+class PlainPeers final : members::Hearer, net::DatagramEvents, net::Woken {
  public:
   PlainPeers(net::Network& network, net::Wakes& wakes, PlainWay way, const Address& at, std::string name,
              std::vector<Address> seeds, Micros interval, std::uint64_t seed);
@@ -33,7 +33,7 @@
   enum class Due : std::uint64_t { beat, direct, over };
   using Members = std::map<std::string, Member, std::less<>>;
 
-  void post_came() override;
+  void datagram_waits() override;
   void woken(std::uint64_t token) override;
   void word_came(const members::From& from, const members::Word& w) override;
   void ping_came(const members::From& from, members::Nonce nonce) override;
--- a/src/lab/fleet/rig.cpp
+++ b/src/lab/fleet/rig.cpp
@@ -15,25 +15,25 @@
 using namespace std::chrono_literals;
 
 // Asks one process after the other for its view, over the network, as `flintweir members` does.
-class Onlooker final : net::PostEvents {
+class Onlooker final : net::DatagramEvents {
  public:
   using Got = std::function<void(const members::Asker&)>;
   explicit Onlooker(RigStage& stage) : stage_(stage) {
-    stage_.onlooker().open_post(stage_.onlooker_at());
-    stage_.onlooker().wait_post(*this);
+    stage_.onlooker().open_datagrams(stage_.onlooker_at());
+    stage_.onlooker().wait_datagram(*this);
   }
   void ask(RigPlace whom, Got got) {
     Asked& a = asked_[stage_.hears_at(whom)];
     // One whose answer got lost is asked again from the start.
     a = {members::Asker(++nonces_ << 20), std::move(got), stage_.now()};
-    stage_.onlooker().post(stage_.hears_at(whom), a.asker.question());
+    stage_.onlooker().send_datagram(stage_.hears_at(whom), a.asker.question());
   }
   // A large view is more than a node shows at once: the part that it held back is asked for again.
   void ask_again(Micros patience) {
     for (auto& [whom, a] : asked_) {
       if (stage_.now() - a.heard < patience) continue;
       a.heard = stage_.now();
-      stage_.onlooker().post(whom, a.asker.question());
+      stage_.onlooker().send_datagram(whom, a.asker.question());
     }
   }
 
@@ -43,7 +43,7 @@
     Got got;
     Micros heard{0};
   };
-  void post_came() override {
+  void datagram_waits() override {
     char bytes[members::kLongestDatagram + 1];
     for (;;) {
       const net::Received r = stage_.onlooker().receive(bytes, sizeof bytes);
@@ -56,10 +56,10 @@
         done.got(done.asker);
       } else {
         it->second.heard = stage_.now();
-        stage_.onlooker().post(it->first, it->second.asker.question());
+        stage_.onlooker().send_datagram(it->first, it->second.asker.question());
       }
     }
-    stage_.onlooker().wait_post(*this);
+    stage_.onlooker().wait_datagram(*this);
   }
 
   RigStage& stage_;
@@ -344,7 +344,7 @@
         for (Micros at = 0us; at < t.lasts; at += 10ms)
           after(at, [this, i, each] {
             for (Micros sent = 0us; sent < 10ms; sent += each)
-              stage_.onlooker().post(stage_.hears_at(units_[i].at), rubbish());
+              stage_.onlooker().send_datagram(stage_.hears_at(units_[i].at), rubbish());
           });
       }
     } else if (t.kind == "same-name") {
--- a/src/lab/fleet/rig_loopback.cpp
+++ b/src/lab/fleet/rig_loopback.cpp
@@ -33,16 +33,16 @@
 
 }  // namespace
 
-class RigLoopback::Relay final : net::PostEvents {
+class RigLoopback::Relay final : net::DatagramEvents {
  public:
   Relay(RigLoopback& rig, RigPlace of) : rig_(rig), of_(of), network_(rig.clock_) {
-    network_.open_post(rig.told_at(of));
-    network_.wait_post(*this);
+    network_.open_datagrams(rig.told_at(of));
+    network_.wait_datagram(*this);
   }
   ~Relay() { network_.retire(); }
 
  private:
-  void post_came() override {
+  void datagram_waits() override {
     char bytes[2048];
     for (;;) {
       const net::Received got = network_.receive(bytes, sizeof bytes);
@@ -53,13 +53,13 @@
       const Post& way = rig_.way(from->second.node, of_.node);
       for (auto& [in, copy] : carried(way, rig_.chance_, {bytes, got.bytes})) {
         if (in == 0us)
-          network_.post(rig_.hears_at(of_), copy);
+          network_.send_datagram(rig_.hears_at(of_), copy);
         else
           rig_.at(rig_.now() + in,
-                  [this, text = std::move(copy)] { network_.post(rig_.hears_at(of_), text); });
+                  [this, text = std::move(copy)] { network_.send_datagram(rig_.hears_at(of_), text); });
       }
     }
-    network_.wait_post(*this);
+    network_.wait_datagram(*this);
   }
 
   RigLoopback& rig_;
@@ -68,7 +68,7 @@
 };
 
 // A host that takes whatever comes and is never busy, so that a session asks nothing but its node.
-class RigLoopback::Host final : net::DoorEvents {
+class RigLoopback::Host final : net::AcceptEvents {
  public:
   Host(RigLoopback& rig, const Address& at) : network_(rig.clock_) {
     network_.listen(at);
@@ -108,7 +108,7 @@
     std::string in;
     bool over = false;
   };
-  void knocked() override {
+  void connection_waits() override {
     std::erase_if(calls_, [](const auto& c) { return c->over; });
     for (net::Accepted next; (next = network_.accept()).how == net::Io::done;)
       calls_.push_back(std::make_unique<Call>(network_, next.socket));
--- a/src/lab/leases/lease_rig.cpp
+++ b/src/lab/leases/lease_rig.cpp
@@ -101,7 +101,7 @@
   return out;
 }
 
-class Processes final : public LeaseStage, net::PostEvents {
+class Processes final : public LeaseStage, net::DatagramEvents {
  public:
   Processes(Ledger& ledger, const std::vector<std::string>& program, std::string actor,
             const std::string& folder, bool folders, std::uint64_t seed)
@@ -111,8 +111,8 @@
         folders_(folders),
         stage_(program, folder, kVoters + kProcesses, 300ms, seed),
         network_(stage_.network()) {
-    network_.open_post(stage_.ledger_at());
-    network_.wait_post(*this);
+    network_.open_datagrams(stage_.ledger_at());
+    network_.wait_datagram(*this);
     for (const std::string& v : voters()) section_ += (section_.empty() ? "\"" : ", \"") + v + '"';
     section_ = "[leases]\nvoters = [" + section_ + "]\nlength = \"2s\"\n";
     stage_.add_section(section_);
@@ -154,7 +154,7 @@
 
  private:
   std::string promises_of(unsigned v) const { return folder_ + "/promises-" + std::to_string(v); }
-  void post_came() override {
+  void datagram_waits() override {
     char bytes[128];
     for (;;) {
       const net::Received got = network_.receive(bytes, sizeof bytes - 1);
@@ -165,10 +165,10 @@
       int as = 0, pid = 0;
       char what = 0;
       if (std::sscanf(bytes, "%c %llu %d %d", &what, &token, &as, &pid) != 4) continue;
-      network_.post(got.from,
-                    (what == 'b' ? ledger_.begin({token, as, pid}) : ledger_.end(token, pid)) ? "ok" : "no");
+      network_.send_datagram(
+          got.from, (what == 'b' ? ledger_.begin({token, as, pid}) : ledger_.end(token, pid)) ? "ok" : "no");
     }
-    network_.wait_post(*this);
+    network_.wait_datagram(*this);
   }
 
   Ledger& ledger_;
@@ -455,12 +455,12 @@
   const auto at = address_of(ledger);
   if (!token || !at) return 2;
   std::signal(SIGTERM, [](int) { told_to_end = 1; });
-  struct Answer final : net::PostEvents {
-    void post_came() override {
+  struct Answer final : net::DatagramEvents {
+    void datagram_waits() override {
       char bytes[16];
       const net::Received got = network.receive(bytes, sizeof bytes);
       if (got.how == net::Io::done) said = std::string(bytes, got.bytes);
-      network.wait_post(*this);
+      network.wait_datagram(*this);
       network.stop();
     }
     net::KernelNetwork network;
@@ -468,11 +468,11 @@
   } answer;
   Address here = *at;
   here.port = 0;
-  answer.network.open_post(here);
-  answer.network.wait_post(answer);
+  answer.network.open_datagrams(here);
+  answer.network.wait_datagram(answer);
   const auto say = [&](const char* what) {
     answer.said.clear();
-    answer.network.post(*at, std::string(what) + ' ' + token + ' ' + as + ' ' + std::to_string(getpid()));
+    answer.network.send_datagram(*at, std::string(what) + ' ' + token + ' ' + as + ' ' + std::to_string(getpid()));
     for (const Micros until = answer.network.now() + 5s; answer.said.empty() && answer.network.now() < until;)
       answer.network.run_for(until - answer.network.now());
     return answer.said == "ok";
--- a/src/lab/models/client_peer.cpp
+++ b/src/lab/models/client_peer.cpp
@@ -32,10 +32,10 @@
 }
 
 void ClientPeer::ask() {
-  const auto way = door_.way_in(zone_);
+  const auto way = entry_.way_in(zone_);
   if (!way) return wait(kNoWay);
   node_ = way->node;
-  id_ = door_.enter(model_.session());
+  id_ = entry_.enter(model_.session());
   asked_told_ = moved_ = false;
   unanswered_.clear();
   last_took_ = 0us;
@@ -78,8 +78,8 @@
   log_.line(asked_at_, "asked session=%llx node=n%u client=%llx", hex(id_), node_.value,
             static_cast<unsigned long long>(model_.key()));
   if (std::exchange(counted_, true)) return;  // tries of one session count once
-  ++door_.tally().sessions;
-  ++door_.second().sessions;
+  ++entry_.tally().sessions;
+  ++entry_.second().sessions;
 }
 
 void ClientPeer::writable(net::Stream&) {
@@ -111,9 +111,9 @@
               line.data() + 3);
     phase_ = Phase::open;
     model_.up();
-    ++door_.tally().accepted;
-    ++door_.second().accepted;
-    door_.tally().to_up.add(now - asked_at_);
+    ++entry_.tally().accepted;
+    ++entry_.second().accepted;
+    entry_.tally().to_up.add(now - asked_at_);
     ++turn_;  // it is patient from now on
     wakes_.after(std::max(model_.session().until - now, 0us), *this, token(Due::had));
     speak();
@@ -126,8 +126,8 @@
   if (busy && line.size() > 5) std::from_chars(line.data() + 5, line.data() + line.size(), stated);
   checker_.answered(id_, busy ? Checker::Answer::busy : Checker::Answer::err, {}, now);
   log_.line(now, "%s session=%llx wait=%lld", busy ? "refused" : "torn-down", hex(id_), stated);
-  ++(busy ? door_.tally().refused : door_.tally().torn_down);
-  ++(busy ? door_.second().refused : door_.second().torn_down);
+  ++(busy ? entry_.tally().refused : entry_.tally().torn_down);
+  ++(busy ? entry_.second().refused : entry_.second().torn_down);
   // More after the answer would be one answer too many: it listens until the node has closed.
   phase_ = Phase::ending;
   const Micros again = model_.not_accepted(now, std::chrono::milliseconds(stated));
@@ -139,7 +139,7 @@
   const Micros now = wakes_.now();
   const bool is_move = line == "MOVE";
   checker_.client_heard(id_, hash_of(line), is_move, now);
-  ++door_.tally().lines;
+  ++entry_.tally().lines;
   if (is_move) {
     moved_ = true;
     return;
@@ -198,14 +198,14 @@
   shut();
   if (was == Phase::open) {
     log_.line(now, "%s session=%llx", moved_ ? "moved" : "broken", hex(id_));
-    ++(moved_ ? door_.tally().moved : door_.tally().broken);
-    ++(moved_ ? door_.second().moved : door_.second().broken);
+    ++(moved_ ? entry_.tally().moved : entry_.tally().broken);
+    ++(moved_ ? entry_.second().moved : entry_.second().broken);
     counted_ = true;
     return wait(model_.broken(now));
   }
   log_.line(now, "unanswered session=%llx", hex(id_));
-  ++door_.tally().unanswered;
-  ++door_.second().unanswered;
+  ++entry_.tally().unanswered;
+  ++entry_.second().unanswered;
   wait(model_.not_accepted(now, 0us));
 }
 
@@ -272,7 +272,7 @@
     if (node_sound_(node_)) checker_.rude_waited(wakes_.now() - began_, 20ms, "a bad client", wakes_.now());
     return done();
   }
-  const auto way = door_.way_in(zone_);
+  const auto way = entry_.way_in(zone_);
   if (!way || !stream_.connect(way->at, *this)) return next();
   node_ = way->node;
 }
--- a/src/lab/models/client_peer.h
+++ b/src/lab/models/client_peer.h
@@ -13,7 +13,7 @@
 namespace flintweir::lab {
 
 // What a client needs of the world: a way in, and a place in the register.
-class Door {
+class EntryPoint {
  public:
   struct Way {
     NodeNo node;
@@ -25,20 +25,20 @@
   virtual Tally& tally() = 0;
 
  protected:
-  ~Door() = default;
+  ~EntryPoint() = default;
 };
 
 class ClientPeer final : net::StreamEvents, net::Woken {
  public:
   ClientPeer(net::Sockets& sockets, net::Wakes& wakes, MachineNo machine, ZoneNo zone, ClientModel model,
-             Door& door, Checker& checker, EventLog& log, const TrafficPlan& plan)
+             EntryPoint& entry, Checker& checker, EventLog& log, const TrafficPlan& plan)
       : stream_(sockets),
         out_(stream_),
         wakes_(wakes),
         machine_(machine),
         zone_(zone),
         model_(std::move(model)),
-        door_(door),
+        entry_(entry),
         checker_(checker),
         log_(log),
         plan_(plan) {}
@@ -76,7 +76,7 @@
   MachineNo machine_;
   ZoneNo zone_;
   ClientModel model_;
-  Door& door_;
+  EntryPoint& entry_;
   Checker& checker_;
   EventLog& log_;
   const TrafficPlan& plan_;
@@ -93,14 +93,14 @@
 // How clients break the protocol, one kind after the other.
 class RudePeer final : net::StreamEvents, net::Woken {
  public:
-  RudePeer(net::Sockets& sockets, net::Wakes& wakes, MachineNo machine, ZoneNo zone, Door& door,
+  RudePeer(net::Sockets& sockets, net::Wakes& wakes, MachineNo machine, ZoneNo zone, EntryPoint& entry,
            std::function<bool(NodeNo)> node_sound, Checker& checker, EventLog& log, std::uint64_t seed)
       : stream_(sockets),
         out_(stream_),
         wakes_(wakes),
         machine_(machine),
         zone_(zone),
-        door_(door),
+        entry_(entry),
         node_sound_(std::move(node_sound)),
         checker_(checker),
         log_(log),
@@ -123,7 +123,7 @@
   net::Wakes& wakes_;
   MachineNo machine_;
   ZoneNo zone_;
-  Door& door_;
+  EntryPoint& entry_;
   std::function<bool(NodeNo)> node_sound_;
   Checker& checker_;
   EventLog& log_;
--- a/src/lab/models/host_server.cpp
+++ b/src/lab/models/host_server.cpp
@@ -31,7 +31,7 @@
   sockets_.network().wait_accept(*this);
 }
 
-void HostServer::knocked() {
+void HostServer::connection_waits() {
   for (net::Accepted next = sockets_.network().accept(); next.how == net::Io::done;
        next = sockets_.network().accept()) {
     const SlabKey key = calls_.lend(*this);
--- a/src/lab/models/host_server.h
+++ b/src/lab/models/host_server.h
@@ -25,7 +25,7 @@
   ~Register() = default;
 };
 
-class HostServer final : net::DoorEvents, net::Woken {
+class HostServer final : net::AcceptEvents, net::Woken {
  public:
   HostServer(net::Network& network, HostModel& model, HostNo no, std::string name, const Register& known,
              Checker& checker, EventLog& log, const HostPlan& plan, const TrafficPlan& traffic,
@@ -57,7 +57,7 @@
     unsigned said = 0;
   };
   enum class Due : std::uint64_t { answer, reply, leave, away, give_up };
-  void knocked() override;
+  void connection_waits() override;
   void woken(std::uint64_t token) override;
   static std::uint64_t token(SlabKey key, Due due) {
     return key.packed() | static_cast<std::uint64_t>(due) << 28;
--- a/src/lab/models/list_server.cpp
+++ b/src/lab/models/list_server.cpp
@@ -40,7 +40,7 @@
   sockets_.network().wait_accept(*this);
 }
 
-void ListServer::knocked() {
+void ListServer::connection_waits() {
   for (net::Accepted next = sockets_.network().accept(); next.how == net::Io::done;
        next = sockets_.network().accept()) {
     const SlabKey key = calls_.lend(*this);
--- a/src/lab/models/list_server.h
+++ b/src/lab/models/list_server.h
@@ -1,4 +1,4 @@
-// Discovery on a network: HTTP/1.1 round a ListModel, one door for each node.
+// Discovery on a network: HTTP/1.1 round a ListModel, one entry for each node.
 #pragma once
 
 #include <functional>
@@ -14,7 +14,7 @@
 
 namespace flintweir::lab {
 
-// How all doors of the service behave just now.
+// How all acceptors of the service behave just now.
 struct ListMood {
   bool down = false, malformed = false;
   Micros slow{0};
@@ -23,7 +23,7 @@
 // The list, or its changes since a version, in discovery's form.
 std::string list_text(const ListModel& list, std::uint64_t since, Micros now);
 
-class ListServer final : net::DoorEvents, net::Woken {
+class ListServer final : net::AcceptEvents, net::Woken {
  public:
   // Has been written out to the node at that time. Of a host that goes it is told a while later, where the
   // connection is still good.
@@ -53,7 +53,7 @@
     std::vector<ListModel::Entry> written;  // and not known to have arrived
     Micros written_at{0};
   };
-  void knocked() override;
+  void connection_waits() override;
   void woken(std::uint64_t token) override;
   void came(Call& c);
   void look(Call& c);
--- a/src/lab/network/fabric.cpp
+++ b/src/lab/network/fabric.cpp
@@ -179,21 +179,21 @@
 }
 
 // The first packet of a connection, as often as it takes.
-void Fabric::knock(const WireAt& wire, Address to) {
+void Fabric::connection_came(const WireAt& wire, Address to) {
   Side &from = wire->side[0], &there = wire->side[1];
   if (!from.process) return;
   if (blocked(from.machine, there.machine)) {
-    return timeline_.after(kSynAgain, [this, wire, to] { knock(wire, to); });
+    return timeline_.after(kSynAgain, [this, wire, to] { connection_came(wire, to); });
   }
   Machine& machine = machines_[there.machine.value];
-  const auto door = machine.doors.find(to.port);
-  if (door == machine.doors.end()) {
+  const auto listener = machine.listening.find(to.port);
+  if (listener == machine.listening.end()) {
     const Micros back = travel(there.machine, from.machine);
     return timeline_.after(back, [this, wire, to] {
       Side& asker = wire->side[0];
       if (!asker.process) return;
       if (blocked(wire->side[1].machine, asker.machine))
-        return timeline_.after(kSynAgain, [this, wire, to] { knock(wire, to); });
+        return timeline_.after(kSynAgain, [this, wire, to] { connection_came(wire, to); });
       asker.rst_in = true;
       asker.process->post([wire] {
         const Side& s = wire->side[0];
@@ -202,14 +202,14 @@
       });
     });
   }
-  Process& process = *door->second;
+  Process& process = *listener->second;
   if (process.waiting_.size() >= kBacklog)
-    return timeline_.after(kSynAgain, [this, wire, to] { knock(wire, to); });
+    return timeline_.after(kSynAgain, [this, wire, to] { connection_came(wire, to); });
   there.process = &process;
   there.established = true;
   process.waiting_.push_back(wire);
   send(wire, 1, Segment::Kind::established);
-  process.try_knock();
+  process.try_accept();
 }
 
 // Each datagram by itself: nothing holds it up, and nothing mends it.
@@ -232,25 +232,25 @@
   }
 }
 
-Address Process::open_post(const Address& at) {
+Address Process::open_datagrams(const Address& at) {
   if (!fabric_.machines_[machine_.value].boxes.emplace(at.port, this).second)
     throw std::system_error(std::make_error_code(std::errc::address_in_use));
   box_ = at.port;
   return at;
 }
 
-void Process::wait_post(net::PostEvents& whom) {
-  at_box_ = &whom;
+void Process::wait_datagram(net::DatagramEvents& whom) {
+  datagram_events_ = &whom;
   if (!letters_.empty()) letter({}, "");
 }
 
 // An empty one only wakes whoever waits.
 void Process::letter(const Address& from, std::string bytes) {
   if (letters_.size() < kLetters && !bytes.empty()) letters_.emplace_back(from, std::move(bytes));
-  if (frozen_ || letters_.empty() || !at_box_) return;
+  if (frozen_ || letters_.empty() || !datagram_events_) return;
   post([this] {
     fabric_.acting_ = machine_;
-    if (net::PostEvents* const whom = std::exchange(at_box_, nullptr)) whom->post_came();
+    if (net::DatagramEvents* const whom = std::exchange(datagram_events_, nullptr)) whom->datagram_waits();
   });
 }
 
@@ -263,7 +263,7 @@
   return {n, from, net::Io::done};
 }
 
-void Process::post(const Address& to, std::string_view bytes) {
+void Process::send_datagram(const Address& to, std::string_view bytes) {
   if (box_ && !dead_) fabric_.carry(machine_, box_, to, bytes);
 }
 
@@ -280,7 +280,7 @@
 void Process::kill() {
   if (std::exchange(dead_, true)) return;
   *alive_ = false;
-  if (door_) fabric_.machines_[machine_.value].doors.erase(door_);
+  if (port_) fabric_.machines_[machine_.value].listening.erase(port_);
   if (box_) fabric_.machines_[machine_.value].boxes.erase(box_);
   std::vector<net::SocketKey> open;
   sockets_.each([&](net::SocketKey key, Entry&) { open.push_back(key); });
@@ -315,30 +315,30 @@
 }
 
 Address Process::listen(const Address& at) {
-  if (!fabric_.machines_[machine_.value].doors.emplace(at.port, this).second) {
+  if (!fabric_.machines_[machine_.value].listening.emplace(at.port, this).second) {
     throw std::system_error(std::make_error_code(std::errc::address_in_use));
   }
-  door_ = at.port;
+  port_ = at.port;
   ++open_;
   return at;
 }
 
-void Process::shut_door() {
-  fabric_.machines_[machine_.value].doors.erase(std::exchange(door_, 0));
+void Process::stop_listening() {
+  fabric_.machines_[machine_.value].listening.erase(std::exchange(port_, 0));
   --open_;
 }
 
-void Process::wait_accept(net::DoorEvents& whom) {
-  at_door_ = &whom;
-  try_knock();
+void Process::wait_accept(net::AcceptEvents& whom) {
+  accept_events_ = &whom;
+  try_accept();
 }
 
-void Process::try_knock() {
-  if (!at_door_ || waiting_.empty() || std::exchange(knocking_, true)) return;
+void Process::try_accept() {
+  if (!accept_events_ || waiting_.empty() || std::exchange(accepting_, true)) return;
   post([this] {
-    knocking_ = false;
+    accepting_ = false;
     if (!waiting_.empty())
-      if (net::DoorEvents* whom = std::exchange(at_door_, nullptr)) whom->knocked();
+      if (net::AcceptEvents* whom = std::exchange(accept_events_, nullptr)) whom->connection_waits();
   });
 }
 
@@ -373,7 +373,7 @@
     std::erase_if(fabric_.wires_, [](const auto& w) { return w.expired(); });
   fabric_.wires_.push_back(wire);
   fabric_.timeline_.after(fabric_.travel(machine_, wire->side[1].machine),
-                          [f = &fabric_, wire, to] { f->knock(wire, to); });
+                          [f = &fabric_, wire, to] { f->connection_came(wire, to); });
   return key;
 }
 
--- a/src/lab/network/fabric.h
+++ b/src/lab/network/fabric.h
@@ -92,7 +92,7 @@
   void send(const WireAt& wire, int from, Segment::Kind kind, std::string bytes = {}, std::size_t acked = 0);
   void pump(const WireAt& wire, int from);
   void deliver(const WireAt& wire, int to, Segment segment);
-  void knock(const WireAt& wire, Address to);
+  void connection_came(const WireAt& wire, Address to);
   void carry(MachineNo from, std::uint16_t port, const Address& to, std::string_view bytes);
   void healed();
   void notify(const WireAt& wire, int side);
@@ -100,7 +100,7 @@
   struct Machine {
     ZoneNo zone;
     bool lost = false;
-    std::map<std::uint16_t, Process*> doors, boxes;
+    std::map<std::uint16_t, Process*> listening, boxes;
   };
   Timeline& timeline_;
   MachineNo acting_;
@@ -127,7 +127,7 @@
   void kill();
   void set_clock_back(Micros by) { clock_back_ = by; }  // before anything is asked of it
   void set_rate(double rate) { rate_ = rate; }
-  void shut_door();  // from now on connections are refused, until it listens again
+  void stop_listening();  // from now on connections are refused, until it listens again
   // Stopped, as by SIGSTOP, and set going again: what was due meanwhile comes then.
   void freeze(bool on);
   bool running() const { return !dead_ && !stopped_; }
@@ -144,7 +144,7 @@
   }
   void ring(Micros at, net::Alarm& whom) override;
   Address listen(const Address& at) override;
-  void wait_accept(net::DoorEvents& whom) override;
+  void wait_accept(net::AcceptEvents& whom) override;
   net::Accepted accept() override;
   net::SocketKey connect(const Address& to, net::SocketEvents& whom) override;
   void tell(net::SocketKey socket, net::SocketEvents& whom) override;
@@ -154,10 +154,10 @@
   net::Passed write(net::SocketKey socket, std::span<const std::string_view> parts) override;
   void end_sending(net::SocketKey socket) override;
   void close(net::SocketKey socket, bool reset) override;
-  Address open_post(const Address& at) override;
-  void wait_post(net::PostEvents& whom) override;
+  Address open_datagrams(const Address& at) override;
+  void wait_datagram(net::DatagramEvents& whom) override;
   net::Received receive(char* to, std::size_t size) override;
-  void post(const Address& to, std::string_view bytes) override;
+  void send_datagram(const Address& to, std::string_view bytes) override;
   void stop() override { stopped_ = true; }
 
  private:
@@ -171,21 +171,21 @@
   void letter(const Address& from, std::string bytes);
   // Runs later, and only where this process still does then.
   void post(Timeline::Act act);
-  void try_knock();
+  void try_accept();
 
   Fabric& fabric_;
   MachineNo machine_;
   std::size_t limit_, open_ = 0, most_open_ = 0;
-  bool dead_ = false, stopped_ = false, knocking_ = false, frozen_ = false;
+  bool dead_ = false, stopped_ = false, accepting_ = false, frozen_ = false;
   Micros clock_back_{0};
   double rate_ = 1;
   std::vector<Timeline::Act> held_;  // while frozen
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::uint64_t rings_ = 0;
-  std::uint16_t door_ = 0, box_ = 0;
-  net::PostEvents* at_box_ = nullptr;
+  std::uint16_t port_ = 0, box_ = 0;
+  net::DatagramEvents* datagram_events_ = nullptr;
   std::deque<std::pair<Address, std::string>> letters_;
-  net::DoorEvents* at_door_ = nullptr;
+  net::AcceptEvents* accept_events_ = nullptr;
   std::deque<Fabric::WireAt> waiting_;
   net::Places<Entry> sockets_;
 };
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -145,20 +145,20 @@
     n.front->begin(stage_.address(n.machine));
   }
   const TrafficPlan& traffic = experiment_.traffic;
-  Door& door = *this;
+  EntryPoint& entry = *this;
   for (unsigned i = 0; i < traffic.clients; ++i) {
     const ZoneNo zone{i % zones};
     const std::uint64_t group = traffic.groups ? 1 + part_seed(seed_, 3, i) % traffic.groups : 0;
     clients_.push_back(std::make_unique<ClientPeer>(
         *crowds_[zone.value].sockets, *crowds_[zone.value].wakes, crowds_[zone.value].machine, zone,
-        ClientModel(traffic, part_seed(seed_, 4, i) | 1, group, part_seed(seed_, 5, i)), door, checker_, log_,
-        traffic));
+        ClientModel(traffic, part_seed(seed_, 4, i) | 1, group, part_seed(seed_, 5, i)), entry, checker_,
+        log_, traffic));
   }
   for (unsigned i = 0; i < traffic.rude; ++i) {
     const ZoneNo zone{i % zones};
     const MachineNo machine = crowds_[zone.value].machine;
     rude_.push_back(std::make_unique<RudePeer>(
-        *crowds_[zone.value].sockets, *crowds_[zone.value].wakes, machine, zone, door,
+        *crowds_[zone.value].sockets, *crowds_[zone.value].wakes, machine, zone, entry,
         [this, machine](NodeNo no) {
           const NodeUnit& n = nodes_[no.value];
           return n.up && stage_.sound(machine, n.machine, now() - 5s);
@@ -310,7 +310,7 @@
   });
 }
 
-std::optional<Door::Way> World::way_in(ZoneNo zone) {
+std::optional<EntryPoint::Way> World::way_in(ZoneNo zone) {
   const auto n = front_.choose(zone, now());
   if (!n) return std::nullopt;
   if (nodes_[n->value].zone != zone) ++out_.tally.crossed;
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -30,7 +30,7 @@
   std::string log;  // where it was to be kept
 };
 
-class World final : Door, Register {
+class World final : EntryPoint, Register {
  public:
   // `faults` as drawn, or a part of them.
   World(const Experiment& experiment, Stage& stage, std::uint64_t seed, const std::vector<Fault>& faults,
--- a/src/lease_command.cpp
+++ b/src/lease_command.cpp
@@ -148,12 +148,12 @@
 };
 
 // Asks all voters for what they have granted.
-class Look final : net::PostEvents, leases::Hearer {
+class Look final : net::DatagramEvents, leases::Hearer {
  public:
   explicit Look(const setup::OperatorFile& own)
       : own_(own), places_(network_, *own.fleet, own.leases->voters, random_seed()) {
-    here_ = network_.open_post(beside(own.fleet->address));
-    network_.wait_post(*this);
+    here_ = network_.open_datagrams(beside(own.fleet->address));
+    network_.wait_datagram(*this);
   }
   // Whether a majority has answered.
   bool run() {
@@ -185,9 +185,9 @@
     if (!at) return;
     leases::Writer writer(leases::Writer::Kind::requests, {0, "look", here_});
     writer.add(leases::Request{leases::Ask::look, after, {}, {}, 0us});
-    network_.post(*at, writer.done());
+    network_.send_datagram(*at, writer.done());
   }
-  void post_came() override {
+  void datagram_waits() override {
     node::hear_post(network_, *this, *this, places_);
     network_.stop();
   }
--- a/src/line/client_conn.cpp
+++ b/src/line/client_conn.cpp
@@ -8,7 +8,7 @@
   pinged_ = false;
   unsaid_begin_ = unsaid_end_ = 0;
   head_ = {};
-  lobby_.enter(*this);
+  idle_.enter(*this);
   wakes_.after(first_line_within_, *this, ++token_);
   stream_.read();  // under a flood of others its line has long come
 }
@@ -39,7 +39,7 @@
       if (next.starts_with("OPEN ") || next.starts_with("PING")) return fail();
       phase_ = Phase::waiting;
       ++token_;
-      lobby_.leave(*this);
+      idle_.leave(*this);
       // Dials send the line from where it lies: it must not move when more comes in behind it.
       stream_.in().to_front();
       head_ = stream_.in().held().substr(0, line->size());
@@ -96,7 +96,7 @@
   phase_ = Phase::lingering;
   drained_ = drained_seen_ = 0;
   drained_until_ = wakes_.now() + kDrain;
-  lobby_.enter(*this);
+  idle_.enter(*this);
   wakes_.after(stream_.at_end() ? Micros{0} : kLinger, *this, ++token_);
   stream_.want_read();
 }
@@ -134,7 +134,7 @@
   wakes_.after(kLinger, *this, token_);
 }
 
-void ClientConn::show_out() {
+void ClientConn::evict() {
   if (phase_ == Phase::head) {
     owner_.client_failed(pinged_ ? Reason::checked : Reason::crowded_out);
     say("BUSY\r\n");
@@ -145,7 +145,7 @@
 void ClientConn::close() {
   phase_ = Phase::idle;
   ++token_;
-  lobby_.leave(*this);
+  idle_.leave(*this);
   stream_.close();
   owner_.client_closed();
 }
--- a/src/line/client_conn.h
+++ b/src/line/client_conn.h
@@ -3,7 +3,7 @@
 
 #include <array>
 
-#include "line/lobby.h"
+#include "line/idle_clients.h"
 #include "line/reason.h"
 #include "net/stream.h"
 #include "net/wakes.h"
@@ -24,14 +24,10 @@
   ~ClientOwner() = default;
 };
 
-class ClientConn final : StreamEvents, Woken, Guest {
+class ClientConn final : StreamEvents, Woken, IdleClient {
  public:
-  ClientConn(Sockets& sockets, Wakes& wakes, Lobby& lobby, Micros first_line_within, ClientOwner& owner)
-      : stream_(sockets),
-        wakes_(wakes),
-        lobby_(lobby),
-        first_line_within_(first_line_within),
-        owner_(owner) {}
+  ClientConn(Sockets& sockets, Wakes& wakes, IdleClients& idle, Micros first_line_within, ClientOwner& owner)
+      : stream_(sockets), wakes_(wakes), idle_(idle), first_line_within_(first_line_within), owner_(owner) {}
 
   void begin(SocketKey socket);
   std::string_view head() const { return head_; }  // where it lies in the buffer
@@ -47,7 +43,7 @@
   void writable(Stream&) override;
   void broken(Stream&) override;
   void woken(std::uint64_t token) override;
-  void show_out() override;
+  void evict() override;
   void look_for_head();
   bool gone() { return stream_.at_end() || stream_.in().full(); }
   void fail();
@@ -58,7 +54,7 @@
 
   Stream stream_;
   Wakes& wakes_;
-  Lobby& lobby_;
+  IdleClients& idle_;
   Micros first_line_within_;
   ClientOwner& owner_;
   Phase phase_ = Phase::idle;
--- a/src/line/link.cpp
+++ b/src/line/link.cpp
@@ -17,7 +17,7 @@
 
 Link::Link(Sessions& s)
     : sessions_(s),
-      client_(s.sockets_, s.wakes_, s.lobby_, s.patience_.first_line, *this),
+      client_(s.sockets_, s.wakes_, s.idle_, s.patience_.first_line, *this),
       host_(s.sockets_, s.wakes_, s.patience_.connect, *this),
       relay_(s.wakes_, *this) {}
 
--- a/src/line/sessions.cpp
+++ b/src/line/sessions.cpp
@@ -17,7 +17,7 @@
       message_target_(message_target),
       heads_(std::move(heads)),
       most_(most),
-      lobby_(most_idle),
+      idle_(most_idle),
       told_(told),
       probes_(sockets, wakes, patience.probe, *this) {}
 
--- a/src/line/sessions.h
+++ b/src/line/sessions.h
@@ -34,7 +34,7 @@
   Balancer& balancer_now();  // with the time said
   void take(SocketKey socket);
   // Ends a connection that asks for nothing, for one that may; false: there is none.
-  bool make_room() { return lobby_.show_out_first(); }
+  bool make_room() { return idle_.evict_oldest(); }
   // From now on nothing new is taken; once fronts have noticed, open sessions are moved, evenly over so long.
   void leave(Micros over);
 
@@ -86,7 +86,7 @@
   Micros message_target_;
   HeadReader heads_;
   std::size_t most_, count_ = 0;
-  Lobby lobby_;  // outlives the connections in it
+  IdleClients idle_;  // outlives the connections in it
   OpenIds ids_{kIdsKept};
   Told& told_;
   Probes probes_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -113,13 +113,13 @@
 }
 
 // Sends each question up to three times; prints the whole view.
-class Members final : flintweir::net::PostEvents {
+class Members final : flintweir::net::DatagramEvents {
  public:
   Members(const flintweir::Address& at, bool json) : at_(at), json_(json) {
     flintweir::Address here;
     here.v6 = at.v6;
-    network_.open_post(here);
-    network_.wait_post(*this);
+    network_.open_datagrams(here);
+    network_.wait_datagram(*this);
   }
   bool ask() {
     using namespace std::chrono_literals;
@@ -127,7 +127,7 @@
     whole_ = false;
     for (int silent = 0; silent < 3 && !whole_; ++silent) {
       answered_ = false;
-      network_.post(at_, asker_->question());
+      network_.send_datagram(at_, asker_->question());
       const auto until = network_.now() + 500ms;
       while (!answered_ && network_.now() < until) network_.run_for(until - network_.now());
       if (answered_) silent = -1;
@@ -138,7 +138,7 @@
   }
 
  private:
-  void post_came() override {
+  void datagram_waits() override {
     char bytes[flintweir::members::kLongestDatagram + 1];
     for (;;) {
       const auto got = network_.receive(bytes, sizeof bytes);
@@ -147,7 +147,7 @@
       answered_ = true;
       whole_ = asker_->received({bytes, got.bytes}) || whole_;
     }
-    network_.wait_post(*this);
+    network_.wait_datagram(*this);
     network_.stop();
   }
 
--- a/src/members/datagram.cpp
+++ b/src/members/datagram.cpp
@@ -90,7 +90,7 @@
       return hearer.nack_came(from, nonce);
     case Kind::ask:
       return hearer.ask_came(from, nonce, whom, place);
-    case Kind::news:
+    case Kind::gossip:
     case Kind::views:
       return;
     case Kind::sync:
--- a/src/members/datagram.h
+++ b/src/members/datagram.h
@@ -14,7 +14,7 @@
 inline constexpr std::size_t kLongestDatagram = 1200, kBuckets = 32;
 inline constexpr std::uint8_t kVersion = 1;
 
-enum class Kind : std::uint8_t { ping = 1, ack, nack, ask, news, sync, claim, query, page, views };
+enum class Kind : std::uint8_t { ping = 1, ack, nack, ask, gossip, sync, claim, query, page, views };
 
 // Who sends. The address is that told to others, which answers go to.
 struct From {
--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -21,7 +21,7 @@
 // Ratios to the interval between two probes.
 constexpr int kLeastDoubt = 4;   // a suspicion that enough others share stands so long before the verdict
 constexpr int kDoubtSpread = 6;  // and one that nobody shares, so many times that
-constexpr int kNewsParts = 3;    // news goes out so often in an interval while there is any
+constexpr int kGossipParts = 3;  // gossip goes out so often in an interval while there is any
 constexpr int kDeadAsked = 4;    // one of the dead is asked in so many intervals
 constexpr int kSeedFirst = 1, kSeedMost = 8;  // pauses between two rounds of the seeds, jittered
 constexpr int kJoinAlone = 7;    // seeds that are silent for so long: this node is the first of its fleet
@@ -31,10 +31,10 @@
 constexpr int kPardon = 10;      // whoever was called failed by a node cut off has answered by then
 constexpr int kLearnsDead = 40;  // after it joined a node takes in those that others call failed
 // Numbers of others.
-constexpr std::size_t kHelpers = 3;  // asked to try where a member does not answer
-constexpr std::size_t kSharers = 3;  // accusers beside the first that make a verdict quick
-constexpr double kLookers = 6;       // members that look for themselves at once when they hear a suspicion
-constexpr std::size_t kNewsTo = 3;   // members that a round of news goes to
+constexpr std::size_t kHelpers = 3;   // asked to try where a member does not answer
+constexpr std::size_t kSharers = 3;   // accusers beside the first that make a verdict quick
+constexpr double kLookers = 6;        // members that look for themselves at once when they hear a suspicion
+constexpr std::size_t kGossipTo = 3;  // members that a round of gossip goes to
 constexpr int kSpreadLeast = 3;  // each word is sent so often, and once more for each doubling of the fleet
 constexpr std::size_t kWordsAtMost = 40;  // more never fit into one datagram
 constexpr int kNewcomer = 10;             // intervals that one is new for
@@ -49,7 +49,7 @@
   probe = 1,
   direct,
   round_over,
-  news,
+  gossip,
   doubts,
   dead,
   seeds,
@@ -128,7 +128,7 @@
       case Due::round_over:
         if (turn == probe_turn_) round_over();
         return;
-      case Due::news:
+      case Due::gossip:
         return spread_news();
       case Due::doubts:
         return weigh_doubts();
@@ -158,8 +158,8 @@
       ++m.word;
       m.standing = Standing::leaving;
     });
-    // Also to those whom news would reach only after this process has gone.
-    for (const Address& to : some(kNewsTo * 2, {})) send_news(Kind::news, to, next_nonce());
+    // Also to those whom gossip would reach only after this process has gone.
+    for (const Address& to : some(kGossipTo * 2, {})) send_gossip(Kind::gossip, to, next_nonce());
   }
 
   void seeds(std::vector<Address> seeds) {
@@ -279,13 +279,13 @@
     return {name, m.start, m.word, m.standing, m.address, m.zone, m.version, m.note, m.by};
   }
 
-  // A datagram that carries, beside `first`, as much news as fits.
-  void send_news(Kind kind, const Address& to, Nonce nonce, std::string_view first = {}) {
+  // A datagram that carries, beside `first`, as much gossip as fits.
+  void send_gossip(Kind kind, const Address& to, Nonce nonce, std::string_view first = {}) {
     Writer writer(kind, fleet_, from(), nonce);
     if (const auto it = members_.find(first); it != members_.end())
       writer.add(word_of(first, it->second.facts));
     // Where much has to be said, questions and answers go out bare rather than not at all.
-    if (kind != Kind::news && bytes_left_ < kBytesKept / 2) return send(to, writer, Rank::owed);
+    if (kind != Kind::gossip && bytes_left_ < kBytesKept / 2) return send(to, writer, Rank::owed);
     // Those least spread first.
     const auto fits = news_.begin() + static_cast<std::ptrdiff_t>(std::min(news_.size(), kWordsAtMost));
     std::partial_sort(news_.begin(), fits, news_.end(),
@@ -296,7 +296,7 @@
       --(*it)->second.sends;
     }
     std::erase_if(news_, [](const News* n) { return n->second.sends <= 0; });
-    send(to, writer, kind == Kind::news ? Rank::spare : Rank::owed);
+    send(to, writer, kind == Kind::gossip ? Rank::spare : Rank::owed);
   }
 
   // Spreads what is known of a member; less of it where others learn it by exchange as well, as they do where
@@ -308,7 +308,7 @@
         exchanged || news_.size() > kWordsAtMost
             ? kSpreadLeast
             : kSpreadLeast + static_cast<int>(std::ceil(std::log2(static_cast<double>(live_) + 2)));
-    if (!std::exchange(news_due_, true)) wake(jittered(interval_ / kNewsParts / 2, 0.5), Due::news);
+    if (!std::exchange(gossip_due_, true)) wake(jittered(interval_ / kGossipParts / 2, 0.5), Due::gossip);
   }
 
   void unspread(News& n) {
@@ -317,14 +317,14 @@
   }
 
   void spread_news() {
-    news_due_ = false;
+    gossip_due_ = false;
     if (news_.empty() || silent()) return;
-    for (const Address& to : some(kNewsTo, {})) {
+    for (const Address& to : some(kGossipTo, {})) {
       if (news_.empty()) break;
-      send_news(Kind::news, to, next_nonce());
+      send_gossip(Kind::gossip, to, next_nonce());
     }
-    news_due_ = true;
-    wake(jittered(interval_ / kNewsParts, 0.2), Due::news);
+    gossip_due_ = true;
+    wake(jittered(interval_ / kGossipParts, 0.2), Due::gossip);
   }
 
   // Members drawn by chance whom a datagram may reach, by their addresses.
@@ -426,7 +426,7 @@
     const auto ask = [&](const Address& seed) {
       if (joined() && known_at(seed)) return;
       missing = true;
-      if (!silent()) send_news(Kind::ping, seed, next_nonce(), name_);
+      if (!silent()) send_gossip(Kind::ping, seed, next_nonce(), name_);
     };
     for (const Address& seed : seeds_) ask(seed);
     if (met_) ask(*met_);
@@ -462,7 +462,7 @@
     e.told_at = now_;
     e.asked_as = next_nonce();
     if (!silent())
-      send_news(Kind::ping, e.facts.address, e.asked_as, pardoned(e) ? std::string_view(name_) : name);
+      send_gossip(Kind::ping, e.facts.address, e.asked_as, pardoned(e) ? std::string_view(name_) : name);
   }
 
   void forget_old() {
@@ -509,8 +509,8 @@
     nacks_.clear();
     probed_.push_back(probed);
     while (!probed_.empty() && now_ - probed_.front().at > interval_ * 32) probed_.pop_front();
-    send_news(Kind::ping, e.facts.address, probed.nonce,
-              e.facts.standing == Standing::suspected ? probed.name : std::string_view());
+    send_gossip(Kind::ping, e.facts.address, probed.nonce,
+                e.facts.standing == Standing::suspected ? probed.name : std::string_view());
     wake(direct, Due::direct, probe_turn_);
     wake(over, Due::round_over, probe_turn_);
   }
@@ -548,7 +548,7 @@
     const Probed& p = probed_.back();
     const auto it = members_.find(p.name);
     if (it == members_.end()) return;
-    send_news(Kind::ping, it->second.facts.address, p.nonce, p.name);
+    send_gossip(Kind::ping, it->second.facts.address, p.nonce, p.name);
     for (const Address& helper : some(kHelpers, p.name)) {
       Writer writer(Kind::ask, fleet_, from(), p.nonce);
       writer.ask(p.name, it->second.facts.address);
@@ -585,7 +585,7 @@
     if (joined() && !better && !doubted_ && is_new(from.name))
       welcome(from.address, nonce);
     else
-      send_news(Kind::ack, from.address, nonce, better ? from.name : std::string_view(name_));
+      send_gossip(Kind::ack, from.address, nonce, better ? from.name : std::string_view(name_));
     if (!joined() && !claiming_) join("another joins too");
   }
 
@@ -658,7 +658,7 @@
     const Nonce own = next_nonce();
     helped_[own.value] = {nonce, from.address};
     const auto it = members_.find(whom);
-    send_news(Kind::ping, at, own, it == members_.end() ? std::string_view() : whom);
+    send_gossip(Kind::ping, at, own, it == members_.end() ? std::string_view() : whom);
     const Micros usual = it == members_.end() ? 0us : usual_trip(it->second);
     wake(std::max(interval_ / 2, usual), Due::helped, own.value);
   }
@@ -850,7 +850,7 @@
         if (m.standing == Standing::joining) return;
         health_ = std::min(health_ + 1, kMostHealth);
         change(name_, [&](Member& now) { now.word = w.word + 1; });
-        if (!silent()) send_news(Kind::news, from.address, next_nonce(), name_);
+        if (!silent()) send_gossip(Kind::gossip, from.address, next_nonce(), name_);
       }
       return;
     }
@@ -1046,7 +1046,7 @@
   std::vector<std::string> nacks_;  // helpers that could not reach whom this node probes
   int health_ = 0, claim_tries_ = 0;
   std::uint8_t answers_ = 0;  // of the last eight probes, a bit each
-  bool answered_ = false, news_due_ = false, doubts_due_ = false, silent_ = false;
+  bool answered_ = false, gossip_due_ = false, doubts_due_ = false, silent_ = false;
   bool claiming_ = false, rival_ = false;
   bool doubted_ = false;  // the datagram at hand speaks of this node: somebody waits for its answer
   Address rival_at_, came_from_;
--- a/src/net/kernel_network.cpp
+++ b/src/net/kernel_network.cpp
@@ -40,7 +40,7 @@
 void KernelNetwork::retire() {
   retired_ = true;
   std::error_code ignored;
-  door_.close(ignored);
+  acceptor_.close(ignored);
   post_.close(ignored);
   timer_.cancel();
 }
@@ -78,24 +78,24 @@
 
 Address KernelNetwork::listen(const Address& at) {
   const Tcp::endpoint here = endpoint<Tcp>(at);
-  door_.open(here.protocol());
-  door_.set_option(Tcp::acceptor::reuse_address(true));
-  door_.bind(here);
-  door_.listen(4096);
-  door_.non_blocking(true);
-  return address(door_.local_endpoint());
+  acceptor_.open(here.protocol());
+  acceptor_.set_option(Tcp::acceptor::reuse_address(true));
+  acceptor_.bind(here);
+  acceptor_.listen(4096);
+  acceptor_.non_blocking(true);
+  return address(acceptor_.local_endpoint());
 }
 
-void KernelNetwork::wait_accept(DoorEvents& whom) {
-  door_.async_wait(Tcp::acceptor::wait_read, [this, &whom](std::error_code ec) {
-    if (!ec && !retired_) whom.knocked();
+void KernelNetwork::wait_accept(AcceptEvents& whom) {
+  acceptor_.async_wait(Tcp::acceptor::wait_read, [this, &whom](std::error_code ec) {
+    if (!ec && !retired_) whom.connection_waits();
   });
 }
 
 Accepted KernelNetwork::accept() {
   std::error_code ec;
   Socket socket(io_);
-  door_.accept(socket, ec);
+  acceptor_.accept(socket, ec);
   if (!ec) return {adopt(std::move(socket), nullptr)};
   if (ec == asio::error::would_block) return {{}, Io::later};
   if (ec == asio::error::connection_aborted || ec == asio::error::interrupted) return {{}, Io::ended};
@@ -138,7 +138,7 @@
   return key;
 }
 
-Address KernelNetwork::open_post(const Address& at) {
+Address KernelNetwork::open_datagrams(const Address& at) {
   const Udp::endpoint here = endpoint<Udp>(at);
   post_.open(here.protocol());
   post_.bind(here);
@@ -146,9 +146,9 @@
   return address(post_.local_endpoint());
 }
 
-void KernelNetwork::wait_post(PostEvents& whom) {
+void KernelNetwork::wait_datagram(DatagramEvents& whom) {
   post_.async_wait(Udp::socket::wait_read, kept([this, &whom](std::error_code ec) {
-                     if (!ec && !retired_) whom.post_came();
+                     if (!ec && !retired_) whom.datagram_waits();
                    }));
 }
 
@@ -160,7 +160,7 @@
   return {n, address(from), Io::done};
 }
 
-void KernelNetwork::post(const Address& to, std::string_view bytes) {
+void KernelNetwork::send_datagram(const Address& to, std::string_view bytes) {
   std::error_code ignored;
   if (post_.is_open()) post_.send_to(asio::buffer(bytes), endpoint<Udp>(to), 0, ignored);
 }
--- a/src/net/kernel_network.h
+++ b/src/net/kernel_network.h
@@ -21,7 +21,7 @@
 class KernelNetwork final : public Network {
  public:
   KernelNetwork() : own_(std::make_unique<asio::io_context>(1)), io_(*own_) {}
-  // On another's loop, which must outlive it: with sockets, a door and an alarm of its own.
+  // On another's loop, which must outlive it: with sockets, an acceptor and an alarm of its own.
   explicit KernelNetwork(KernelNetwork& beside) : own_memory_(beside.own_memory_), io_(beside.io_) {}
 
   void run() { io_.run(); }  // until stop()
@@ -30,7 +30,8 @@
     io_.restart();  // where it was stopped
     io_.run_for(within);
   }
-  // Closes the door and the post and forgets the alarm, for good. Whoever is told of sockets has closed them.
+  // Closes the acceptor and the datagrams and forgets the alarm, for good. Whoever is told of sockets has
+  // closed them.
   void retire();
   // Calls heard(number) for each of these signals from now on.
   void hear_signals(std::initializer_list<int> numbers, std::function<void(int)> heard);
@@ -39,7 +40,7 @@
   Micros ticking() const override;
   void ring(Micros at, Alarm& whom) override;
   Address listen(const Address& at) override;
-  void wait_accept(DoorEvents& whom) override;
+  void wait_accept(AcceptEvents& whom) override;
   Accepted accept() override;
   SocketKey connect(const Address& to, SocketEvents& whom) override;
   void tell(SocketKey socket, SocketEvents& whom) override;
@@ -49,10 +50,10 @@
   Passed write(SocketKey socket, std::span<const std::string_view> parts) override;
   void end_sending(SocketKey socket) override;
   void close(SocketKey socket, bool reset) override;
-  Address open_post(const Address& at) override;
-  void wait_post(PostEvents& whom) override;
+  Address open_datagrams(const Address& at) override;
+  void wait_datagram(DatagramEvents& whom) override;
   Received receive(char* to, std::size_t size) override;
-  void post(const Address& to, std::string_view bytes) override;
+  void send_datagram(const Address& to, std::string_view bytes) override;
   void stop() override { io_.stop(); }
 
  private:
@@ -81,7 +82,7 @@
   std::chrono::system_clock::duration zero_ = std::chrono::system_clock::now().time_since_epoch();
   std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
   Timer timer_{io_};
-  asio::basic_socket_acceptor<asio::ip::tcp, Executor> door_{io_};
+  asio::basic_socket_acceptor<asio::ip::tcp, Executor> acceptor_{io_};
   asio::basic_datagram_socket<asio::ip::udp, Executor> post_{io_};
   asio::signal_set signals_{io_};
   std::function<void(int)> heard_;
--- a/src/net/network.h
+++ b/src/net/network.h
@@ -23,20 +23,20 @@
   ~SocketEvents() = default;
 };
 
-class DoorEvents {
+class AcceptEvents {
  public:
-  virtual void knocked() = 0;  // once for each wait_accept()
+  virtual void connection_waits() = 0;  // once for each wait_accept()
 
  protected:
-  ~DoorEvents() = default;
+  ~AcceptEvents() = default;
 };
 
-class PostEvents {
+class DatagramEvents {
  public:
-  virtual void post_came() = 0;  // once for each wait_post()
+  virtual void datagram_waits() = 0;  // once for each wait_datagram()
 
  protected:
-  ~PostEvents() = default;
+  ~DatagramEvents() = default;
 };
 
 class Alarm {
@@ -56,7 +56,7 @@
 
 struct Accepted {
   SocketKey socket;
-  Io how = Io::done;     // later: nobody waits; ended: whoever knocked has gone again; broken: see why
+  Io how = Io::done;  // later: nobody waits; ended: whoever connection_waits has gone again; broken: see why
   const char* why = "";  // static text, or good until the next call
 };
 
@@ -80,7 +80,7 @@
 
   // Listens at an address and tells where (port 0 takes a free one). Throws std::system_error.
   virtual Address listen(const Address& at) = 0;
-  virtual void wait_accept(DoorEvents& whom) = 0;
+  virtual void wait_accept(AcceptEvents& whom) = 0;
   virtual Accepted accept() = 0;
 
   // Begins to connect; a key that is not live (turn 0) where no descriptor is left.
@@ -95,10 +95,10 @@
 
   // Datagrams, at one address for each network. Any may be lost, late, doubled or spoilt: one that cannot be
   // sent is lost, which is no error. Throws std::system_error where it can't have the address.
-  virtual Address open_post(const Address& at) = 0;
-  virtual void wait_post(PostEvents& whom) = 0;
+  virtual Address open_datagrams(const Address& at) = 0;
+  virtual void wait_datagram(DatagramEvents& whom) = 0;
   virtual Received receive(char* to, std::size_t size) = 0;
-  virtual void post(const Address& to, std::string_view bytes) = 0;
+  virtual void send_datagram(const Address& to, std::string_view bytes) = 0;
 
   virtual void stop() = 0;  // ends the loop that calls all this
 };
--- a/src/net/nowhere.h
+++ b/src/net/nowhere.h
@@ -11,7 +11,7 @@
   Micros now() const override { return Micros{0}; }
   void ring(Micros, Alarm&) override {}
   Address listen(const Address& at) override { return at; }
-  void wait_accept(DoorEvents&) override {}
+  void wait_accept(AcceptEvents&) override {}
   Accepted accept() override { return {{}, Io::later}; }
   SocketKey connect(const Address&, SocketEvents&) override { return {}; }
   void tell(SocketKey, SocketEvents&) override {}
@@ -21,10 +21,10 @@
   Passed write(SocketKey, std::span<const std::string_view>) override { return {0, Io::broken}; }
   void end_sending(SocketKey) override {}
   void close(SocketKey, bool) override {}
-  Address open_post(const Address& at) override { return at; }
-  void wait_post(PostEvents&) override {}
+  Address open_datagrams(const Address& at) override { return at; }
+  void wait_datagram(DatagramEvents&) override {}
   Received receive(char*, std::size_t) override { return {0, {}, Io::later}; }
-  void post(const Address&, std::string_view) override {}
+  void send_datagram(const Address&, std::string_view) override {}
   void stop() override {}
 };
 
--- a/src/node/holder.cpp
+++ b/src/node/holder.cpp
@@ -24,13 +24,13 @@
 void VoterPlaces::ask() {
   asked_ = nodes_[next_++ % nodes_.size()];
   asker_ = members::Asker(nonces_ += 1 << 10);
-  network_.post(asked_, asker_.question());
+  network_.send_datagram(asked_, asker_.question());
 }
 
 bool VoterPlaces::received(const Address& from, std::string_view bytes) {
   if (from != asked_) return false;
   if (!asker_.received(bytes)) {
-    network_.post(asked_, asker_.question());
+    network_.send_datagram(asked_, asker_.question());
     return true;
   }
   for (const members::Asker::Row& row : asker_.rows())
@@ -63,8 +63,8 @@
               Token{static_cast<std::uint64_t>(wakes.now().count())}, seed) {}
 
 void Holder::begin() {
-  here_ = network_.open_post(here_);
-  network_.wait_post(*this);
+  here_ = network_.open_datagrams(here_);
+  network_.wait_datagram(*this);
   woken(look_for_voters);
   seeker().want();
 }
@@ -77,7 +77,7 @@
 void Holder::let_go() { seeker().let_go(); }
 Micros Holder::left() { return seeker().left(); }
 
-void hear_post(net::Network& network, net::PostEvents& whom, Hearer& hearer, VoterPlaces& places) {
+void hear_post(net::Network& network, net::DatagramEvents& whom, Hearer& hearer, VoterPlaces& places) {
   char bytes[members::kLongestDatagram + 1];
   for (;;) {
     const net::Received got = network.receive(bytes, sizeof bytes);
@@ -86,10 +86,10 @@
     const std::string_view text(bytes, got.bytes);
     is_lease(text) ? void(decode(text, hearer)) : void(places.received(got.from, text));
   }
-  network.wait_post(whom);
+  network.wait_datagram(whom);
 }
 
-void Holder::post_came() { hear_post(network_, *this, *this, places_); }
+void Holder::datagram_waits() { hear_post(network_, *this, *this, places_); }
 
 void Holder::woken(std::uint64_t token) {
   if (token != look_for_voters) return seeker().woken(WakeId{token});
@@ -102,7 +102,7 @@
   if (!at) return;
   Writer writer(Writer::Kind::requests, {set_, who_, told_.value_or(here_)});
   writer.add(request);
-  network_.post(*at, writer.done());
+  network_.send_datagram(*at, writer.done());
 }
 
 void Holder::reply_came(const Sender& from, const Reply& reply) {
--- a/src/node/holder.h
+++ b/src/node/holder.h
@@ -41,9 +41,9 @@
 };
 
 // All that waits: what is said of leases to the one, views to the other; then waits for more.
-void hear_post(net::Network& network, net::PostEvents& whom, leases::Hearer& hearer, VoterPlaces& places);
+void hear_post(net::Network& network, net::DatagramEvents& whom, leases::Hearer& hearer, VoterPlaces& places);
 
-class Holder final : net::PostEvents, net::Woken, leases::Hearer, leases::Seeker::Outlet {
+class Holder final : net::DatagramEvents, net::Woken, leases::Hearer, leases::Seeker::Outlet {
  public:
   class Told {
    public:
@@ -64,7 +64,7 @@
 
  private:
   enum Due : std::uint64_t { look_for_voters = ~0ull };
-  void post_came() override;
+  void datagram_waits() override;
   void woken(std::uint64_t token) override;
   void ask(leases::VoterNo voter, const leases::Request& request) override;
   void wake(Micros in, WakeId wake) override { wakes_.after(in, *this, wake.value); }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -12,7 +12,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t kOwnDescriptors = 16;  // standard streams, the event queue, the door
+constexpr std::size_t kOwnDescriptors = 16;  // standard streams, the event queue, the acceptor
 constexpr std::size_t kIdleShare = 8;  // that part of the descriptors is for clients that ask for nothing
 constexpr Micros kFirstLine = 2s;      // a client that says nothing hears of it within 3 s
 constexpr Micros kFirstWord = 1s;      // for an agent at this node to give its list, before clients are taken
@@ -110,7 +110,7 @@
   if (!pushed_) return open();
   // What the agent has counts as told from the first moment on: clients wait until it is known.
   discovery_.watch(true);
-  wakes_.after(kFirstWord, *this, open_door);
+  wakes_.after(kFirstWord, *this, take_clients);
 }
 
 void Node::open() {
@@ -153,9 +153,9 @@
 }
 
 void Node::woken(std::uint64_t due) {
-  if (due == open_door) return open();
+  if (due == take_clients) return open();
   if (due == accept_again) return void(accept());
-  // Guards against clients left without an answer that knocked while this node had no time for them.
+  // Guards against clients left without an answer that connection_waits while this node had no time for them.
   while (accept()) continue;
   log_line("left clients_gone=%llu dials_not_begun=%llu",
            static_cast<unsigned long long>(sessions_.clients_gone()),
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -1,4 +1,4 @@
-// One node: its parts put together, the door for clients, and the way out.
+// One node: its parts put together, the acceptor for clients, and the graceful shutdown.
 #pragma once
 
 #include <functional>
@@ -17,7 +17,7 @@
 using MakeBalancer = std::function<std::unique_ptr<Balancer>(const setup::Values& settings, Outlet& outlet,
                                                              std::uint64_t seed)>;
 
-class Node final : Sessions::Told, Discovery::Told, Woken, DoorEvents {
+class Node final : Sessions::Told, Discovery::Told, Woken, AcceptEvents {
  public:
   // Reads all of the file and makes the parts, but serves nobody. Throws setup::BadInput.
   Node(Network& network, const NodeFile& file, MakeBalancer make = setup::balancer_for);
@@ -33,11 +33,11 @@
   void leave();
 
  private:
-  enum Due : std::uint64_t { accept_again, open_door, left };
+  enum Due : std::uint64_t { accept_again, take_clients, left };
   void watch_list() override { discovery_.watch(); }
   Balancer& balancer_now() override { return sessions_.balancer_now(); }
   void woken(std::uint64_t due) override;
-  void knocked() override { accept(); }
+  void connection_waits() override { accept(); }
   void first_word() override { open(); }
   void open();    // from now on clients are taken
   bool accept();  // false: nobody waits any more
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -26,10 +26,10 @@
             std::move(version), fleet.seeds, fleet.interval, fleet.forget, fleet.most, seed) {}
 
 void Peers::begin() {
-  const Address at = network_.open_post(fleet_.address);
+  const Address at = network_.open_datagrams(fleet_.address);
   log_line("fleet: %s at %s told=%s name=%s", fleet_.name.c_str(), to_text(at).c_str(),
            to_text(fleet_.told).c_str(), name_.c_str());
-  network_.wait_post(*this);
+  network_.wait_datagram(*this);
   if (leases_)
     voting_ = std::make_unique<Voting>(network_, *leases_, name_, fleet_.told,
                                        static_cast<std::uint64_t>(wakes_.now().count()));
@@ -55,7 +55,7 @@
   view_.leave();
 }
 
-void Peers::post_came() {
+void Peers::datagram_waits() {
   char bytes[members::kLongestDatagram + 1];
   view_.at(wakes_.now());
   for (int i = 0; i < kDatagramsInARow; ++i) {
@@ -68,7 +68,7 @@
     else if (voting_ && view_.joined())  // a second process of this name has no vote
       voting_->received(text);
   }
-  network_.wait_post(*this);
+  network_.wait_datagram(*this);
 }
 
 void Peers::woken(std::uint64_t token) {
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -16,7 +16,7 @@
 
 using namespace net;
 
-class Peers final : members::Outlet, Woken, PostEvents {
+class Peers final : members::Outlet, Woken, DatagramEvents {
  public:
   // `count` is called with the number of nodes that may be acting, whenever it is another.
   Peers(Network& network, Wakes& wakes, const setup::FleetSection& fleet, std::string name,
@@ -30,11 +30,11 @@
   void leave();
 
  private:
-  void send(const Address& to, std::string_view bytes) override { network_.post(to, bytes); }
+  void send(const Address& to, std::string_view bytes) override { network_.send_datagram(to, bytes); }
   void wake(Micros in, WakeId wake) override { wakes_.after(in, *this, wake.value); }
   void changed(std::string_view name, const members::Member& now, bool fresh) override;
   void said(std::string_view line) override;
-  void post_came() override;
+  void datagram_waits() override;
   void woken(std::uint64_t token) override;
   void tell_count();
 
--- a/src/node/voting.cpp
+++ b/src/node/voting.cpp
@@ -61,7 +61,7 @@
 void Voting::answer(const Address& to, const Reply& reply) {
   Writer writer(Writer::Kind::replies, {set_, name_, told_});
   writer.add(reply);
-  network_.post(to, writer.done());
+  network_.send_datagram(to, writer.done());
 }
 
 // A page of what stands behind that name.
@@ -75,7 +75,7 @@
       if (whole && s.lease > after)
         whole =
             writer.add(Shown{s.lease, s.holder, s.token, s.left, static_cast<std::uint32_t>(s.line.size())});
-    if (whole || !last) return network_.post(to.told, writer.done());
+    if (whole || !last) return network_.send_datagram(to.told, writer.done());
   }
 }
 
--- a/tests/flaws.cmake
+++ b/tests/flaws.cmake
@@ -98,8 +98,8 @@
   "        if (w.word > m.word) newer(w.name, w);" "        newer(w.name, w);")
 flintweir_flaw(start-goes-back members view-back src/members/view.cpp
   "    if (w.start < m.start) return;" "    if (w.start < m.start) return newer(w.name, w);")
-flintweir_flaw(news-without-end members view-bound src/members/view.cpp
-  "kNewsParts = 3;" "kNewsParts = 100;"
+flintweir_flaw(gossip-without-end members view-bound src/members/view.cpp
+  "kGossipParts = 3;" "kGossipParts = 100;"
   "      --(*it)->second.sends;" ""
   "kBytesPerSecond = 64 << 10" "kBytesPerSecond = 64 << 20" "kBytesKept = 16 << 10" "kBytesKept = 16 << 20")
 flintweir_flaw(verdict-not-logged members view-log src/node/peers.cpp
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -9,7 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "lab/checks/crossing.h"
+#include "lab/checks/interleaving.h"
 #include "lab/faults/bad_file.h"
 #include "lab/faults/builtin.h"
 #include "lab/network/fabric.h"
@@ -36,7 +36,7 @@
 }
 
 // Both ends of one connection, which throw bytes at each other and end in some way.
-class Talker final : net::StreamEvents, net::DoorEvents {
+class Talker final : net::StreamEvents, net::AcceptEvents {
  public:
   Talker(Process& process, std::uint64_t seed) : sockets_(process, 1000), stream_(sockets_), chance_(seed) {}
   void listen(const Address& at) {
@@ -59,7 +59,7 @@
   bool failed = false, ended = false, reset = false;
 
  private:
-  void knocked() override {
+  void connection_waits() override {
     const net::Accepted a = sockets_.network().accept();
     if (a.how != net::Io::done) return;
     stream_.adopt(a.socket, *this);
@@ -347,7 +347,7 @@
 // Every exchange cut after each byte in turn, with each event there. Guards against what happens between two
 // lines only: a client that has left and is dialled, an answer lost at SIGTERM, a silent watch that is kept.
 TEST(Crossings, KeepEveryRule) {
-  const std::vector<Crossing> all = all_crossings();
+  const std::vector<Interleaving> all = all_interleavings();
   std::size_t played = 0;
   for (std::size_t i = 0; i<all.size(); i += FLINTWEIR_LAB_SEEDS> 1 ? 1 : 9, ++played)
     for (const std::string& what : play(all[i])) ADD_FAILURE() << to_text(all[i]) << ": " << what;
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -64,7 +64,7 @@
     ASSERT_LE(good.size(), members::kLongestDatagram);
     Counting heard;
     ASSERT_EQ(decode(good, "lab", heard), members::Wrong::none);
-    EXPECT_EQ(heard.calls, kind == members::Kind::news ? 0u : 1u);
+    EXPECT_EQ(heard.calls, kind == members::Kind::gossip ? 0u : 1u);
     if (kind != members::Kind::query) {
       EXPECT_EQ(decode(good, "other", heard), members::Wrong::fleet);
     }
--- a/tests/node_clients_test.cpp
+++ b/tests/node_clients_test.cpp
@@ -54,7 +54,7 @@
   const std::string used = std::to_string(ids--);
   EXPECT_EQ(open().line(), "ERR");
   EXPECT_FALSE(program->logged("end id-in-use").empty());
-  EXPECT_FALSE(hosts[0].knocked(0ms));
+  EXPECT_FALSE(hosts[0].connection_waits(0ms));
   client.close();
   EXPECT_FALSE(program->logged("end client-ended").empty());
   ids = std::stoi(used) - 1;
@@ -105,7 +105,7 @@
     const auto until = Steady::now() + 3s;
     std::string answer = "(nothing)";
     while (answer == "(nothing)" && Steady::now() < until) {
-      while (hosts[0].knocked(0ms)) {
+      while (hosts[0].connection_waits(0ms)) {
         taken.push_back(hosts[0].take());
         taken.back().say("UP r\r\n");
       }
@@ -155,7 +155,7 @@
   }
   EXPECT_EQ(word, "BUSY");
   ASSERT_GT(open_ones.size(), 2u);
-  EXPECT_FALSE(hosts[0].knocked(100ms));
+  EXPECT_FALSE(hosts[0].connection_waits(100ms));
   for (int again = 0; again < 3; ++again) {
     open_ones.back().second.say("BYE\r\n");
     open_ones.back().second.close();
@@ -175,11 +175,12 @@
 // Hosts that accept, answer probes and say each line back, and a list that fails until it is told not to.
 class Neighbours {
  public:
-  Neighbours(const std::vector<Door>& hosts, const Door& discovery) : hosts_(hosts), discovery_(discovery) {}
+  Neighbours(const std::vector<Acceptor>& hosts, const Acceptor& discovery)
+      : hosts_(hosts), discovery_(discovery) {}
   void pump(Steady::duration lasts = 5ms) {
     for (const auto until = Steady::now() + lasts; Steady::now() < until; readable(-1, 1ms)) {
-      for (const Door& h : hosts_)
-        while (h.knocked(0ms)) peers_.push_back(h.take());
+      for (const Acceptor& h : hosts_)
+        while (h.connection_waits(0ms)) peers_.push_back(h.take());
       for (Peer& p : peers_) {
         while (p.fd() >= 0 && readable(p.fd(), 0ms)) {
           const std::string line = p.line();
@@ -193,7 +194,7 @@
           }
         }
       }
-      while (discovery_.knocked(0ms)) calls_.push_back(discovery_.take());
+      while (discovery_.connection_waits(0ms)) calls_.push_back(discovery_.take());
       for (Peer& c : calls_) {
         if (c.fd() < 0 || !readable(c.fd(), 0ms)) continue;
         const std::string first = c.line();
@@ -224,8 +225,8 @@
   std::string answer;  // none: each call is reset
 
  private:
-  const std::vector<Door>& hosts_;
-  const Door& discovery_;
+  const std::vector<Acceptor>& hosts_;
+  const Acceptor& discovery_;
   std::vector<Peer> peers_, calls_;
 };
 
--- a/tests/node_dials_test.cpp
+++ b/tests/node_dials_test.cpp
@@ -35,7 +35,7 @@
       at.say(how);
     EXPECT_EQ(once.line(), "ERR") << how;
     EXPECT_EQ(once.line(), "(end)") << how;
-    for (const Door& h : hosts) EXPECT_FALSE(h.knocked(0ms)) << "dialled again after " << how;
+    for (const Acceptor& h : hosts) EXPECT_FALSE(h.connection_waits(0ms)) << "dialled again after " << how;
   }
   // A repeatable one may go on.
   Peer again = open("chat");
@@ -47,7 +47,7 @@
   other.say("UP r2\r\n");
   EXPECT_EQ(again.line(), "UP r2");
   // Hosts that are down refuse connections: never ran, so BUSY even where it may run only once.
-  for (Door& h : hosts) h.shut();
+  for (Acceptor& h : hosts) h.shut();
   EXPECT_EQ(open("pay").line(), "BUSY");
 }
 
@@ -92,8 +92,8 @@
       clients[id] = {open(once ? "pay" : "chat", 400), Steady::now() + 400ms, once};
       ++begun;
     }
-    for (Door& door : hosts) {
-      while (door.knocked(0ms)) dials.push_back({door.take(), ""});
+    for (Acceptor& acceptor : hosts) {
+      while (acceptor.connection_waits(0ms)) dials.push_back({acceptor.take(), ""});
     }
     for (std::size_t i = 0; i < dials.size();) {
       Dial& d = dials[i];
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -106,9 +106,9 @@
 };
 
 // A listening stand-in on a free port.
-class Door {
+class Acceptor {
  public:
-  Door() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  Acceptor() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -118,17 +118,17 @@
     port_ = ntohs(at.sin_port);
     EXPECT_EQ(listen(fd_, 256), 0);
   }
-  Door(Door&& o) noexcept : fd_(std::exchange(o.fd_, -1)), port_(o.port_) {}
-  ~Door() { shut(); }
+  Acceptor(Acceptor&& o) noexcept : fd_(std::exchange(o.fd_, -1)), port_(o.port_) {}
+  ~Acceptor() { shut(); }
   void shut() {
     if (fd_ >= 0) ::close(fd_);
     fd_ = -1;
   }
   int fd() const { return fd_; }
   int port() const { return port_; }
-  bool knocked(Steady::duration within = kPatience) const { return readable(fd_, within); }
+  bool connection_waits(Steady::duration within = kPatience) const { return readable(fd_, within); }
   Peer take() const {
-    if (!knocked()) return ADD_FAILURE() << "nobody came to " << port_, Peer();
+    if (!connection_waits()) return ADD_FAILURE() << "nobody came to " << port_, Peer();
     return Peer(accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC));
   }
 
@@ -285,11 +285,11 @@
   }
   // The host that is dialled next, and the connection to it.
   std::pair<std::size_t, Peer> dialled() {
-    std::vector<pollfd> doors;
-    for (const Door& h : hosts) doors.push_back({h.fd(), POLLIN, 0});
-    EXPECT_GT(poll(doors.data(), doors.size(), 10000), 0) << "no host was dialled";
+    std::vector<pollfd> acceptors;
+    for (const Acceptor& h : hosts) acceptors.push_back({h.fd(), POLLIN, 0});
+    EXPECT_GT(poll(acceptors.data(), acceptors.size(), 10000), 0) << "no host was dialled";
     for (std::size_t i = 0; i < hosts.size(); ++i) {
-      if (doors[i].revents & POLLIN) return {i, hosts[i].take()};
+      if (acceptors[i].revents & POLLIN) return {i, hosts[i].take()};
     }
     return {0, Peer()};
   }
@@ -321,8 +321,8 @@
     EXPECT_EQ(call, begin + std::to_string(ms) + " HTTP/1.1");
   }
 
-  std::vector<Door> hosts;
-  Door discovery;
+  std::vector<Acceptor> hosts;
+  Acceptor discovery;
   std::unique_ptr<Program> program;
   std::function<std::string(int)> config;  // with discovery at a port
   int port = 0, ids = 0, dial_timeout = 2'000'000, memory_mb = 192;
--- a/tests/node_life_test.cpp
+++ b/tests/node_life_test.cpp
@@ -21,7 +21,7 @@
   tell(old, list(40, true, target("s-0", hosts[0].port())));
   expect_watch(asked(old), 40);
   // The file goes before the variable of the start; repeats are harmless.
-  Door next;
+  Acceptor next;
   program->rewrite(config(next.port()));
   for (int i = 0; i < 3; ++i) {
     program->signal(SIGHUP);
@@ -29,7 +29,7 @@
   }
   EXPECT_EQ(old.line(), "(end)");
   Peer watch;
-  while (next.knocked(watch.fd() < 0 ? kPatience : 200ms)) watch = next.take();
+  while (next.connection_waits(watch.fd() < 0 ? kPatience : 200ms)) watch = next.take();
   EXPECT_EQ(asked(watch), "GET /api/targets HTTP/1.1");
   // The old service's list is no ground for changes that the new one tells.
   tell(watch, list(41, false, target("s-0", hosts[0].port(), "DELETED")));
@@ -41,7 +41,7 @@
     Peer another = open();
     EXPECT_EQ(dialled().first, 1u);
   }
-  EXPECT_FALSE(discovery.knocked(0ms));
+  EXPECT_FALSE(discovery.connection_waits(0ms));
   client.say("still there?\r\n");
   EXPECT_EQ(host.line(), "still there?");
 }
@@ -129,7 +129,7 @@
 class Ready : public testing::TestWithParam<std::tuple<Service, Known, bool>> {};
 TEST_P(Ready, WithinSeconds) {
   const auto [service, known, pushed] = GetParam();
-  Door discovery, host;
+  Acceptor discovery, host;
   const int at = discovery.port();
   if (service == Service::down) discovery.shut();
   const std::string targets =
@@ -153,7 +153,7 @@
     }
     std::set<std::size_t> ready;
     while (ready.size() < count && Steady::now() - began < 3s) {
-      while (service != Service::down && discovery.knocked(0ms)) {
+      while (service != Service::down && discovery.connection_waits(0ms)) {
         calls.push_back(discovery.take());
         if (service == Service::failing)
           calls.back().say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
--- a/tests/node_list_test.cpp
+++ b/tests/node_list_test.cpp
@@ -9,7 +9,7 @@
   Peer watch = discovery.take();
   expect_watch(asked(watch), 1);
   // A host at a new address, and one that drains.
-  Door moved;
+  Acceptor moved;
   tell(watch, list(2, false, target("s-0", moved.port()) + "," + target("s-1", hosts[1].port(), "DRAINING")));
   const auto told = Steady::now();
   expect_watch(asked(watch), 2);
@@ -23,7 +23,7 @@
     EXPECT_EQ(client.line(), "UP r");
     kept.push_back(std::move(client));
   }
-  for (const Door& h : hosts) EXPECT_FALSE(h.knocked(0ms));
+  for (const Acceptor& h : hosts) EXPECT_FALSE(h.connection_waits(0ms));
   // What is malformed changes nothing, and the list is asked for again.
   tell(watch, R"({"rev":3,"all":true,"targets":[{"uid":"s-9"}]})");
   EXPECT_FALSE(program->logged("malformed").empty());
@@ -48,7 +48,7 @@
   tell(next, list(5, true, target("s-1", hosts[0].port())));
   EXPECT_EQ(asked(next).substr(0, 27), "GET /api/targets?since=5&ti");
   next.close();  // a kept connection that ends is no failure until a call fails
-  EXPECT_TRUE(discovery.knocked());
+  EXPECT_TRUE(discovery.connection_waits());
   accepted();
 }
 
@@ -134,7 +134,7 @@
 // seconds to answer: it answers each client in time all the while, and serves by the new list.
 TEST_F(Node, AnswersInTimeWhereAllHostsOfItsOldListAreGone) {
   start(2);
-  for (Door& gone : hosts) gone.shut();
+  for (Acceptor& gone : hosts) gone.shut();
   Peer call = discovery.take();
   asked(call);
   for (const auto until = Steady::now() + 2500ms; Steady::now() < until; readable(-1, 50ms)) {
@@ -142,7 +142,7 @@
     EXPECT_EQ(client.line(2050ms), "BUSY");
   }
   EXPECT_FALSE(readable(call.fd(), 0ms)) << "the call that is out is the only one";
-  EXPECT_FALSE(discovery.knocked(0ms));
+  EXPECT_FALSE(discovery.connection_waits(0ms));
   hosts.emplace_back();
   tell(call, list(9, true, target("s-2", hosts[2].port())));
   asked(call);
--- a/tests/node_probes_test.cpp
+++ b/tests/node_probes_test.cpp
@@ -69,7 +69,7 @@
         if (readable(p.fd(), 0ms) && p.line() == "STATS") p.say("PONG util=0.3,x0=0.3\r\n");
       }
       for (std::size_t i = 0; i < hosts.size(); ++i) {
-        if (!hosts[i].knocked(0ms)) continue;
+        if (!hosts[i].connection_waits(0ms)) continue;
         Peer peer = hosts[i].take();
         const std::string line = peer.line();
         if (line != "STATS") return {i, std::move(peer)};
--- a/tests/node_relay_test.cpp
+++ b/tests/node_relay_test.cpp
@@ -120,7 +120,7 @@
   EXPECT_EQ(client.line(), "UP r1");
   client.say("hello\r\n");
   EXPECT_EQ(host2.line(), "hello");
-  EXPECT_FALSE(hosts[0].knocked(0ms));
+  EXPECT_FALSE(hosts[0].connection_waits(0ms));
 }
 
 }  // namespace
