--- a/src/node/list_clock.h
+++ b/src/node/list_clock.h
@@ -34,7 +34,7 @@
     out_ = kNothing;
   }
   // From now on another service is asked.
-  void turned(Micros now) { missed_ = std::min(missed_, now + kAfterTurn); }
+  void turned(Micros now) { failed_ = std::min(failed_, now + kAfterTurn); }
 
   // From then on what this node has not heard may count as told; kNothing: nothing does.
   Micros told_from() const { return std::min({out_, missed_, failed_}); }
