--- a/apps/flintweir_lab.cpp
+++ b/apps/flintweir_lab.cpp
@@ -14,12 +14,16 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <thread>
 
 #include "lab/checks/interleaving.h"
 #include "lab/faults/bad_file.h"
 #include "lab/faults/builtin.h"
+#include "lab/fleet/change_rig.h"
+#include "lab/fleet/hollow.h"
 #include "lab/fleet/rig.h"
+#include "lab/fleet/scale_node.h"
 #include "lab/leases/lease_rig.h"
 #include "lab/leases/lease_search.h"
 #include "lab/reports/report.h"
@@ -243,6 +247,107 @@
   return broken ? 1 : 0;
 }
 
+fs::path folder_for(const RunWays& ways, const char* what) {
+  const fs::path out =
+      (ways.out.empty() ? fs::temp_directory_path() : ways.out) / (what + ("-" + std::to_string(getpid())));
+  fs::create_directories(out);
+  return out;
+}
+
+int hollow(const HollowPlan& plan, const RunWays& ways) {
+  const fs::path folder = folder_for(ways, "hollow");
+  const HollowOutcome o = run_hollow(plan, ways.program, folder.string());
+  if (ways.out.empty()) fs::remove_all(folder);
+  std::printf("members=%u real=%u loss=%.2f\n", plan.members, plan.real, plan.loss);
+  std::printf("one view after %.2f s; memory %.1f KiB a node\n", o.one_view, o.memory);
+  std::printf(
+      "at rest: %.0f bytes a node and second, %.0f of the node that sends most, %.4f%% of a core a node\n",
+      o.rest_bytes, o.most_rest_bytes, o.rest_cpu * 100);
+  bool whole = o.one_view >= 0;
+  for (const auto& [what, known] : o.known) {
+    std::printf(
+        "%-24s half know after %.2f s, all after %.2f s; %.0f bytes a node and second, most %.0f, %.4f%% of "
+        "a core\n",
+        what.c_str(), known.first, known.second, o.bytes.at(what), o.most_bytes.at(what),
+        o.cpu.at(what) * 100);
+    whole = whole && known.second >= 0;
+  }
+  std::printf("half restarted in 30 s: %.0f bytes a node and second\n", o.bytes.at("half restarted"));
+  if (!whole) std::printf("broken: not all came to know\n");
+  return whole ? 0 : 1;
+}
+
+int scale(const std::vector<unsigned>& sizes, const RunWays& ways) {
+  const fs::path folder = folder_for(ways, "scale");
+  const auto all = scale_node(ways.program, sizes, folder.string());
+  if (ways.out.empty()) fs::remove_all(folder);
+  for (const NodeScale& s : all) {
+    std::printf(
+        "sessions=%u memory %.0f KiB (%.2f a session), %.1f us to open, idle %.2f%% of a core, refused %u\n",
+        s.sessions, s.memory_kib, s.memory_kib / s.sessions, s.open_us, s.idle_cpu * 100, s.refused);
+    std::printf(
+        "  a line to each at once: %.2f, %.2f, %.2f ms at 50, 99, 99.9 in 100; without a node %.2f, %.2f, "
+        "%.2f\n",
+        s.line_ms[0], s.line_ms[1], s.line_ms[2], s.floor_ms[0], s.floor_ms[1], s.floor_ms[2]);
+    std::printf("  %.0f lines a second, %.2f us of the node a line\n", s.lines_a_second, s.cpu_us_a_line);
+    if (s.returned)
+      std::printf("  %u come back at once: first answers %.1f, %.1f, %.1f ms at 50, 99, worst\n", s.returned,
+                  s.return_first_ms[0], s.return_first_ms[1], s.return_first_ms[2]);
+  }
+  return 0;
+}
+
+int changes(Seeds seeds, const RunWays& ways, const ChangePlan& plan, const std::string& only) {
+  std::mutex mutex;
+  std::map<std::string, ChangeOutcome> by_trouble;
+  std::map<std::string, unsigned> runs;
+  std::atomic<std::uint64_t> next{seeds.first};
+  unsigned broken = 0;
+  std::vector<double> rest, busy, most;
+  const auto work = [&] {
+    for (std::uint64_t seed; (seed = next++) <= seeds.last;) {
+      ChangeOutcome one;
+      if (ways.real) {
+        const fs::path folder = (ways.out.empty() ? fs::temp_directory_path() : fs::path(ways.out)) /
+                                ("changes-" + std::to_string(getpid()) + "-" + std::to_string(seed));
+        fs::create_directories(folder);
+        one = run_changes_real(plan, seed, only, ways.program, folder.string());
+        if (ways.out.empty() && one.broken.empty()) fs::remove_all(folder);
+      } else {
+        one = run_changes_virtual(plan, seed, only);
+      }
+      const std::lock_guard lock(mutex);
+      for (const ChangeBroken& b : one.broken)
+        std::printf("broken: rule=%s seed=%llu trouble=%s at %.3f s: %s\n", b.rule.c_str(),
+                    static_cast<unsigned long long>(seed), one.trouble.c_str(), flintweir::seconds(b.at),
+                    b.what.c_str());
+      broken += !one.broken.empty();
+      ++runs[one.trouble];
+      auto& all = by_trouble[one.trouble].known;
+      all.insert(all.end(), one.known.begin(), one.known.end());
+      rest.push_back(one.bytes_at_rest);
+      busy.push_back(one.bytes_at_change);
+      most.push_back(one.most_at_change);
+    }
+  };
+  std::vector<std::thread> threads;
+  for (unsigned i = 0; i < std::max(1u, ways.jobs); ++i) threads.emplace_back(work);
+  for (std::thread& t : threads) t.join();
+  for (const auto& [trouble, one] : by_trouble)
+    std::printf("%-16s runs=%u changes=%zu known by all: %s\n", trouble.c_str(), runs[trouble],
+                one.known.size(), spread_of(one.known, "ms").c_str());
+  const auto mean = [](const std::vector<double>& v) {
+    return std::accumulate(v.begin(), v.end(), 0.0) / static_cast<double>(std::max<std::size_t>(v.size(), 1));
+  };
+  std::printf(
+      "nodes=%u bytes a node and second: at rest %.0f, in the %.0f s after a change %.0f, the most of one "
+      "node %.0f\n",
+      plan.nodes, mean(rest), flintweir::seconds(plan.bound), mean(busy),
+      most.empty() ? 0 : *std::max_element(most.begin(), most.end()));
+  std::printf("%zu runs, %u broken\n", rest.size(), broken);
+  return broken ? 1 : 0;
+}
+
 int leases(Seeds seeds, const RunWays& ways, const std::string& only) {
   const auto& kinds = lease_troubles();
   if (!only.empty() && std::find(kinds.begin(), kinds.end(), only) == kinds.end())
@@ -571,6 +676,32 @@
   leases_command->add_option("--program", program, "the real program; without it the one beside this");
   leases_command->add_option("--jobs", ways.jobs, "rigs at a time")->check(CLI::Range(1u, 64u));
   leases_command->add_option("--out", ways.out, "folder for logs");
+  CLI::App* const changes_command = app.add_subcommand(
+      "changes", "changes of configuration carried through a fleet, with troubles between its nodes");
+  ChangePlan change_plan;
+  changes_command->add_option("--seeds", seeds, "a range A..B");
+  changes_command->add_option("--only", only, "one kind of trouble");
+  changes_command->add_option("--nodes", change_plan.nodes, "of the fleet")->check(CLI::Range(3u, 2000u));
+  changes_command->add_flag("--real", ways.real, "with processes of the real program");
+  changes_command->add_option("--program", program, "the real program; without it the one beside this");
+  changes_command->add_option("--jobs", ways.jobs, "rigs at a time")->check(CLI::Range(1u, 64u));
+  changes_command->add_option("--out", ways.out, "folder for logs");
+  CLI::App* const hollow_command = app.add_subcommand(
+      "hollow", "a fleet of hollow nodes on real datagrams, some real programs among them");
+  HollowPlan hollow_plan;
+  hollow_command->add_option("--members", hollow_plan.members, "in all")->check(CLI::Range(30u, 1500u));
+  hollow_command->add_option("--real", hollow_plan.real, "of them real programs")->check(CLI::Range(2u, 30u));
+  hollow_command->add_option("--loss", hollow_plan.loss, "share of datagrams")->check(CLI::Range(0.0, 0.9));
+  hollow_command->add_option("--program", program, "the real program; without it the one beside this");
+  hollow_command->add_option("--out", ways.out, "folder for logs");
+  CLI::App* const scale_command =
+      app.add_subcommand("scale-node", "one real node under more and more open sessions");
+  std::vector<unsigned> sizes{1000, 2000, 4000, 6000, 8000, 9500};
+  scale_command->add_option("--sessions", sizes, "open at a time")
+      ->delimiter(',')
+      ->check(CLI::Range(10u, 9500u));
+  scale_command->add_option("--program", program, "the real program; without it the one beside this");
+  scale_command->add_option("--out", ways.out, "folder for logs");
   CLI::App* const search_command =
       app.add_subcommand("search", "play the leases' decisions in every order, then in long walks by seed");
   std::uint64_t states = 300'000;
@@ -610,6 +741,17 @@
   try {
     if (*list_command) return list(folder);
     if (*act_command) return act_on_ledger(ledger, as);
+    if (*hollow_command || *scale_command) {
+      ways.program = program_of(program);
+      return *hollow_command ? hollow(hollow_plan, ways) : scale(sizes, ways);
+    }
+    if (*changes_command) {
+      if (ways.real) ways.program = program_of(program);
+      // A large fleet takes longer to know itself.
+      change_plan.joins =
+          std::max<flintweir::Micros>(change_plan.joins, change_plan.nodes * flintweir::Micros{20'000});
+      return changes(seeds_of(seeds), ways, change_plan, only);
+    }
     if (*leases_command) {
       if (ways.real) ways.program = program_of(program);
       return leases(seeds_of(seeds), ways, only);
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -144,6 +144,7 @@
  public:
   explicit ProbePace(std::optional<double> price) : price_(price), taken_(2 * kQuietRest) {}
   bool allowed() const { return price_.has_value(); }
+  void price_is(std::optional<double> price) { price_ = price; }
   void took(Micros now) { taken_.add(now, 1); }
   Micros interval(Micros now, Micros since, double hosts) const {
     const double rate = 1 / seconds(kQuietRest) + taken_.per_second(now, since, 2 * kProbeEvery);
@@ -296,6 +297,13 @@
 
   void nodes_are(unsigned nodes) override { nodes_ = std::max(1u, nodes); }
 
+  void settings_are(std::vector<Listener> listeners, unsigned most_dials, Prices prices) override {
+    listeners_ = std::move(listeners);
+    dial_limits_.most = most_dials;
+    crossing_price_ = prices.crossing;
+    pace_.price_is(prices.probe);
+  }
+
   Sess take(SessId id, const Taken& taken) override {
     Session fresh(id, taken, usual_load(taken));
     fresh.give_up_at = std::min(now_ + listeners_[taken.listener.value].handshake_target, taken.valid_until);
--- a/src/balance.h
+++ b/src/balance.h
@@ -132,6 +132,10 @@
   virtual void at(Micros now) = 0;
   // So many nodes, this one among them, may be acting; until it is said, the number it was made with stands.
   virtual void nodes_are(unsigned nodes) = 0;
+  // From now on: the same listeners in their order, of which only handshake target and utility may be others;
+  // most dials of a session; prices, of which that of probes is there or not as before. Sessions taken keep
+  // their times.
+  virtual void settings_are(std::vector<Listener> listeners, unsigned most_dials, Prices prices) = 0;
 
   virtual Sess take(SessId sess, const Taken& taken) = 0;
   virtual Sess inherit(SessId sess, const Taken& taken, HostId host) = 0;  // open already, by dial 0
--- /dev/null
+++ b/src/change_command.cpp
@@ -0,0 +1,172 @@
+#include "change_command.h"
+
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include "changes/datagram.h"
+#include "setup/change_text.h"
+#include "view_client.h"
+
+namespace flintweir {
+namespace {
+
+using namespace std::chrono_literals;
+using changes::Change;
+using changes::ChangeNumber;
+using changes::Status;
+
+// Says what it has to whoever asks, and asks for what others have.
+class Client : public net::DatagramEvents, public changes::Hearer {
+ public:
+  Client(Address here, std::string fleet) : fleet_(std::move(fleet)) {
+    here.port = 0;
+    here_ = network_.open_datagrams(here);
+    network_.wait_datagram(*this);
+  }
+  changes::Sender me() const { return {fleet_, "flintweir-change", here_}; }
+  void send(const Address& to, const std::string& bytes) { network_.send_datagram(to, bytes); }
+  // Until done() or the time is over.
+  template <class Done>
+  bool wait(Micros in, Done done) {
+    for (const Micros until = network_.now() + in; !done() && network_.now() < until;)
+      network_.run_for(until - network_.now());
+    return done();
+  }
+  void hold(Change change) { change_ = std::move(change); }
+  void datagram_waits() override {
+    char bytes[changes::kLongestDatagram + 1];
+    for (;;) {
+      const auto got = network_.receive(bytes, sizeof bytes);
+      if (got.how == net::Io::later) break;
+      came_from_ = got.from;
+      if (got.how == net::Io::done) changes::decode({bytes, got.bytes}, fleet_, *this);
+    }
+    network_.wait_datagram(*this);
+    network_.stop();
+  }
+  void want_came(const changes::Sender&, const changes::Which& of, std::uint32_t parts) override {
+    if (of != which(change_)) return;
+    for (std::uint32_t i = 0; i * changes::kPart < std::max<std::size_t>(change_.text.size(), 1); ++i)
+      if (parts >> i & 1)
+        send(came_from_,
+             part(me(), of, i, std::string_view(change_.text).substr(i * changes::kPart, changes::kPart)));
+  }
+  void status_came(const changes::Sender& from, std::uint64_t nonce, const Status& status) override {
+    statuses[nonce] = {std::string(from.name), status};
+  }
+  std::map<std::uint64_t, std::pair<std::string, Status>> statuses;  // by the question's number
+
+ private:
+  net::KernelNetwork network_;
+  // Where the datagram at hand came from: a node may tell others an address that only they can use.
+  Address here_, came_from_;
+  std::string fleet_;
+  Change change_;
+};
+
+std::string json_text(std::string_view text) {
+  std::string out;
+  for (const char c : text)
+    if (static_cast<unsigned char>(c) >= 0x20)
+      out += (c == '"' || c == '\\') ? std::string{'\\', c} : std::string{c};
+  return out;
+}
+
+}  // namespace
+
+int change_put(const setup::OperatorFile& own, const std::string& path, std::uint64_t number,
+               const Address& at) {
+  std::ifstream in(path);
+  std::ostringstream text;
+  text << in.rdbuf();
+  if (!in) return std::fprintf(stderr, "flintweir: %s: can't be read\n", path.c_str()), kChangeRefused;
+  Change change{ChangeNumber{number}, text.str()};
+  std::vector<std::string> wrong;
+  if (change.text.size() > changes::kLongestText)
+    wrong.push_back(path + ": is over " + std::to_string(changes::kLongestText) + " bytes");
+  else
+    setup::ChangeText::of_text(change.text, path, wrong);
+  for (const std::string& line : wrong) std::fprintf(stderr, "flintweir: %s\n", line.c_str());
+  if (!wrong.empty()) return kChangeRefused;
+
+  Client client(own.fleet->address, own.fleet->name);
+  const changes::Which ours = which(change);
+  client.hold(std::move(change));
+  std::uint64_t nonce = 0;
+  for (int tries = 0; tries < 25; ++tries) {
+    client.send(at, have(client.me(), {ours, {}}));
+    client.send(at, ask(client.me(), ++nonce));
+    if (!client.wait(200ms, [&] { return client.statuses.contains(nonce); })) continue;
+    const auto& [name, status] = client.statuses.at(nonce);
+    if (status.has.newest > ours) {
+      std::fprintf(stderr, "flintweir: %s has change %llu, which is later\n", name.c_str(),
+                   static_cast<unsigned long long>(status.has.newest.number.value));
+      return kChangeOlder;
+    }
+    if (status.has.newest != ours) {
+      client.wait(50ms, [] { return false; });
+      continue;
+    }
+    if (!status.reason.empty()) {
+      std::fprintf(stderr, "flintweir: %s refuses change %llu: %s\n", name.c_str(),
+                   static_cast<unsigned long long>(number), status.reason.c_str());
+      return kChangeRefused;
+    }
+    std::printf("change %llu is in force at %s and on its way\n", static_cast<unsigned long long>(number),
+                name.c_str());
+    return 0;
+  }
+  std::fprintf(stderr, "flintweir: nobody at %s takes changes\n", to_text(at).c_str());
+  return kChangeNoAnswer;
+}
+
+int change_show(const Address& at, bool json) {
+  ViewClient members(at);
+  const members::Asker* const view = members.ask();
+  if (!view)
+    return std::fprintf(stderr, "flintweir: nobody answers at %s\n", to_text(at).c_str()), kChangeNoAnswer;
+  Client client(at, "");
+  std::map<std::uint64_t, const members::Asker::Row*> asked;
+  std::uint64_t nonce = 0;
+  for (const auto& row : view->rows())
+    if (row.standing == members::Standing::alive || row.standing == members::Standing::suspected ||
+        row.standing == members::Standing::joining)
+      asked[++nonce] = &row;
+  for (int tries = 0; tries < 3; ++tries) {
+    for (const auto& [no, row] : asked)
+      if (!client.statuses.contains(no)) client.send(row->address, ask(client.me(), no));
+    if (client.wait(500ms, [&] { return client.statuses.size() == asked.size(); })) break;
+  }
+  changes::Which newest;
+  for (const auto& [no, s] : client.statuses) newest = std::max(newest, s.second.has.newest);
+  std::string out;
+  bool all = true;
+  char line[700];
+  for (const auto& [no, row] : asked) {
+    const auto it = client.statuses.find(no);
+    const Status s = it == client.statuses.end() ? Status() : it->second.second;
+    const char* const is = it == client.statuses.end() ? "silent"
+                           : !s.reason.empty()         ? "refused"
+                           : s.has.newest != newest    ? "behind"
+                                                       : "in-force";
+    all = all && it != client.statuses.end() && s.reason.empty() && s.has.newest == newest;
+    std::snprintf(line, sizeof line,
+                  json ? "%s{\"name\":\"%s\",\"newest\":%llu,\"in_force\":%llu,\"is\":\"%s\",\"why\":\"%s\"}"
+                       : "%s%-24s %20llu %20llu %-10s %s\n",
+                  json && !out.empty() ? "," : "", row->name.c_str(),
+                  static_cast<unsigned long long>(s.has.newest.number.value),
+                  static_cast<unsigned long long>(s.has.in_force.number.value), is,
+                  json ? json_text(s.reason).c_str() : s.reason.c_str());
+    out += line;
+  }
+  if (json)
+    std::printf("{\"newest\":%llu,\"nodes\":[%s]}\n", static_cast<unsigned long long>(newest.number.value),
+                out.c_str());
+  else
+    std::printf("%-24s %20s %20s %-10s %s\n%s", "NAME", "NEWEST", "IN FORCE", "IS", "WHY", out.c_str());
+  return all ? 0 : 1;
+}
+
+}  // namespace flintweir
--- /dev/null
+++ b/src/changes/carrier.cpp
@@ -0,0 +1,196 @@
+#include "changes/carrier.h"
+
+#include <algorithm>
+
+namespace flintweir::changes {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A newer change is told to so many at once and again each round; most learn of it within the first, and the
+// rounds reach whom datagrams were lost to.
+constexpr std::size_t kNear = 3, kFar = 1;
+constexpr int kRounds = 4;
+constexpr Micros kRound = 250ms;
+// At rest one member is told what is newest here, every fourth time one of another zone.
+constexpr Micros kRest = 2s;
+constexpr std::uint64_t kRestFar = 4;
+constexpr Micros kFetchAgain = 150ms;
+constexpr int kMostFetches = 20, kSeedTries = 10;
+constexpr std::size_t kMostSources = 4;
+// A change of the largest size for each of those told at once, and no more than that for long.
+constexpr double kBytesPerSecond = 7000, kBytesKept = 24 << 10;
+
+std::uint32_t parts_of(std::uint32_t size) { return size == 0 ? 1 : (size + kPart - 1) / kPart; }
+
+}  // namespace
+
+Carrier::Carrier(Outlet& outlet, std::string fleet, std::string name, const Address& told, std::uint64_t seed)
+    : outlet_(outlet),
+      fleet_(std::move(fleet)),
+      name_(std::move(name)),
+      told_(told),
+      chance_(static_cast<std::knuth_b::result_type>(seed | 1)),
+      bytes_left_(kBytesKept) {}
+
+void Carrier::at(Micros now) { now_ = std::max(now, now_); }
+
+Micros Carrier::spread(Micros around) {
+  const double by = 0.75 + 0.5 * std::generate_canonical<double, 32>(chance_);
+  return Micros{static_cast<std::int64_t>(static_cast<double>(around.count()) * by)};
+}
+
+void Carrier::begin(std::vector<Change> kept, std::vector<Address> seeds) {
+  refilled_at_ = now_;
+  seeds_ = std::move(seeds);
+  for (Change& c : kept) adopt(std::move(c), "kept");
+  rounds_ = 0;
+  woken(WakeId{turn_ << 2 | static_cast<std::uint64_t>(Due::seeds)});
+  wake(spread(kRest), Due::rest);
+}
+
+void Carrier::received(const Address& from, std::string_view bytes) {
+  came_from_ = from;
+  decode(bytes, fleet_, *this);
+}
+
+void Carrier::woken(WakeId w) {
+  const auto due = static_cast<Due>(w.value & 3);
+  if (due == Due::rest) {
+    wake(spread(kRest), Due::rest);
+    const bool far = ++rests_ % kRestFar == 0;
+    return tell(far ? 0 : 1, far ? 1 : 0);
+  }
+  if (due == Due::seeds) {
+    // Guards against a process that serves by an old file until a member happens to tell it of the newest.
+    if (seed_tries_ >= kSeedTries) return;
+    ++seed_tries_;
+    for (const Address& s : seeds_)
+      if (s != told_) send(s, have(me(), status_.has));
+    return wake(spread(2 * kRound), Due::seeds);
+  }
+  if (w.value >> 2 != turn_) return;  // of a change before this one
+  if (due == Due::fetch) return fetch();
+  if (rounds_-- <= 0) return;
+  tell(kNear, kFar);
+  wake(spread(kRound), Due::tell);
+}
+
+void Carrier::tell(std::size_t near, std::size_t far) {
+  drawn_.clear();
+  outlet_.draw(near, far, drawn_);
+  const std::string bytes = have(me(), status_.has);
+  for (const Address& to : drawn_) send(to, bytes);
+}
+
+// A newer one than the newest; or, where that was refused, a newer one than that in force: somebody who
+// starts after a change that his like refuse has to come to what they run by.
+bool Carrier::wants(const Which& theirs) const {
+  if (theirs.number.value == 0) return false;
+  if (theirs > status_.has.newest) return true;
+  return !status_.reason.empty() && theirs > status_.has.in_force && theirs > refused_before_ &&
+         theirs < status_.has.newest;
+}
+
+void Carrier::have_came(const Sender& from, const Has& theirs) {
+  if (theirs == status_.has) {
+    if (theirs.newest.number.value > 0) seed_tries_ = kSeedTries;
+    return;
+  }
+  const Which& first = wants(theirs.newest) ? theirs.newest : theirs.in_force;
+  if (wants(first)) {
+    if (!fetching_ || fetching_->which < first) {
+      ++turn_;
+      rounds_ = 0;
+      fetching_ = {first, {from.told}, std::string(first.size, '\0'), (1u << parts_of(first.size)) - 1, 0};
+      return fetch();
+    }
+    if (fetching_->which == first && fetching_->from.size() < kMostSources &&
+        std::find(fetching_->from.begin(), fetching_->from.end(), from.told) == fetching_->from.end())
+      fetching_->from.push_back(from.told);
+    return;
+  }
+  // Guards against somebody who was away, or has just started.
+  if (theirs.newest < status_.has.newest ||
+      (theirs.in_force < status_.has.in_force && status_.has.in_force < status_.has.newest))
+    send(from.told, have(me(), status_.has));
+}
+
+// What is missing is asked of one after the other: any may be gone, cut off or out of bytes.
+void Carrier::fetch() {
+  if (!fetching_) return;
+  if (++fetching_->tries > kMostFetches) return fetching_.reset();  // whoever has it says so again
+  send(fetching_->from.front(), want(me(), fetching_->which, fetching_->missing));
+  std::rotate(fetching_->from.begin(), fetching_->from.begin() + 1, fetching_->from.end());
+  wake(spread(kFetchAgain), Due::fetch);
+}
+
+const Change* Carrier::of(const Which& which) const {
+  if (which.number.value == 0) return nullptr;
+  return which == status_.has.newest ? &newest_ : which == status_.has.in_force ? &in_force_ : nullptr;
+}
+
+void Carrier::want_came(const Sender& from, const Which& which, std::uint32_t parts) {
+  const Change* const change = of(which);
+  if (!change) return;
+  const std::string_view text = change->text;
+  for (std::uint32_t i = 0; i < parts_of(which.size); ++i)
+    if (parts >> i & 1 && !send(from.told, part(me(), which, i, text.substr(i * kPart, kPart)))) return;
+}
+
+void Carrier::part_came(const Sender& from, const Which& of, std::uint32_t part, std::string_view bytes) {
+  if (!fetching_ || fetching_->which != of || part >= parts_of(of.size) || !(fetching_->missing >> part & 1))
+    return;
+  const std::size_t begin = part * kPart;
+  if (bytes.size() != std::min<std::size_t>(kPart, of.size - begin)) return;
+  fetching_->bytes.replace(begin, bytes.size(), bytes);
+  fetching_->missing &= ~(1u << part);
+  if (fetching_->missing) return;
+  Change whole{of.number, std::move(fetching_->bytes)};
+  fetching_.reset();
+  if (which(whole) != of) return;  // parts of two texts; it is told of again
+  adopt(std::move(whole), from.name);
+}
+
+void Carrier::adopt(Change change, std::string_view from) {
+  const Which now = which(change);
+  std::string reason = outlet_.take(change).substr(0, kLongestReason);
+  const bool taken = reason.empty();
+  if (taken) {
+    in_force_ = change;
+    status_.has.in_force = now;
+    outlet_.keep(change, true);
+  }
+  if (now > status_.has.newest) {
+    newest_ = std::move(change);
+    status_.has.newest = now;
+    status_.reason = std::move(reason);
+    if (!taken) outlet_.keep(newest_, false);
+    outlet_.known(status_, from);
+  } else if (taken) {
+    outlet_.known(status_, from);
+  } else {
+    refused_before_ = now;
+  }
+  // Refused or not it is passed on: another node may run what this one can't.
+  ++turn_;
+  rounds_ = kRounds;
+  woken(WakeId{turn_ << 2 | static_cast<std::uint64_t>(Due::tell)});
+}
+
+void Carrier::ask_came(const Sender& from, std::uint64_t nonce) {
+  static_cast<void>(from);
+  send(came_from_, changes::status(me(), nonce, status_));
+}
+
+bool Carrier::send(const Address& to, const std::string& bytes) {
+  bytes_left_ = std::min(kBytesKept, bytes_left_ + kBytesPerSecond * seconds(now_ - refilled_at_));
+  refilled_at_ = now_;
+  if (bytes_left_ < static_cast<double>(bytes.size())) return false;
+  bytes_left_ -= static_cast<double>(bytes.size());
+  sent_bytes_ += bytes.size();
+  outlet_.send(to, bytes);
+  return true;
+}
+
+}  // namespace flintweir::changes
--- /dev/null
+++ b/src/changes/change.h
@@ -0,0 +1,48 @@
+// A change of configuration as nodes pass it on: one number that only rises, and a text that each node checks
+// for itself. The text is the whole of what differs from a node's own file, not what differs from the change
+// before, so that any change can follow any other, and going back is one more.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "ids.h"
+
+namespace flintweir::changes {
+
+// The fencing token of the lease under which it was published: larger than that of every change before it.
+using ChangeNumber = Id<struct ChangeNumberTag, std::uint64_t>;  // zero: none
+
+inline constexpr std::size_t kLongestText = 4096, kPart = 900;  // bytes; a part fits a datagram
+inline constexpr std::size_t kLongestReason = 200;
+
+struct Change {
+  ChangeNumber number;
+  std::string text;
+};
+
+// Which change, as told: two texts of one number, which no lease grants, are told apart by the sum, and the
+// larger one is taken everywhere.
+struct Which {
+  ChangeNumber number;
+  std::uint64_t sum = 0;  // of the text
+  std::uint32_t size = 0;
+  friend auto operator<=>(const Which&, const Which&) = default;
+};
+Which which(const Change& change);
+
+// What a node has: the newest change that it knows, and the one it runs by, which is older where it has
+// refused the newest. Zeros: none, its own file alone.
+struct Has {
+  Which newest, in_force;
+  friend bool operator==(const Has&, const Has&) = default;
+};
+
+// What a node says of itself.
+struct Status {
+  Has has;
+  std::string reason;  // why it has refused the newest; empty: it has not
+};
+
+}  // namespace flintweir::changes
--- /dev/null
+++ b/src/changes/datagram.cpp
@@ -0,0 +1,145 @@
+#include "changes/datagram.h"
+
+#include "packing.h"
+
+namespace flintweir::changes {
+namespace {
+
+using namespace packing;
+
+constexpr char kMark[2] = {'f', 'c'};
+constexpr char kVersion = 1;
+constexpr std::size_t kLongestName = 64;
+enum class Kind : char { have = 1, want, part, ask, status };
+
+// Puts one datagram together: a single array of so many fields behind those of the sender.
+class Writer {
+ public:
+  Writer(Kind kind, const Sender& from, std::uint32_t fields) : packer_(out_) {
+    bytes_.assign(kHead, '\0');
+    bytes_[0] = kMark[0], bytes_[1] = kMark[1], bytes_[2] = kVersion, bytes_[3] = static_cast<char>(kind);
+    packer_.pack_array(3 + fields);
+    text(packer_, from.fleet);
+    text(packer_, from.name);
+    place(packer_, from.told);
+  }
+  Writer& number(std::uint64_t n) { return packer_.pack(n), *this; }
+  Writer& which(const Which& w) { return number(w.number.value).number(w.sum).number(w.size); }
+  Writer& has(const Has& h) { return which(h.newest).which(h.in_force); }
+  Writer& bytes(std::string_view b) {
+    packer_.pack_bin(static_cast<std::uint32_t>(b.size()));
+    packer_.pack_bin_body(b.data(), static_cast<std::uint32_t>(b.size()));
+    return *this;
+  }
+  std::string done() {
+    bytes_.append(out_.data(), out_.size());
+    seal(bytes_);
+    return std::move(bytes_);
+  }
+
+ private:
+  std::string bytes_;
+  msgpack::sbuffer out_;
+  Packer packer_;
+};
+
+std::uint32_t small(std::uint64_t n) {
+  if (n > UINT32_MAX) throw Malformed();
+  return static_cast<std::uint32_t>(n);
+}
+
+Which which_of(Fields& f) {
+  Which out;
+  out.number = ChangeNumber{f.number()};
+  out.sum = f.number();
+  out.size = small(f.number());
+  if (out.size > kLongestText) throw Malformed();
+  return out;
+}
+
+Has has_of(Fields& f) {
+  Has out;
+  out.newest = which_of(f);
+  out.in_force = which_of(f);
+  if (out.in_force > out.newest) throw Malformed();
+  return out;
+}
+
+void hear(Kind kind, std::string_view bytes, std::string_view fleet, Hearer& hearer) {
+  const msgpack::unpack_limit limit(16, 0, 256, kPart, 0, 3);
+  std::size_t at = 0;
+  const msgpack::object_handle whole =
+      msgpack::unpack(bytes.data(), bytes.size(), at, nullptr, nullptr, limit);
+  if (at != bytes.size()) throw Malformed();
+  Fields f(whole.get());
+  Sender from;
+  from.fleet = f.text(kLongestName);
+  from.name = f.text(kLongestName);
+  from.told = f.place();
+  // Whoever asks need not know the fleet's name.
+  if (kind != Kind::ask && !fleet.empty() && from.fleet != fleet) throw Malformed();
+  switch (kind) {
+    case Kind::have:
+      return hearer.have_came(from, has_of(f));
+    case Kind::want: {
+      const Which of = which_of(f);
+      return hearer.want_came(from, of, small(f.number()));
+    }
+    case Kind::part: {
+      const Which of = which_of(f);
+      const std::uint32_t no = small(f.number());
+      return hearer.part_came(from, of, no, f.bytes(kPart));
+    }
+    case Kind::ask:
+      return hearer.ask_came(from, f.number());
+    case Kind::status: {
+      const std::uint64_t nonce = f.number();
+      Status s;
+      s.has = has_of(f);
+      s.reason = f.bytes(kLongestReason);
+      return hearer.status_came(from, nonce, s);
+    }
+  }
+}
+
+}  // namespace
+
+Which which(const Change& change) {
+  return {change.number, XXH3_64bits(change.text.data(), change.text.size()),
+          static_cast<std::uint32_t>(change.text.size())};
+}
+
+bool is_change(std::string_view bytes) {
+  return bytes.size() >= kHead && bytes[0] == kMark[0] && bytes[1] == kMark[1];
+}
+
+bool decode(std::string_view bytes, std::string_view fleet, Hearer& hearer) {
+  if (!is_change(bytes) || bytes.size() > kLongestDatagram || bytes[2] != kVersion || !sealed(bytes))
+    return false;
+  if (bytes[3] < 1 || bytes[3] > static_cast<char>(Kind::status) || bytes[8] != 0 || bytes[9] != 0)
+    return false;
+  try {
+    hear(static_cast<Kind>(bytes[3]), bytes.substr(kHead), fleet, hearer);
+  } catch (const Malformed&) {
+    return false;
+  } catch (const msgpack::unpack_error&) {
+    return false;
+  }
+  return true;
+}
+
+std::string have(const Sender& from, const Has& has) { return Writer(Kind::have, from, 6).has(has).done(); }
+std::string want(const Sender& from, const Which& of, std::uint32_t parts) {
+  return Writer(Kind::want, from, 4).which(of).number(parts).done();
+}
+std::string part(const Sender& from, const Which& of, std::uint32_t part, std::string_view bytes) {
+  return Writer(Kind::part, from, 5).which(of).number(part).bytes(bytes).done();
+}
+std::string ask(const Sender& from, std::uint64_t nonce) {
+  return Writer(Kind::ask, from, 1).number(nonce).done();
+}
+std::string status(const Sender& from, std::uint64_t nonce, const Status& s) {
+  return Writer(Kind::status, from, 8).number(nonce).has(s.has).bytes(s.reason).done();
+}
+
+}  // namespace flintweir::changes
--- /dev/null
+++ b/src/lab/fleet/change_rig.cpp
@@ -0,0 +1,404 @@
+#include "lab/fleet/change_rig.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+#include "changes/datagram.h"
+#include "lab/faults/bad_file.h"
+#include "lab/fleet/rig_loopback.h"
+#include "lab/fleet/rig_virtual.h"
+#include "numbers.h"
+
+namespace flintweir::lab {
+namespace {
+
+using namespace std::chrono_literals;
+using changes::Change;
+using changes::ChangeNumber;
+using changes::Which;
+
+constexpr Micros kLook = 200ms;
+
+// Publishes changes, and asks processes what they have.
+class Publisher final : net::DatagramEvents, changes::Hearer {
+ public:
+  using Seen = std::function<void(RigPlace, const changes::Status&)>;
+  Publisher(RigStage& stage, Seen seen) : stage_(stage), seen_(std::move(seen)) {
+    stage_.onlooker().open_datagrams(stage_.onlooker_at());
+    stage_.onlooker().wait_datagram(*this);
+  }
+  // `parts`: what is given of it; fewer where its publisher dies meanwhile.
+  void publish(const Change& change, RigPlace to, std::uint32_t parts = ~0u) {
+    held_[which(change)] = {change.text, parts};
+    send(to, have(me(), {which(change), {}}));
+  }
+  void ask(RigPlace whom) {
+    const std::uint64_t nonce = ++nonces_;
+    asked_[nonce] = whom;
+    send(whom, changes::ask(me(), nonce));
+    asked_.erase(asked_.begin(), asked_.lower_bound(nonce > 20000 ? nonce - 20000 : 0));
+  }
+
+ private:
+  changes::Sender me() const { return {stage_.fleet(), "publisher", stage_.onlooker_at()}; }
+  void send(RigPlace to, const std::string& bytes) {
+    stage_.onlooker().send_datagram(stage_.hears_at(to), bytes);
+  }
+  void datagram_waits() override {
+    char bytes[changes::kLongestDatagram + 1];
+    for (;;) {
+      const net::Received got = stage_.onlooker().receive(bytes, sizeof bytes);
+      if (got.how == net::Io::later) break;
+      came_from_ = got.from;
+      if (got.how == net::Io::done) changes::decode({bytes, got.bytes}, "", *this);
+    }
+    stage_.onlooker().wait_datagram(*this);
+  }
+  void want_came(const changes::Sender&, const Which& of, std::uint32_t parts) override {
+    const auto it = held_.find(of);
+    if (it == held_.end()) return;
+    const auto& [text, given] = it->second;
+    for (std::uint32_t i = 0; i * changes::kPart < std::max<std::size_t>(text.size(), 1); ++i)
+      if (parts >> i & given >> i & 1)
+        stage_.onlooker().send_datagram(
+            came_from_, part(me(), of, i, std::string_view(text).substr(i * changes::kPart, changes::kPart)));
+  }
+  void status_came(const changes::Sender&, std::uint64_t nonce, const changes::Status& status) override {
+    if (const auto it = asked_.find(nonce); it != asked_.end()) seen_(it->second, status);
+  }
+
+  RigStage& stage_;
+  Seen seen_;
+  std::map<Which, std::pair<std::string, std::uint32_t>> held_;
+  std::map<std::uint64_t, RigPlace> asked_;
+  Address came_from_;  // past all relays, as the question came
+  std::uint64_t nonces_ = 0;
+};
+
+class ChangeRig {
+ public:
+  ChangeRig(const ChangePlan& plan, RigStage& stage, std::uint64_t seed, std::string trouble)
+      : plan_(plan),
+        stage_(stage),
+        chance_(static_cast<std::knuth_b::result_type>(mix(seed + 0xc4a6) | 1)),
+        publisher_(stage, [this](RigPlace at, const changes::Status& s) { seen(at, s); }),
+        began_(stage.now()) {
+    const auto& all = change_troubles();
+    if (!trouble.empty() && std::find(all.begin(), all.end(), trouble) == all.end())
+      throw BadFile("there is no trouble '" + trouble + "'");
+    out_.trouble = trouble.empty() ? all[chance_() % all.size()] : trouble;
+    units_.resize(plan.nodes);
+    stage_.on_sent = [this](RigPlace from, std::size_t bytes) {
+      sent_ += bytes;
+      units_[from.node].sent += bytes;
+    };
+  }
+
+  ChangeOutcome play() {
+    for (unsigned i = 0; i < std::min(3u, plan_.nodes); ++i)
+      seeds_.push_back({i * plan_.nodes / 3 % plan_.nodes, 0});
+    for (unsigned i = 0; i < plan_.nodes; ++i) at(part(100ms), [this, i] { start(i); });
+    at(plan_.joins / 2, [this] { look(); });
+    // At rest, then one change with nobody in trouble.
+    at(plan_.joins, [this] { before_ = sent_; });
+    at(plan_.joins + 2s, [this] {
+      out_.bytes_at_rest = static_cast<double>(sent_ - before_) / 2.0 / plan_.nodes;
+      before_ = sent_;
+      for (Unit& u : units_) u.sent = 0;
+      publish(text());
+    });
+    const Micros first = plan_.joins + 2s + plan_.bound;
+    at(first, [this] {
+      out_.bytes_at_change = static_cast<double>(sent_ - before_) / seconds(plan_.bound) / plan_.nodes;
+      for (const Unit& u : units_)
+        out_.most_at_change =
+            std::max(out_.most_at_change, static_cast<double>(u.sent) / seconds(plan_.bound));
+      // While members still find each other, a fleet that starts at once says more: its bound is the view's.
+      if (out_.most_at_change > plan_.most_bytes)
+        broken("budget",
+               std::to_string(static_cast<int>(out_.most_at_change)) + " bytes a second of one node");
+      judge("late");
+      before_ = sent_;
+    });
+    at(first + 100ms, [this] { begin(); });
+    // A change in the middle of it, and what the trouble adds.
+    at(first + 100ms + plan_.lasts / 3, [this] { publish(text()); });
+    at(first + 100ms + plan_.lasts, [this] { heal(); });
+    // Members that were cut off or came back have to find each other first: that is the view's.
+    const Micros healed = first + 100ms + plan_.lasts + (calm() ? 0us : 10 * plan_.interval);
+    at(healed + plan_.bound, [this] { judge(calm() ? "late" : "settled"); });
+    stage_.run_until(began_ + healed + plan_.bound + 100ms);
+    stage_.on_sent = nullptr;
+    for (unsigned i = 0; i < units_.size(); ++i) kill(i);
+    return std::move(out_);
+  }
+
+ private:
+  struct Unit {
+    bool up = false, frozen = false;
+    std::uint64_t start = 0;  // which process
+    changes::Has has;
+    std::string reason;
+    std::size_t sent = 0;
+  };
+  struct Published {
+    Which which;
+    bool refused = false, refused_by_odd = false;
+    Micros at;
+    bool known = false;
+  };
+
+  bool calm() const { return out_.trouble == "calm"; }
+  void at(Micros in, std::function<void()> act) { stage_.at(began_ + in, std::move(act)); }
+  void after(Micros in, std::function<void()> act) { stage_.at(stage_.now() + in, std::move(act)); }
+  Micros part(Micros of) {
+    return Micros{static_cast<std::int64_t>(static_cast<double>(of.count()) *
+                                            std::generate_canonical<double, 32>(chance_))};
+  }
+  void broken(const std::string& rule, const std::string& what) {
+    if (out_.broken.size() < 20 && said_.insert(rule + what).second)
+      out_.broken.push_back({rule, stage_.now() - began_, what});
+  }
+
+  void start(unsigned i) {
+    Unit& u = units_[i];
+    if (u.up) return;
+    u = {true, false, u.start + 1, {}, {}, u.sent};
+    started_[i] = stage_.now();
+    stage_.start({i, 0}, "n" + std::to_string(i), seeds_);
+  }
+  void kill(unsigned i) {
+    if (!std::exchange(units_[i].up, false)) return;
+    stage_.kill({i, 0});
+  }
+  void freeze(unsigned i, bool on) {
+    if (!units_[i].up || units_[i].frozen == on) return;
+    units_[i].frozen = on;
+    stage_.freeze({i, 0}, on);
+  }
+
+  // A change that every node can take, of any size.
+  std::string text() {
+    std::string out = "[listener.chat]\nutility = " + std::to_string(1 + chance_() % 9) + '\n';
+    const std::size_t size = chance_() % (changes::kLongestText - 100);
+    while (out.size() < size) out += "# " + std::to_string(chance_()) + '\n';
+    return out;
+  }
+  void publish(const std::string& text, bool refused = false, bool by_odd = false,
+               std::uint32_t parts = ~0u) {
+    const Change change{ChangeNumber{++number_ * 1000}, text};
+    published_.push_back({which(change), refused, by_odd, stage_.now(), false});
+    std::vector<unsigned> up;
+    for (unsigned i = 0; i < units_.size(); ++i)
+      if (units_[i].up && !units_[i].frozen && !cut_off_.contains(i)) up.push_back(i);
+    if (up.empty()) return;
+    const unsigned to = up[chance_() % up.size()];
+    if (parts != ~0u) published_.back().which = {};  // nobody is owed what was never whole
+    // As the command does, until it is heard: any datagram may be lost.
+    for (int i = 0; i < 4; ++i)
+      after(200ms * i, [this, change, to, parts] { publisher_.publish(change, {to, 0}, parts); });
+  }
+
+  void way_of(unsigned a, unsigned b, const Post& post) {
+    if (a != b) stage_.way(a, b) = post;
+  }
+  template <class Of>
+  void ways(Of of, const Post& post) {
+    for (unsigned a = 0; a < plan_.nodes; ++a)
+      for (unsigned b = 0; b < plan_.nodes; ++b)
+        if (of(a, b)) way_of(a, b, post);
+  }
+
+  void begin() {
+    const std::string& t = out_.trouble;
+    Post bad;
+    const unsigned half = plan_.nodes / 2;
+    if (t == "crash" || t == "restart") {
+      for (unsigned i = 0; i < plan_.nodes; ++i) {
+        if (i == 0 || chance_() % 2) continue;
+        at_random(i, [this, i, t] {
+          kill(i);
+          if (t == "restart") after(300ms, [this, i] { start(i); });
+        });
+      }
+    } else if (t == "restart-all") {
+      // One after the other, so that never all are away at once: what they hold passes on.
+      for (unsigned i = 0; i < plan_.nodes; ++i)
+        after(plan_.lasts * i / (plan_.nodes + 1), [this, i] {
+          kill(i);
+          after(100ms, [this, i] { start(i); });
+        });
+    } else if (t == "cut" || t == "cut-one-way") {
+      bad.cut = true;
+      ways([&](unsigned a,
+               unsigned b) { return t == "cut" ? (a < half) != (b < half) : a < half && b >= half; },
+           bad);
+      // Each side is given one of its own; the larger number is everybody's in the end.
+      after(plan_.lasts / 2, [this] { publish(text()); });
+    } else if (t == "loss" || t == "mangled") {
+      bad.lost = t == "loss" ? 0.3 : 0.05;
+      if (t == "mangled") {
+        bad.doubled = bad.old = 0.3;
+        bad.spoilt = 0.1;
+        bad.spread = 100ms;
+      }
+      ways([](unsigned, unsigned) { return true; }, bad);
+    } else if (t == "pause") {
+      for (unsigned i = 1; i < plan_.nodes; i += 3) freeze(i, true);
+    } else if (t == "busy") {
+      for (unsigned i = 1; i < plan_.nodes; i += 3)
+        for (Micros in = 0us; in < plan_.lasts; in += 200ms) {
+          after(in, [this, i] { freeze(i, true); });
+          after(in + 180ms, [this, i] { freeze(i, false); });
+        }
+    } else if (t == "two-at-once") {
+      publish(text());
+      publish(text());
+      publish(text());
+    } else if (t == "refused" || t == "refused-by-odd") {
+      after(plan_.lasts / 2, [this, t] {
+        publish(t == "refused" ? "[listener.video]\nutility = 2\n" : "[listener.even]\nutility = 2\n",
+                t == "refused", t != "refused");
+      });
+      // Who starts after it has to come to what the others run by.
+      after(plan_.lasts * 2 / 3, [this] { kill(plan_.nodes - 1); });
+      after(plan_.lasts * 2 / 3 + 200ms, [this] { start(plan_.nodes - 1); });
+    } else if (t == "half-published") {
+      after(plan_.lasts / 2, [this] { publish(text() + std::string(1000, '#') + '\n', false, false, 1); });
+    } else if (t == "older-again") {
+      // The publisher of a former number comes back late and says it again to everybody.
+      after(plan_.lasts / 2, [this] {
+        const Change old{ChangeNumber{1}, "[listener.chat]\nutility = 8\n"};
+        published_.push_back({which(old), false, false, stage_.now(), true});
+        for (unsigned i = 0; i < plan_.nodes; ++i) publisher_.publish(old, {i, 0});
+      });
+    }
+  }
+  template <class Act>
+  void at_random(unsigned, Act act) {
+    after(part(plan_.lasts / 2), std::move(act));
+  }
+
+  void heal() {
+    ways([](unsigned, unsigned) { return true; }, Post());
+    for (unsigned i = 0; i < plan_.nodes; ++i) freeze(i, false);
+    cut_off_.clear();
+  }
+
+  void look() {
+    for (unsigned i = 0; i < units_.size(); ++i)
+      if (units_[i].up && !units_[i].frozen) publisher_.ask({i, 0});
+    after(kLook / (plan_.nodes > 100 ? 1 : 4), [this] { look(); });
+  }
+
+  const Published* published(const Which& w) const {
+    for (const Published& p : published_)
+      if (p.which == w) return &p;
+    return nullptr;
+  }
+  static bool refuses(const Published& p, unsigned node) {
+    return p.refused || (p.refused_by_odd && node % 2);
+  }
+
+  void seen(RigPlace place, const changes::Status& s) {
+    Unit& u = units_[place.node];
+    if (!u.up) return;
+    ++out_.looks;
+    const std::string who = "n" + std::to_string(place.node);
+    // An answer of a process before this one comes after its start by a little at most: those of a new one
+    // rise.
+    if (s.has.newest < u.has.newest || s.has.in_force < u.has.in_force) {
+      if (stage_.now() - started_[place.node] > 500ms)
+        broken("back", who + " has an older change than before");
+    }
+    for (const Which& w : {s.has.newest, s.has.in_force})
+      if (w.number.value && !published(w))
+        broken("whole",
+               who + " has change " + std::to_string(w.number.value) + ", which nobody published so");
+    if (const Published* p = published(s.has.in_force); p && refuses(*p, place.node))
+      broken("refused", who + " runs by a change that does not fit it");
+    if (s.has.in_force != s.has.newest && s.reason.empty())
+      broken("refused", who + " does not run by the newest and says no reason");
+    u.has = s.has;
+    u.reason = s.reason;
+    note_known();
+  }
+  void note_known() {
+    for (Published& p : published_) {
+      if (p.known || p.which.number.value == 0) continue;
+      const bool all = std::all_of(units_.begin(), units_.end(), [&](const Unit& u) {
+        return !u.up || u.frozen || u.has.newest >= p.which;
+      });
+      if (!all) continue;
+      p.known = true;
+      out_.known.push_back(seconds(stage_.now() - p.at) * 1e3);
+    }
+  }
+
+  // By now all that run have the newest, and run by the newest that fits them.
+  void judge(const std::string& rule) {
+    Which newest;
+    for (const Published& p : published_) newest = std::max(newest, p.which);
+    for (unsigned i = 0; i < units_.size(); ++i) {
+      const Unit& u = units_[i];
+      if (!u.up) continue;
+      Which fits;
+      for (const Published& p : published_)
+        if (!refuses(p, i)) fits = std::max(fits, p.which);
+      const std::string who = "n" + std::to_string(i);
+      if (u.has.newest != newest)
+        broken(rule, who + " has change " + std::to_string(u.has.newest.number.value) + ", not " +
+                         std::to_string(newest.number.value));
+      else if (u.has.in_force != fits)
+        broken(rule, who + " runs by change " + std::to_string(u.has.in_force.number.value) + ", not " +
+                         std::to_string(fits.number.value));
+    }
+  }
+
+  const ChangePlan& plan_;
+  RigStage& stage_;
+  std::knuth_b chance_;
+  Publisher publisher_;
+  Micros began_;
+  std::vector<Unit> units_;
+  std::map<unsigned, Micros> started_;
+  std::vector<RigPlace> seeds_;
+  std::vector<Published> published_;
+  std::set<unsigned> cut_off_;
+  std::set<std::string> said_;
+  std::uint64_t number_ = 0;
+  std::size_t sent_ = 0, before_ = 0;
+  ChangeOutcome out_;
+};
+
+}  // namespace
+
+const std::vector<std::string>& change_troubles() {
+  static const std::vector<std::string> all = {
+      "calm",        "crash",   "restart",        "restart-all",    "cut",
+      "cut-one-way", "loss",    "mangled",        "pause",          "busy",
+      "two-at-once", "refused", "refused-by-odd", "half-published", "older-again"};
+  return all;
+}
+
+ChangeOutcome play_changes(const ChangePlan& plan, RigStage& stage, std::uint64_t seed,
+                           const std::string& trouble) {
+  return ChangeRig(plan, stage, seed, trouble).play();
+}
+
+ChangeOutcome run_changes_virtual(const ChangePlan& plan, std::uint64_t seed, const std::string& trouble) {
+  RigVirtual stage(plan.nodes, plan.interval, 3600s, seed, nullptr);
+  stage.carry_changes();
+  return play_changes(plan, stage, seed, trouble);
+}
+
+ChangeOutcome run_changes_real(const ChangePlan& plan, std::uint64_t seed, const std::string& trouble,
+                               const std::vector<std::string>& program, const std::string& folder) {
+  RigLoopback stage(program, folder, plan.nodes, plan.interval, seed);
+  stage.add_section("[changes]\n");
+  return play_changes(plan, stage, seed, trouble);
+}
+
+}  // namespace flintweir::lab
--- a/src/lab/fleet/rig_loopback.h
+++ b/src/lab/fleet/rig_loopback.h
@@ -42,6 +42,7 @@
   Address hears_at(RigPlace at) const override;
   net::Network& onlooker() override { return onlooker_; }
   Address onlooker_at() const override;
+  const char* fleet() const override { return "rig"; }
   void knock(RigPlace at, std::function<void(bool)> answered) override;
   void read_logs(const std::function<void(RigPlace, std::string_view)>& line) override;
 
--- a/src/lab/fleet/rig_stage.h
+++ b/src/lab/fleet/rig_stage.h
@@ -39,6 +39,7 @@
   // For whoever looks on, with a post of its own.
   virtual net::Network& onlooker() = 0;
   virtual Address onlooker_at() const = 0;
+  virtual const char* fleet() const = 0;  // its name
   // Whether it still serves clients; calls back at once or later.
   virtual void knock(RigPlace at, std::function<void(bool)> answered) = 0;
 
--- a/src/lab/fleet/rig_virtual.cpp
+++ b/src/lab/fleet/rig_virtual.cpp
@@ -3,11 +3,29 @@
 #include <cstdio>
 
 #include "numbers.h"
+#include "setup/change_text.h"
 
 namespace flintweir::lab {
 
 using namespace std::chrono_literals;
 
+namespace {
+
+// As a node would find it.
+std::string fits(const changes::Change& change, unsigned node) {
+  std::vector<std::string> wrong, names{"chat"};
+  if (node % 2 == 0) names.emplace_back("even");
+  setup::Running own;
+  own.listeners.assign(names.size(), Listener{500ms, 2s, Effect::repeatable, Reach::all, 1s, 1});
+  own.dials = DialLimits{4, 0us};
+  own.prices = Prices{0, 0.0};
+  const auto text = setup::ChangeText::of_text(change.text, "change", wrong);
+  if (wrong.empty()) setup::changed(own, names, text, wrong);
+  return wrong.empty() ? "" : wrong.front();
+}
+
+}  // namespace
+
 RigVirtual::RigVirtual(unsigned nodes, Micros interval, Micros forgets, std::uint64_t seed,
                        std::string* logged, std::optional<PlainWay> plain)
     : nodes_(nodes),
@@ -80,6 +98,7 @@
   u.peers = std::make_unique<node::Peers>(*u.process, *u.wakes, section(at, seeds), name, "lab",
                                           mix(seed_ * 4096 + starts_), [](unsigned) {});
   if (leases_) u.peers->vote(*leases_);
+  if (carries_) u.peers->carry({}, [at](const changes::Change& c) { return fits(c, at.node); });
   called_ = at;
   u.peers->begin();
   called_.reset();
--- a/src/lab/fleet/rig_virtual.h
+++ b/src/lab/fleet/rig_virtual.h
@@ -34,6 +34,9 @@
   Post& way(unsigned from, unsigned to) override { return ways_[from * nodes_ + to]; }
   Address hears_at(RigPlace at) const override;
   net::Network& onlooker() override { return *onlooker_; }
+  const char* fleet() const override { return "lab"; }
+  // Those that start from now on pass changes on. Their listeners are chat, and on even nodes even.
+  void carry_changes() { carries_ = true; }
   Address onlooker_at() const override { return Fabric::address(onlooks_, kPort); }
   void knock(RigPlace, std::function<void(bool)> answered) override { answered(true); }
   // Voters among the nodes that start from now on.
@@ -72,6 +75,7 @@
   std::vector<Post> ways_;
   MachineNo onlooks_;
   std::unique_ptr<Process> onlooker_;
+  bool carries_ = false;
   std::optional<setup::LeasesSection> leases_;
   std::map<RigPlace, double> rates_;
   std::map<RigPlace, Micros> clocks_back_;
--- a/src/lab/models/baselines.cpp
+++ b/src/lab/models/baselines.cpp
@@ -46,6 +46,7 @@
         most_dials_(most_dials),
         ask_every_(ask_every) {}
 
+  void settings_are(std::vector<Listener>, unsigned, Prices) override {}
   void nodes_are(unsigned) override {}
   void at(Micros now) override {
     now_ = now;
--- a/src/lab/network/spawn.h
+++ b/src/lab/network/spawn.h
@@ -18,6 +18,7 @@
 
   void signal(int number);  // nothing where it has ended
   bool running();
+  pid_t pid() const { return pid_; }
 
  private:
   pid_t pid_;  // zero once it has ended
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,7 @@
 #include <getopt.h>
 #include <sys/resource.h>
 
+#include <charconv>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -10,12 +11,13 @@
 #include <string>
 #include <thread>
 
+#include "change_command.h"
 #include "lease_command.h"
-#include "members/asker.h"
 #include "net/kernel_network.h"
 #include "net/nowhere.h"
 #include "node/node.h"
 #include "plain_text.h"
+#include "view_client.h"
 
 namespace {
 
@@ -27,6 +29,7 @@
     "  serve      run a node until SIGTERM; SIGHUP reads its files again\n"
     "  check      read the files given as serve would, and say all that is wrong\n"
     "  members    ask the node at --at ADDRESS (its fleet.address) for its view of the fleet\n"
+    "  change     put FILE: gives the fleet a change of configuration; show: which node has which\n"
     "  lease      hold NAME -- COMMAND: run it while holding the lease; list, show NAME: who holds what\n"
     "  version    print the version\n"
     "  help       print this\n"
@@ -112,57 +115,15 @@
   return wrong.empty() ? 0 : 1;
 }
 
-// Sends each question up to three times; prints the whole view.
-class Members final : flintweir::net::DatagramEvents {
- public:
-  Members(const flintweir::Address& at, bool json) : at_(at), json_(json) {
-    flintweir::Address here;
-    here.v6 = at.v6;
-    network_.open_datagrams(here);
-    network_.wait_datagram(*this);
-  }
-  bool ask() {
-    using namespace std::chrono_literals;
-    asker_.emplace(static_cast<std::uint64_t>(network_.now().count()));
-    whole_ = false;
-    for (int silent = 0; silent < 3 && !whole_; ++silent) {
-      answered_ = false;
-      network_.send_datagram(at_, asker_->question());
-      const auto until = network_.now() + 500ms;
-      while (!answered_ && network_.now() < until) network_.run_for(until - network_.now());
-      if (answered_) silent = -1;
-    }
-    if (whole_) std::fputs((json_ ? to_json(*asker_) : to_table(*asker_)).c_str(), stdout);
-    std::fflush(stdout);
-    return whole_;
-  }
-
- private:
-  void datagram_waits() override {
-    char bytes[flintweir::members::kLongestDatagram + 1];
-    for (;;) {
-      const auto got = network_.receive(bytes, sizeof bytes);
-      if (got.how == flintweir::net::Io::later) break;
-      if (got.how != flintweir::net::Io::done || got.from != at_) continue;
-      answered_ = true;
-      whole_ = asker_->received({bytes, got.bytes}) || whole_;
-    }
-    network_.wait_datagram(*this);
-    network_.stop();
-  }
-
-  flintweir::net::KernelNetwork network_;
-  flintweir::Address at_;
-  bool json_, answered_ = false, whole_ = false;
-  std::optional<flintweir::members::Asker> asker_;
-};
-
 int members(const std::string& at, bool json, bool watch) {
   const auto address = flintweir::address_of(at);
   if (!address) return wrong_use("--at has to be an address with a port, as in fleet.address");
-  Members view(*address, json);
+  flintweir::ViewClient client(*address);
   for (;;) {
-    const bool answered = view.ask();
+    const auto* const view = client.ask();
+    const bool answered = view != nullptr;
+    if (view) std::fputs((json ? to_json(*view) : to_table(*view)).c_str(), stdout);
+    std::fflush(stdout);
     if (!answered) std::fprintf(stderr, "flintweir: nobody answers at %s\n", at.c_str());
     if (!watch) return answered ? 0 : 3;
     std::this_thread::sleep_for(std::chrono::seconds(1));
@@ -195,6 +156,33 @@
   }
 }
 
+// change put FILE, under a lease, whose token is its number; change show --at ADDRESS.
+int change(const std::vector<std::string>& words, const std::string& own, const std::string& at, bool json) {
+  const std::string what = words.size() > 1 ? words[1] : "";
+  if ((what != "put" || words.size() != 3) && (what != "show" || words.size() != 2))
+    return wrong_use("change takes 'put FILE' or 'show'");
+  const auto address = flintweir::address_of(at);
+  if (!at.empty() && !address) return wrong_use("--at has to be an address with a port, as in fleet.address");
+  if (what == "show" && !address) return wrong_use("no node to ask: name one with --at");
+  try {
+    if (what == "show") return flintweir::change_show(*address, json);
+    const std::string token = given("FLINTWEIR_TOKEN");
+    std::uint64_t number = 0;
+    const auto [end, ec] = std::from_chars(token.data(), token.data() + token.size(), number);
+    if (token.empty() || ec != std::errc{} || end != token.data() + token.size() || number == 0)
+      return wrong_use(
+          "change put gets its number from the lease it runs under: flintweir lease hold changes -- "
+          "flintweir change put FILE");
+    if (own.empty()) return wrong_use("no operator's file: name one with --operator or EDGE_OPERATOR");
+    const auto file = operator_file(own);
+    if (!file.fleet || !file.changes) return wrong_use(own + " has no section [changes]");
+    return flintweir::change_put(file, words[2], number, address.value_or(file.fleet->address));
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "flintweir: %s\n", e.what());
+    return 1;
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -234,6 +222,7 @@
   }
   const std::string command = optind < argc ? argv[optind] : help ? "help" : version ? "version" : "";
   const std::vector<std::string> words(argv + std::min(optind, argc), argv + argc);
+  if (command == "change") return change(words, own, at, json);
   if (command == "lease") return lease(words, own, from, told, json);
   if (optind + 1 < argc) return wrong_use("too many words: '" + std::string(argv[optind + 1]) + "'");
   if (help || command == "help") return std::fputs(kHelp, stdout), 0;
--- a/src/members/view.cpp
+++ b/src/members/view.cpp
@@ -86,6 +86,26 @@
     nonces_ = mix(seed ^ start.value) >> 9;
   }
 
+  void draw(std::size_t near, std::size_t far, std::vector<Address>& to) {
+    const std::string& zone = members_.at(name_).facts.zone;
+    std::vector<Address> of_near, of_far;
+    // Where zones are few, a few tries find a member of each kind.
+    std::set<std::size_t> drawn;
+    for (std::size_t i = 0; !order_.empty() && i < 8 * (near + far); ++i) {
+      const std::size_t no = below(order_.size());
+      if (!drawn.insert(no).second) continue;
+      const auto it = members_.find(order_[no]);
+      if (it == members_.end() || !reachable(it->first, it->second)) continue;
+      (it->second.facts.zone == zone ? of_near : of_far).push_back(it->second.facts.address);
+    }
+    const std::size_t far_most = near > 0 && of_near.empty() ? near + far : far,
+                      near_most = far > 0 && of_far.empty() ? near + far : near;
+    of_near.resize(std::min(of_near.size(), near_most));
+    of_far.resize(std::min(of_far.size(), far_most));
+    to.insert(to.end(), of_near.begin(), of_near.end());
+    to.insert(to.end(), of_far.begin(), of_far.end());
+  }
+
   void at(Micros now) {
     now_ = std::max(now, now_);
     // Guards against a process that was stopped and accuses others of its own silence: all that was out is
@@ -1070,6 +1090,7 @@
 void View::seeds(std::vector<Address> seeds) { impl_->seeds(std::move(seeds)); }
 void View::leave() { impl_->leave(); }
 void View::note(std::string_view note) { impl_->note(note); }
+void View::draw(std::size_t near, std::size_t far, std::vector<Address>& to) { impl_->draw(near, far, to); }
 std::uint64_t View::digest() const { return impl_->digest(); }
 unsigned View::acting() const { return impl_->acting(); }
 bool View::joined() const { return impl_->joined(); }
--- a/src/members/view.h
+++ b/src/members/view.h
@@ -60,6 +60,10 @@
   // What the node wants passed on, at most kLongestNote bytes.
   void note(std::string_view note);
 
+  // Puts the addresses of so many members drawn by chance behind `to`: of this node's zone, and of others.
+  // Fewer where there are not so many; all from the other side where one has none.
+  void draw(std::size_t near, std::size_t far, std::vector<Address>& to);
+
   std::uint64_t digest() const;  // the same where two views are
   // Whoever may still be acting: all that are not known to have left. Zero while this node has not joined.
   unsigned acting() const;
--- a/src/net/nowhere.h
+++ b/src/net/nowhere.h
@@ -6,7 +6,7 @@
 
 namespace flintweir::net {
 
-class Nowhere final : public Network {
+class Nowhere : public Network {
  public:
   Micros now() const override { return Micros{0}; }
   void ring(Micros, Alarm&) override {}
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -84,7 +84,11 @@
       sessions_(sockets_, wakes_, hosts_, patience(file.settings()), message_target(file.settings()),
                 head_reader(file.settings()), most_sessions(file), socket_limit(file) / kIdleShare, *this),
       discovery_(sockets_, wakes_, file.discovery(), setup::names(file.settings(), "failureDomains"), hosts_,
-                 agent_again(file.settings()), file.seed(), *this) {
+                 agent_again(file.settings()), file.seed(), *this),
+      own_(setup::running_of(file.settings())),
+      listener_names_(setup::names(file.settings(), "listeners")),
+      own_discovery_(file.discovery()),
+      discovery_at_(own_discovery_) {
   sessions_.serve(make(file.settings(), sessions_, file.seed()));
   if (const auto known = file.known(); known && !discovery_.take(*known)) {
     setup::bad("configuration: known is not a list of hosts");
@@ -101,6 +105,26 @@
                                    [this](unsigned nodes) { balancer_now().nodes_are(nodes); });
   leases_ = own.leases;
   if (leases_) peers_->vote(*leases_);
+  changes_ = own.changes;
+  if (changes_) peers_->carry(*changes_, [this](const changes::Change& c) { return take(c); });
+}
+
+std::string Node::take(const changes::Change& change) {
+  std::vector<std::string> wrong;
+  const auto text = setup::ChangeText::of_text(change.text, "change", wrong);
+  setup::Running running = setup::changed(own_, listener_names_, text, wrong);
+  if (!wrong.empty()) return wrong.front();
+  sessions_.balancer_now().settings_are(std::move(running.listeners), running.dials.most, running.prices);
+  changed_discovery_ = text.discovery;
+  follow(changed_discovery_.value_or(own_discovery_));
+  return {};
+}
+
+// A change that names another service goes before the file.
+void Node::follow(const Address& at) {
+  if (at == std::exchange(discovery_at_, at)) return;
+  log_line("discovery at %s from now on", to_text(at).c_str());
+  discovery_.turn_to(at);
 }
 
 void Node::serve() {
@@ -123,12 +147,19 @@
     Nowhere nowhere;
     const Node as_at_a_start(nowhere, *file);
     const Address at = file->discovery_of_file();
-    log_line("reload: discovery at %s", to_text(at).c_str());
-    discovery_.turn_to(at);
+    own_discovery_ = at;
+    if (changed_discovery_)
+      log_line("reload: discovery stays at %s, as a change says", to_text(discovery_at_).c_str());
+    else {
+      log_line("reload: discovery at %s", to_text(at).c_str());
+      discovery_at_ = at;
+      discovery_.turn_to(at);
+    }
     if (own.fleet.has_value() != (peers_ != nullptr))
       log_line("reload: fleet: holds until the next start");
     else if (peers_)
       peers_->reload(*own.fleet);
+    if (own.changes != changes_) log_line("reload: changes: holds until the next start");
     if (own.leases != leases_) log_line("reload: leases: holds until the next start");
   } catch (const std::exception& e) {
     log_line("reload: %s; nothing is changed", e.what());
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -7,6 +7,7 @@
 #include "node/discovery.h"
 #include "node/node_file.h"
 #include "node/peers.h"
+#include "setup/change_text.h"
 #include "setup/deployment.h"
 
 namespace flintweir::node {
@@ -39,6 +40,9 @@
   void woken(std::uint64_t due) override;
   void connection_waits() override { accept(); }
   void first_word() override { open(); }
+  // A change whole, or nothing of it and why not.
+  std::string take(const changes::Change& change);
+  void follow(const Address& at);
   void open();    // from now on clients are taken
   bool accept();  // false: nobody waits any more
 
@@ -53,6 +57,12 @@
   Discovery discovery_;
   std::unique_ptr<Peers> peers_;
   std::optional<setup::LeasesSection> leases_;  // none without the operator's word
+  std::optional<setup::ChangesSection> changes_;
+  // As the file has it at the start; changes are laid over that.
+  setup::Running own_;
+  std::vector<std::string> listener_names_;
+  Address own_discovery_, discovery_at_;
+  std::optional<Address> changed_discovery_;
 };
 
 }  // namespace flintweir::node
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -21,6 +21,7 @@
       fleet_(fleet),
       name_(name),
       count_(std::move(count)),
+      seed_(seed),
       view_(*this, fleet.name, std::move(name),
             members::Start{static_cast<std::uint64_t>(wakes.now().count())}, fleet.told, fleet.zone,
             std::move(version), fleet.seeds, fleet.interval, fleet.forget, fleet.most, seed) {}
@@ -35,12 +36,19 @@
                                        static_cast<std::uint64_t>(wakes_.now().count()));
   view_.at(wakes_.now());
   view_.begin();
+  if (changing_) changing_->begin();
 }
 
 void Peers::vote(const setup::LeasesSection& leases) {
   if (std::find(leases.voters.begin(), leases.voters.end(), name_) != leases.voters.end()) leases_ = leases;
 }
 
+void Peers::carry(const setup::ChangesSection& changes,
+                  std::function<std::string(const changes::Change&)> take) {
+  changing_ = std::make_unique<Changing>(network_, wakes_, view_, fleet_, changes, name_, mix(seed_),
+                                         std::move(take));
+}
+
 void Peers::reload(const setup::FleetSection& fleet) {
   setup::FleetSection with_seeds = fleet_;
   with_seeds.seeds = fleet.seeds;
@@ -63,7 +71,9 @@
     if (got.how == Io::later) break;
     if (got.how != Io::done) continue;
     const std::string_view text(bytes, got.bytes);
-    if (!leases::is_lease(text))
+    if (changes::is_change(text)) {
+      if (changing_) changing_->received(got.from, text);
+    } else if (!leases::is_lease(text))
       view_.received(got.from, text);
     else if (voting_ && view_.joined())  // a second process of this name has no vote
       voting_->received(text);
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -9,6 +9,7 @@
 
 #include "members/view.h"
 #include "net/wakes.h"
+#include "node/changing.h"
 #include "node/voting.h"
 #include "setup/operator.h"
 
@@ -25,6 +26,13 @@
   void begin();
   // From begin() on this node votes for leases, if it is one of those named.
   void vote(const setup::LeasesSection& leases);
+  // From begin() on this node passes changes on, and takes them by `take` (see Changing).
+  void carry(const setup::ChangesSection& changes, std::function<std::string(const changes::Change&)> take);
+  // None: changes are not carried.
+  const changes::Status* change_status() const { return changing_ ? &changing_->status() : nullptr; }
+  std::uint64_t change_bytes() const { return changing_ ? changing_->sent_bytes() : 0; }
+  std::uint64_t digest() const { return view_.digest(); }
+  unsigned acting() const { return view_.acting(); }
   // Takes new seeds; all else holds until the next start.
   void reload(const setup::FleetSection& fleet);
   void leave();
@@ -45,9 +53,11 @@
   std::function<void(unsigned)> count_;
   Micros joined_at_ = kNever;
   unsigned told_ = 0;
+  std::uint64_t seed_;
   members::View view_;
   std::optional<setup::LeasesSection> leases_;
   std::unique_ptr<Voting> voting_;
+  std::unique_ptr<Changing> changing_;
 };
 
 }  // namespace flintweir::node
--- a/src/setup/deployment.cpp
+++ b/src/setup/deployment.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "setup/change_text.h"
+
 namespace flintweir::setup {
 namespace {
 
@@ -67,20 +69,28 @@
   return out;
 }
 
-std::unique_ptr<Balancer> balancer_for(const Values& settings, Outlet& outlet, std::uint64_t seed) {
+Running running_of(const Values& settings) {
   const Values ceilings(settings, "ceilings"), rules(settings, "rules"), prices(settings, "prices");
+  return {listeners(settings),
+          DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)), longest_stay_away(settings),
+                     further_dials(rules)},
+          Prices{prices.real("crossZone", 0),
+                 ceilings.yes("probes") ? std::optional(prices.real("probe", 0)) : std::nullopt}};
+}
+
+std::unique_ptr<Balancer> balancer_for(const Values& settings, Outlet& outlet, std::uint64_t seed) {
+  const Values rules(settings, "rules");
   check_goal(settings);
+  Running running = running_of(settings);
   return make_balancer(
       outlet, seed, static_cast<unsigned>(settings.real("balancers", 1)),
-      ZoneId{static_cast<std::uint32_t>(settings.real("myZone", 0))}, listeners(settings),
-      DialLimits{static_cast<unsigned>(ceilings.real("maxDials", 1)), longest_stay_away(settings),
-                 further_dials(rules)},
+      ZoneId{static_cast<std::uint32_t>(settings.real("myZone", 0))}, std::move(running.listeners),
+      running.dials,
       ColdRule{rules.time("cold"), rules.real("coldShare", 1), rules.real("overloadFactor", 1),
                rules.time("tipAfter")},
       ListRule{settings.text("discovery", "") == "on_request", rules.time("askEvery"),
                settings.text("weightSource", "") != "live", rules.yes_or_no("softRemoval", false)},
-      Prices{prices.real("crossZone", 0),
-             ceilings.yes("probes") ? std::optional(prices.real("probe", 0)) : std::nullopt});
+      running.prices);
 }
 
 std::vector<std::string> names(const Values& settings, std::string_view list) {
--- a/src/setup/operator.h
+++ b/src/setup/operator.h
@@ -30,6 +30,12 @@
   bool operator==(const LeasesSection&) const = default;
 };
 
+// Section [changes]: changes of configuration carried from node to node.
+struct ChangesSection {
+  std::string folder;  // where the newest is kept for the next start; empty: nowhere
+  bool operator==(const ChangesSection&) const = default;
+};
+
 class OperatorFile {
  public:
   // All that is wrong is found, a line for each: FILE:LINE:COLUMN: KEY: what, and what is allowed.
@@ -40,7 +46,8 @@
   static OperatorFile read(const std::string& path);
 
   std::optional<FleetSection> fleet;
-  std::optional<LeasesSection> leases;  // only beside a fleet
+  std::optional<LeasesSection> leases;    // only beside a fleet
+  std::optional<ChangesSection> changes;  // only beside a fleet
 };
 
 }  // namespace flintweir::setup
--- a/tests/flaws.cmake
+++ b/tests/flaws.cmake
@@ -28,6 +28,8 @@
   endif()
   if(experiment STREQUAL "search")
     add_test(NAME caught-${name} COMMAND flaw-${name} search --states 20000 --seeds 1..20000 --jobs 4)
+  elseif(experiment STREQUAL "changes")
+    add_test(NAME caught-${name} COMMAND flaw-${name} changes --seeds 1..120 --jobs 4)
   elseif(experiment STREQUAL "crossings")
     add_test(NAME caught-${name} COMMAND flaw-${name} crossings --jobs 4)
   elseif(rule STREQUAL "view-ghost")
@@ -142,3 +144,17 @@
 flintweir_flaw(move-within-a-line crossings ended src/line/relay.cpp
   "if (moving_ && between_lines_)" "if (moving_)"
   "host_->at_end() ? bytes.held().size() : seen_" "bytes.held().size()")
+
+# Changes of configuration.
+flintweir_flaw(change-goes-back changes back src/changes/carrier.cpp
+  "if (theirs > status_.has.newest) return true;" "if (theirs != status_.has.newest) return true;"
+  "if (now > status_.has.newest) {" "if (now != status_.has.newest) {")
+flintweir_flaw(change-in-force-though-refused changes refused src/changes/carrier.cpp
+  "const bool taken = reason.empty();" "const bool taken = true;")
+flintweir_flaw(change-not-told-at-rest changes settled src/changes/carrier.cpp
+  "return tell(far ? 0 : 1, far ? 1 : 0);" "return;"
+  "for (const Address& s : seeds_)" "for (const Address& s : std::vector<Address>())")
+flintweir_flaw(change-before-not-fetched changes settled src/changes/carrier.cpp
+  "return !status_.reason.empty() && theirs" "return false && theirs")
+flintweir_flaw(change-told-without-end changes budget src/changes/carrier.cpp
+  "kRounds = 4;" "kRounds = 4000;" "kRound = 250ms;" "kRound = 5ms;" "kBytesPerSecond = 7000" "kBytesPerSecond = 7e9")
