--- a/apps/flintweir_lab.cpp
+++ b/apps/flintweir_lab.cpp
@@ -26,8 +26,10 @@
 #include "lab/fleet/scale_node.h"
 #include "lab/leases/lease_rig.h"
 #include "lab/leases/lease_search.h"
+#include "lab/reports/capacity.h"
 #include "lab/reports/report.h"
 #include "lab/reports/results.h"
+#include "lab/reports/scale_module.h"
 #include "lab/runner.h"
 
 namespace {
@@ -297,6 +299,37 @@
   return 0;
 }
 
+int scale_groups(const std::vector<unsigned>& hosts, const std::vector<unsigned>& sessions, unsigned groups,
+                 unsigned nodes) {
+  for (const unsigned h : hosts)
+    for (const unsigned n : sessions) {
+      const ModuleScale s = scale_module(h, n, groups, nodes, 7);
+      std::printf(
+          "hosts=%u sessions=%u: %.1f us a placement, %.0f us a second by itself, %.0f KiB (%.2f a session), "
+          "%.2f hosts a group, "
+          "largest on %u, most on a host %.2f of the mean, %u moved by its death\n",
+          s.hosts, s.sessions, s.placement_us, s.beat_us, s.memory_kib, s.memory_kib / n, s.copies,
+          s.largest_hosts, s.most_load, s.moved);
+      std::fflush(stdout);
+    }
+  for (const unsigned h : hosts)
+    for (const double rate : {1.0, 5.0, 20.0, 90.0})
+      std::printf("hosts=%u sessions a second=%.0f: %.1f probes a second at a price of 0.002\n", h, rate,
+                  probes_a_second(h, rate, 0.002, 7));
+  return 0;
+}
+
+// Prints the tables, or with a page says whether it holds just these.
+int capacity(const std::string& slopes, const std::string& size, const std::string& page) {
+  const std::string tables = Capacity(slopes, size).tables();
+  if (page.empty()) return std::fputs(tables.c_str(), stdout), 0;
+  if (page_agrees(page, tables))
+    return std::printf("%s agrees with %s and %s\n", page.c_str(), slopes.c_str(), size.c_str()), 0;
+  std::fprintf(stderr, "flintweir-lab: %s: its tables are not those of %s and %s\n", page.c_str(),
+               slopes.c_str(), size.c_str());
+  return 1;
+}
+
 int changes(Seeds seeds, const RunWays& ways, const ChangePlan& plan, const std::string& only) {
   std::mutex mutex;
   std::map<std::string, ChangeOutcome> by_trouble;
@@ -702,6 +735,22 @@
       ->check(CLI::Range(10u, 9500u));
   scale_command->add_option("--program", program, "the real program; without it the one beside this");
   scale_command->add_option("--out", ways.out, "folder for logs");
+  CLI::App* const groups_command =
+      app.add_subcommand("scale-groups", "the decision module alone with many groups, hosts and sessions");
+  std::vector<unsigned> group_hosts{100, 250, 500, 1000, 2000}, group_sessions{2000, 10000, 20000, 44000};
+  unsigned groups = 39000, group_nodes = 500;
+  groups_command->add_option("--hosts", group_hosts, "listed")->delimiter(',')->check(CLI::Range(2u, 10000u));
+  groups_command->add_option("--sessions", group_sessions, "held")
+      ->delimiter(',')
+      ->check(CLI::Range(100u, 200000u));
+  groups_command->add_option("--groups", groups, "in all")->check(CLI::Range(1u, 1000000u));
+  groups_command->add_option("--nodes", group_nodes, "of the fleet")->check(CLI::Range(1u, 10000u));
+  CLI::App* const capacity_command =
+      app.add_subcommand("capacity", "the tables of docs/CAPACITY.md, of measured slopes and a size");
+  std::string slopes = "docs/capacity/slopes.toml", size_file = "docs/capacity/size.toml", page;
+  capacity_command->add_option("--slopes", slopes, "what was measured, and the rows");
+  capacity_command->add_option("--size", size_file, "the size to plan with");
+  capacity_command->add_option("--page", page, "says whether that page holds these tables");
   CLI::App* const search_command =
       app.add_subcommand("search", "play the leases' decisions in every order, then in long walks by seed");
   std::uint64_t states = 300'000;
@@ -745,6 +794,8 @@
       ways.program = program_of(program);
       return *hollow_command ? hollow(hollow_plan, ways) : scale(sizes, ways);
     }
+    if (*capacity_command) return capacity(slopes, size_file, page);
+    if (*groups_command) return scale_groups(group_hosts, group_sessions, groups, group_nodes);
     if (*changes_command) {
       if (ways.real) ways.program = program_of(program);
       // A large fleet takes longer to know itself.
--- a/src/lab/fleet/hollow.cpp
+++ b/src/lab/fleet/hollow.cpp
@@ -40,7 +40,9 @@
 class Lossy final : public net::Nowhere {
  public:
   using Passes = std::function<bool(const Address&)>;
-  Lossy(net::KernelNetwork& beside, Passes passes) : network_(beside), passes_(std::move(passes)) {}
+  // `all` is added to, also by those that are gone by then.
+  Lossy(net::KernelNetwork& beside, std::uint64_t& all, Passes passes)
+      : all_(all), network_(beside), passes_(std::move(passes)) {}
   ~Lossy() { network_.retire(); }
   Micros now() const override { return network_.now(); }
   void ring(Micros at, net::Alarm& whom) override { network_.ring(at, whom); }
@@ -49,17 +51,20 @@
   net::Received receive(char* to, std::size_t size) override { return network_.receive(to, size); }
   void send_datagram(const Address& to, std::string_view bytes) override {
     sent += bytes.size();
+    all_ += bytes.size();
     if (passes_(to)) network_.send_datagram(to, bytes);
   }
   std::uint64_t sent = 0;
 
  private:
+  std::uint64_t& all_;
   net::KernelNetwork network_;
   Passes passes_;
 };
 
 struct Member {
-  Member(net::KernelNetwork& loop, Lossy::Passes passes) : network(loop, std::move(passes)), wakes(network) {}
+  Member(net::KernelNetwork& loop, std::uint64_t& all, Lossy::Passes passes)
+      : network(loop, all, std::move(passes)), wakes(network) {}
   Lossy network;
   net::Wakes wakes;
   std::unique_ptr<node::Peers> peers;
@@ -109,21 +114,20 @@
     for (unsigned i = 20; i < 40; ++i) rack.push_back(i);
     happens(
         "a rack", [&] { drop(rack); }, [this] { return gone_known(); });
-    start_again(rack);
+    happens(
+        "a rack back", [&] { start_again(rack); }, [this] { return back_known(); });
     for (unsigned i = 3; i < members_.size(); ++i)
       if (i % zones_ == 4 && members_[i]) zone.push_back(i);
     happens(
         "a zone", [&] { drop(zone); }, [this] { return gone_known(); });
-    const unsigned running = running_members();
     happens(
-        "a zone back", [&] { start_again(zone); },
-        [this, running, n = zone.size()] { return agree(running + static_cast<unsigned>(n)); });
+        "a zone back", [&] { start_again(zone); }, [this] { return back_known(); });
     // Half of the fleet restarted within a minute, a change in the middle.
     std::vector<unsigned> half;
     for (unsigned i = 3; i < members_.size(); i += 2) half.push_back(i);
     std::size_t done = 0;
     const Micros from = loop_.now();
-    const std::uint64_t sent = sent_all();
+    const std::uint64_t sent = all_sent_;
     while (done < half.size()) {
       const auto due =
           static_cast<std::size_t>(static_cast<double>(half.size()) * seconds(loop_.now() - from) / 30);
@@ -133,7 +137,7 @@
       }
       run(20ms);
     }
-    out_.bytes["half restarted"] = static_cast<double>(sent_all() - sent) /
+    out_.bytes["half restarted"] = static_cast<double>(all_sent_ - sent) /
                                    static_cast<double>(members_.size()) / seconds(loop_.now() - from);
     happens(
         "a change after that", [this] { put("[prices]\ncrossing = 3\n", 3000); },
@@ -157,6 +161,7 @@
     if (!t.starts_with("member name=")) return;
     const std::string_view name = t.substr(12, t.find(' ', 12) - 12);
     if (t.find("standing=failed") != t.npos) ++failed_by_[std::string(name)];
+    if (t.find("standing=alive") != t.npos) ++alive_by_[std::string(name)];
   }
 
   std::string zone_of(unsigned i) const {
@@ -175,7 +180,8 @@
   }
   void start(unsigned i) {
     numbers_[place(i)] = i;
-    auto m = std::make_unique<Member>(loop_, [this, i](const Address& to) { return passes(i, to); });
+    auto m =
+        std::make_unique<Member>(loop_, all_sent_, [this, i](const Address& to) { return passes(i, to); });
     m->peers = std::make_unique<node::Peers>(m->network, m->wakes, section(i), "h" + std::to_string(i), "lab",
                                              mix(i * 77 + 5), [](unsigned) {});
     m->peers->carry({}, [](const changes::Change&) { return std::string(); });
@@ -183,8 +189,12 @@
     members_[i] = std::move(m);
   }
   void start_again(const std::vector<unsigned>& which) {
-    for (const unsigned i : which) start(i);
-    failed_by_.clear();
+    alive_by_.clear();
+    back_.clear();
+    for (const unsigned i : which) {
+      back_.push_back("h" + std::to_string(i));
+      start(i);
+    }
   }
   void spawn(unsigned r) {
     const unsigned n = static_cast<unsigned>(members_.size()) + r;
@@ -234,11 +244,6 @@
     unsetenv("FLINTWEIR_TOKEN");
   }
 
-  unsigned running_members() const {
-    return static_cast<unsigned>(
-        std::count_if(members_.begin(), members_.end(), [](const auto& m) { return m != nullptr; }) +
-        std::count_if(processes_.begin(), processes_.end(), [](const auto& p) { return p != nullptr; }));
-  }
   double agree(unsigned of) const {
     std::map<std::uint64_t, unsigned> digests;
     unsigned hollow = 0, whole = 0;
@@ -272,23 +277,20 @@
     }
     return have / all;
   }
-  double gone_known() const {
+  // Of all that run, the share that has said so of whoever was said of least.
+  double known(const std::vector<std::string>& names, const std::map<std::string, unsigned>& by) const {
     const auto alive = static_cast<double>(
         std::count_if(members_.begin(), members_.end(), [](const auto& m) { return m != nullptr; }));
     double least = 1;
-    for (const std::string& name : dead_) {
-      const auto it = failed_by_.find(name);
-      least = std::min(least, it == failed_by_.end() ? 0 : it->second / alive);
+    for (const std::string& name : names) {
+      const auto it = by.find(name);
+      least = std::min(least, it == by.end() ? 0 : it->second / alive);
     }
     return least;
   }
+  double gone_known() const { return known(dead_, failed_by_); }
+  double back_known() const { return known(back_, alive_by_); }
 
-  std::uint64_t sent_all() const {
-    std::uint64_t out = 0;
-    for (const auto& m : members_)
-      if (m) out += m->network.sent;
-    return out;
-  }
   double resident() const {
     std::ifstream memory("/proc/self/statm");
     double size = 0, pages = 0;
@@ -364,8 +366,9 @@
   std::vector<std::unique_ptr<Member>> members_;
   std::vector<std::unique_ptr<Child>> processes_;
   std::unique_ptr<Child> publisher_;
-  std::vector<std::string> dead_;
-  std::map<std::string, unsigned> failed_by_;
+  std::vector<std::string> dead_, back_;
+  std::map<std::string, unsigned> failed_by_, alive_by_;  // how many have said so since it was asked
+  std::uint64_t all_sent_ = 0;
   bool apart_ = false;
   HollowOutcome out_;
 };
--- a/src/lab/fleet/scale_node.cpp
+++ b/src/lab/fleet/scale_node.cpp
@@ -315,9 +315,11 @@
     one.memory_kib = full.kib - empty.kib;
     one.open_us = (full.cpu - empty.cpu) * 1e6 / size;
     one.refused = refused;
+    std::this_thread::sleep_for(4s);  // until the limits of opening have passed
     const auto rest = Steady::now();
-    std::this_thread::sleep_for(2s);
-    one.idle_cpu = (use_of(node.pid()).cpu - full.cpu) / seconds(since(rest));
+    const double at_rest = use_of(node.pid()).cpu;
+    std::this_thread::sleep_for(4s);
+    one.idle_cpu = (use_of(node.pid()).cpu - at_rest) / seconds(since(rest));
     for (int i = 0; i < 3; ++i) {  // a topic speaks: a line to each at once
       hosts.speak(1);
       clients.hear(clients.size(), hosts, took);
--- /dev/null
+++ b/src/lab/reports/capacity.cpp
@@ -0,0 +1,265 @@
+#include "lab/reports/capacity.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include "lab/faults/fields.h"
+
+namespace flintweir::lab {
+namespace {
+
+constexpr const char* kBegin = "<!-- tables: begin -->\n";
+constexpr const char* kEnd = "<!-- tables: end -->\n";
+constexpr std::size_t kLeastPoints = 4;
+
+// Four figures at the most, so that a table can be read.
+std::string shown(double v) {
+  char text[40];
+  const double a = std::fabs(v);
+  std::snprintf(text, sizeof text,
+                a >= 1e6   ? "%.3g million"
+                : a >= 100 ? "%.0f"
+                : a >= 1   ? "%.3g"
+                           : "%.2g",
+                a >= 1e6 ? v / 1e6 : v);
+  return text;
+}
+
+toml::table read(const std::string& path) {
+  try {
+    return toml::parse_file(path);
+  } catch (const toml::parse_error& e) {
+    throw BadFile(path + ":" + std::to_string(e.source().begin.line) + ": " + std::string(e.description()));
+  }
+}
+
+std::vector<double> numbers(const toml::table& table, const char* key, const Fields& fields) {
+  std::vector<double> out;
+  const toml::array* const row = table[key].as_array();
+  if (!row) fields.bad(key, "is not a list of numbers");
+  for (const toml::node& n : *row) {
+    const auto v = n.is_number() ? n.value<double>() : std::nullopt;
+    if (!v || !std::isfinite(*v) || *v < 0) fields.bad(key, "holds what is no number of zero or more");
+    out.push_back(*v);
+  }
+  return out;
+}
+
+void fit(Slope& s) {
+  const auto n = static_cast<double>(s.x.size());
+  double sx = 0, sy = 0, sxx = 0, sxy = 0;
+  for (std::size_t i = 0; i < s.x.size(); ++i) {
+    sx += s.x[i], sy += s.y[i], sxx += s.x[i] * s.x[i], sxy += s.x[i] * s.y[i];
+  }
+  const double spread = n * sxx - sx * sx;
+  s.slope = spread > 0 ? (n * sxy - sx * sy) / spread : 0;
+  s.offset = (sy - s.slope * sx) / n;
+  const double largest = *std::max_element(s.y.begin(), s.y.end());
+  for (std::size_t i = 0; i < s.x.size(); ++i)
+    s.error = std::max(s.error, largest > 0 ? std::fabs(s.at(s.x[i]) - s.y[i]) / largest : 0);
+}
+
+std::string said(double share) {
+  if (share <= 0) return {};
+  return share <= 1 ? "fits, " + shown(share * 100) + "% of it" : "misses, " + shown(share) + " times";
+}
+
+}  // namespace
+
+Capacity::Capacity(const std::string& slopes, const std::string& size) : file_(slopes) {
+  const toml::table sizes = read(size);
+  Fields of_size(sizes, "", size);
+  for (const auto& [key, node] : sizes) {
+    const std::string name(key.str());
+    if (name == "hosts") {
+      hosts_ = numbers(sizes, "hosts", of_size);
+      continue;
+    }
+    if (!node.is_number()) of_size.bad(name, "is not a number");
+    const double v = node.value<double>().value_or(-1);
+    if (!std::isfinite(v) || v <= 0) of_size.bad(name, "is not above zero");
+    counts_[name] = v;
+  }
+  if (hosts_.empty()) of_size.bad("hosts", "is missing: the counts of hosts to work out");
+
+  const toml::table table = read(slopes);
+  for (const auto& [key, node] : table)
+    if (key.str() != "slope" && key.str() != "row")
+      Fields(table, "", slopes).bad(key.str(), "is unknown; allowed are slope and row");
+  if (const toml::array* const all = table["slope"].as_array())
+    for (const toml::node& n : *all) {
+      if (!n.is_table()) throw BadFile(slopes + ":1: slope: is not a table");
+      Fields f(*n.as_table(), "slope", slopes);
+      Slope s;
+      s.name = f.word("name", "");
+      s.unit = f.word("unit", "");
+      s.per = f.word("per", "");
+      s.gave = f.word("gave", "");
+      s.command = f.word("command", "");
+      for (const char* key : {"name", "unit", "per", "gave", "command"})
+        if (!f.has(key)) f.bad(key, "is missing");
+      s.x = numbers(*n.as_table(), "x", f);
+      s.y = numbers(*n.as_table(), "y", f);
+      if (s.x.size() < kLeastPoints) f.bad("x", "has fewer than four points");
+      if (s.x.size() != s.y.size()) f.bad("y", "has not as many points as x");
+      fit(s);
+      if (!slopes_.emplace(s.name, s).second) f.bad("name", "stands twice");
+    }
+  if (const toml::array* const all = table["row"].as_array())
+    for (const toml::node& n : *all) {
+      if (!n.is_table()) throw BadFile(slopes + ":1: row: is not a table");
+      Fields f(*n.as_table(), "row", slopes);
+      CapacityRow r;
+      r.state = f.word("state", "");
+      r.role = f.word("role", "");
+      r.what = f.word("what", "");
+      r.mechanism = f.word("mechanism", "missing");
+      r.slope = f.word("slope", "");
+      r.count = f.word("count", "");
+      r.figure = f.word("figure", "");
+      r.bound = f.word("bound", "");
+      r.unit = f.word("unit", "");
+      r.times = f.number("times", 1, 0, 1e12);
+      r.value = f.number("value", -1, 0, 1e15);
+      for (const char* key : {"state", "role", "what"})
+        if (!f.has(key)) f.bad(key, "is missing");
+      if (!r.slope.empty() + !r.figure.empty() + (r.value >= 0) != 1)
+        f.bad("slope", "has to stand here, or a figure, or a value, one of them");
+      if (!r.slope.empty() && !slopes_.contains(r.slope)) f.bad("slope", "is not among the slopes");
+      try {
+        if (!r.slope.empty()) value(r.count, hosts_.front());
+        if (!r.bound.empty()) value(r.bound, hosts_.front());
+      } catch (const BadFile& e) {
+        f.bad(r.bound.empty() ? "count" : "bound", e.what());
+      }
+      rows_.push_back(r);
+    }
+  if (rows_.empty()) throw BadFile(slopes + ":1: row: there is none");
+}
+
+double Capacity::value(const std::string& expression, double hosts) const {
+  double out = 1;
+  char joined = '*';
+  for (std::size_t at = 0; at <= expression.size();) {
+    const std::size_t end = std::min(expression.find_first_of("*/", at), expression.size());
+    const std::string word = expression.substr(at, end - at);
+    double v = 0;
+    if (word == "hosts") {
+      v = hosts;
+    } else if (const auto it = counts_.find(word); it != counts_.end()) {
+      v = it->second;
+    } else {
+      char* rest = nullptr;
+      v = std::strtod(word.c_str(), &rest);
+      if (word.empty() || *rest || !(v > 0))
+        throw BadFile("'" + word + "' is no count of the size and no number");
+    }
+    out = joined == '*' ? out * v : out / v;
+    if (end == expression.size()) break;
+    joined = expression[end];
+    at = end + 1;
+  }
+  return out;
+}
+
+Capacity::Worked Capacity::work(const CapacityRow& row) const {
+  Worked out;
+  if (!row.bound.empty())
+    out.bound = shown(value(row.bound, hosts_.front())) + (row.unit.empty() ? "" : ' ' + row.unit);
+  if (row.value >= 0) {
+    out.figure = shown(row.value * row.times) + (row.unit.empty() ? "" : ' ' + row.unit);
+    if (!row.bound.empty()) out.share = row.value * row.times / value(row.bound, hosts_.front());
+    out.margin = said(out.share);
+    return out;
+  }
+  if (row.slope.empty()) {
+    out.figure = row.figure;
+    return out;
+  }
+  const Slope& s = slopes_.at(row.slope);
+  const bool by_hosts =
+      row.count.find("hosts") != row.count.npos || row.bound.find("hosts") != row.bound.npos;
+  const double most = *std::max_element(s.x.begin(), s.x.end());
+  for (const double hosts : hosts_) {
+    const double count = value(row.count, hosts);
+    std::string one;
+    if (s.bends() && count > most) {
+      one = "bends: not worked out";
+    } else {
+      const double v = s.at(count) * row.times;
+      one = shown(v) + (row.unit.empty() ? "" : ' ' + row.unit);
+      if (!row.bound.empty()) out.share = std::max(out.share, v / value(row.bound, hosts));
+      if (count > most * 1.01) one += " (" + shown(count / most) + " times beyond the points)";
+    }
+    if (by_hosts) one = shown(hosts) + " hosts: " + one;
+    out.figure += (out.figure.empty() ? "" : "; ") + one;
+    if (!by_hosts) break;
+  }
+  out.margin = said(out.share);
+  return out;
+}
+
+std::string Capacity::tables() const {
+  std::ostringstream out;
+  out << "### Slopes\n\n| slope | | from | points | off the line by at most | given by | command |\n"
+      << "| --- | --- | --- | --- | --- | --- | --- |\n";
+  for (const auto& [name, s] : slopes_) {
+    out << "| " << name << " | " << shown(s.slope) << ' ' << s.unit << " per " << s.per << ", and "
+        << shown(s.offset) << " | " << shown(s.x.front()) << " to " << shown(s.x.back()) << " | ";
+    for (std::size_t i = 0; i < s.y.size(); ++i) out << (i ? ", " : "") << shown(s.y[i]);
+    out << " | " << shown(s.error * 100) << '%' << (s.bends() ? ", **bends**" : "") << " | " << s.gave
+        << " | `" << s.command << "` |\n";
+  }
+  std::string state;
+  std::vector<std::pair<double, const CapacityRow*>> by_share;
+  std::vector<const CapacityRow*> open;
+  for (const CapacityRow& r : rows_) {
+    const Worked w = work(r);
+    if (r.state != state) {
+      out << "\n### " << r.state
+          << "\n\n| role | what | figure | bound | | carried by |\n| --- | --- | --- | --- | --- | --- |\n";
+      state = r.state;
+    }
+    out << "| " << r.role << " | " << r.what << " | " << w.figure
+        << (r.slope.empty() ? "" : " (" + r.slope + ")") << " | " << w.bound << " | " << w.margin << " | "
+        << r.mechanism << " |\n";
+    if (w.share > 0) by_share.emplace_back(w.share, &r);
+    if (r.figure.find("not measured") != r.figure.npos || r.mechanism.find("missing") != r.mechanism.npos)
+      open.push_back(&r);
+  }
+  std::stable_sort(by_share.begin(), by_share.end(),
+                   [](const auto& a, const auto& b) { return a.first > b.first; });
+  out << "\n### What misses its bound, the farthest first\n\n";
+  for (const auto& [share, r] : by_share)
+    if (share > 1)
+      out << "- " << r->state << ", " << r->role << ": " << r->what << ", " << shown(share)
+          << " times its bound\n";
+  out << "\n### What fits, the nearest first\n\n";
+  for (const auto& [share, r] : by_share)
+    if (share <= 1)
+      out << "- " << r->state << ", " << r->role << ": " << r->what << ", " << shown(share * 100)
+          << "% of its bound\n";
+  out << "\n### Missing or not measured\n\n";
+  for (const CapacityRow* r : open)
+    out << "- " << r->state << ", " << r->role << ": " << r->what << " ("
+        << (r->figure.empty() ? "carried by nothing yet" : r->figure) << ")\n";
+  return out.str();
+}
+
+bool page_agrees(const std::string& page, const std::string& tables) {
+  std::ifstream in(page);
+  std::ostringstream text;
+  text << in.rdbuf();
+  const std::string all = text.str();
+  const std::size_t begin = all.find(kBegin), end = all.find(kEnd);
+  if (!in || begin == all.npos || end == all.npos || end < begin)
+    throw BadFile(page + ":1: tables: the marks of its tables are missing");
+  const std::size_t from = begin + std::string(kBegin).size();
+  return all.substr(from, end - from) == tables;
+}
+
+}  // namespace flintweir::lab
--- a/tests/flaws.cmake
+++ b/tests/flaws.cmake
@@ -152,7 +152,7 @@
 flintweir_flaw(change-in-force-though-refused changes refused src/changes/carrier.cpp
   "const bool taken = reason.empty();" "const bool taken = true;")
 flintweir_flaw(change-not-told-at-rest changes settled src/changes/carrier.cpp
-  "return tell(far ? 0 : 1, far ? 1 : 0);" "return;"
+  "return tell(far ? 0 : 1, far ? 1 : 0);" "return static_cast<void>(far);"
   "for (const Address& s : seeds_)" "for (const Address& s : std::vector<Address>())")
 flintweir_flaw(change-before-not-fetched changes settled src/changes/carrier.cpp
   "return !status_.reason.empty() && theirs" "return false && theirs")
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -13,6 +14,7 @@
 #include "lab/faults/bad_file.h"
 #include "lab/faults/builtin.h"
 #include "lab/network/fabric.h"
+#include "lab/reports/capacity.h"
 #include "lab/reports/results.h"
 #include "lab/runner.h"
 #include "net/stream.h"
@@ -344,6 +346,55 @@
   EXPECT_EQ(RunSet::of_json(set.to_json()).to_json(), set.to_json());
 }
 
+// The page's tables: a line for whatever is wrong in the files, a fit that says its error, and no figure
+// beyond the points of what bends.
+TEST(CapacityPage, TellsWhereAFileIsWrongAndWhatBends) {
+  const std::string folder =
+      (std::filesystem::temp_directory_path() / ("flintweir-capacity-" + std::to_string(getpid()))).string();
+  std::filesystem::create_directories(folder);
+  const std::string slopes = folder + "/slopes.toml", size = folder + "/size.toml";
+  const auto made = [&](const std::string& s, const std::string& z) {
+    std::ofstream(slopes, std::ios::trunc) << s;
+    std::ofstream(size, std::ios::trunc) << z;
+    return Capacity(slopes, size).tables();
+  };
+  const std::string sizes = "nodes = 500\nbound = 50\nhosts = [10, 20]\n";
+  const auto slope = [](const std::string& y) {
+    return "[[slope]]\nname = \"a\"\nunit = \"us\"\nper = \"node\"\ngave = \"g\"\ncommand = \"c\"\n"
+           "x = [10, 20, 30, 40]\ny = [" +
+           y + "]\n";
+  };
+  const std::string row =
+      "[[row]]\nstate = \"s\"\nrole = \"r\"\nwhat = \"w\"\nslope = \"a\"\ncount = \"nodes/10\"\n"
+      "bound = \"bound\"\nmechanism = \"m\"\n";
+  const std::string line = made(slope("1, 2, 3, 4") + row, sizes);
+  EXPECT_NE(line.find("| r | w | 5 (1.25 times beyond the points) (a) | 50 | fits, 10% of it | m |"), line.npos)
+      << line;
+  EXPECT_NE(made(slope("1, 2, 4, 16") + row, sizes).find("bends: not worked out"), line.npos);
+  for (const auto& [s, z, says] : std::vector<std::tuple<std::string, std::string, std::string>>{
+           {slope("1, 2, 3, 4") + row, "nodes = 500\n", "hosts: is missing"},
+           {slope("1, 2, 3, 4") + row, "nodes = \"many\"\nhosts = [1]\n", "nodes: is not a number"},
+           {slope("1, 2, 3, 4") + row, "nodes = 0\nhosts = [1]\n", "nodes: is not above zero"},
+           {slope("1, 2, 3, 4") + row, "nodes = 500\nhosts = [1]\n", "'bound' is no count"},
+           {slope("1, 2, 3") + row, sizes, "has not as many points"},
+           {slope("1, 2, 3, -4") + row, sizes, "no number of zero or more"},
+           {row, sizes, "is not among the slopes"},
+           {"[[slope]]\nname = \"a\"\n", sizes, "unit: is missing"},
+           {"[[row]]\nstate = \"s\"\nrole = \"r\"\nwhat = \"w\"\n", sizes, "or a figure, or a value"},
+           {"[slop]\n", sizes, "slop: is unknown"},
+           {"", sizes, "there is none"},
+           {"x = \n", sizes, "slopes.toml:1"}}) {
+    try {
+      made(s, z);
+      ADD_FAILURE() << "taken: " << says;
+    } catch (const BadFile& e) {
+      EXPECT_NE(std::string(e.what()).find(says), std::string::npos) << e.what();
+      EXPECT_EQ(std::string(e.what()).find('\n'), std::string::npos);
+    }
+  }
+  std::filesystem::remove_all(folder);
+}
+
 // Every exchange cut after each byte in turn, with each event there. Guards against what happens between two
 // lines only: a client that has left and is dialled, an answer lost at SIGTERM, a silent watch that is kept.
 TEST(Crossings, KeepEveryRule) {
