Parse a TOML text, and fill an address, in one place each; no behaviour changed

Found on rereading the change: the operator's file and a change's text caught parse errors alike, and scale-node filled the same address twice. Tests of changes, members, leases and the module pass.

--- a/src/changes/carrier.cpp
+++ b/src/changes/carrier.cpp
@@ -178,8 +178,7 @@
   woken(WakeId{turn_ << 2 | static_cast<std::uint64_t>(Due::tell)});
 }
 
-void Carrier::ask_came(const Sender& from, std::uint64_t nonce) {
-  static_cast<void>(from);
+void Carrier::ask_came(const Sender&, std::uint64_t nonce) {
   send(came_from_, changes::status(me(), nonce, status_));
 }
 
--- a/src/lab/fleet/scale_node.cpp
+++ b/src/lab/fleet/scale_node.cpp
@@ -30,15 +30,20 @@
 
 Micros since(Steady::time_point t) { return std::chrono::duration_cast<Micros>(Steady::now() - t); }
 
-int listening(const char* ip, int port) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-  const int one = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+sockaddr_in place(const char* ip, int port) {
   sockaddr_in at{};
   at.sin_family = AF_INET;
   at.sin_port = htons(static_cast<std::uint16_t>(port));
   inet_pton(AF_INET, ip, &at.sin_addr);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || listen(fd, 4096) != 0)
+  return at;
+}
+
+int listening(const char* ip, int port) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  const int one = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  const sockaddr_in at = place(ip, port);
+  if (bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 || listen(fd, 4096) != 0)
     throw std::runtime_error(std::string("can't listen at ") + ip + ": " + std::strerror(errno));
   return fd;
 }
@@ -48,11 +53,8 @@
   if (fd < 0) throw std::runtime_error(std::string("no descriptor: ") + std::strerror(errno));
   const int one = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_port = htons(static_cast<std::uint16_t>(port));
-  inet_pton(AF_INET, ip, &at.sin_addr);
-  if (connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0) {
+  const sockaddr_in at = place(ip, port);
+  if (connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) {
     close(fd);
     throw std::runtime_error(std::string("can't connect: ") + std::strerror(errno));
   }
--- a/src/setup/change_text.cpp
+++ b/src/setup/change_text.cpp
@@ -31,13 +31,9 @@
                                std::vector<std::string>& wrong) {
   Complaints complaints(path, wrong);
   ChangeText out;
-  toml::table table;
-  try {
-    table = toml::parse(text, path);
-  } catch (const toml::parse_error& e) {
-    complaints.add(e.source(), "toml", std::string(e.description()));
-    return out;
-  }
+  const std::optional<toml::table> parsed = parsed_or_said(text, path, complaints);
+  if (!parsed) return out;
+  const toml::table& table = *parsed;
   Section top(table, "change", complaints);
   if (top.has("discovery")) out.discovery = top.address("discovery", std::nullopt);
   for (const char* key : kAtStart) top.refuse(key, kNeedsRestart);
--- a/src/setup/operator.cpp
+++ b/src/setup/operator.cpp
@@ -31,13 +31,9 @@
                                    std::vector<std::string>& wrong) {
   Complaints complaints(path, wrong);
   OperatorFile out;
-  toml::table table;
-  try {
-    table = toml::parse(text, path);
-  } catch (const toml::parse_error& e) {
-    complaints.add(e.source(), "toml", std::string(e.description()));
-    return out;
-  }
+  const std::optional<toml::table> parsed = parsed_or_said(text, path, complaints);
+  if (!parsed) return out;
+  const toml::table& table = *parsed;
   const std::vector<std::string> sections = {"fleet", "leases", "changes"};
   for (const auto& [key, node] : table) {
     const std::string name(key.str());
--- a/src/setup/toml_section.h
+++ b/src/setup/toml_section.h
@@ -33,6 +33,17 @@
   std::vector<std::string>& lines_;
 };
 
+// Nothing, and a line that says why, where it is no TOML.
+inline std::optional<toml::table> parsed_or_said(const std::string& text, const std::string& path,
+                                                 Complaints& complaints) {
+  try {
+    return toml::parse(text, path);
+  } catch (const toml::parse_error& e) {
+    complaints.add(e.source(), "toml", std::string(e.description()));
+    return std::nullopt;
+  }
+}
+
 inline std::size_t distance(std::string_view a, std::string_view b) {
   std::vector<std::size_t> row(b.size() + 1);
   std::iota(row.begin(), row.end(), 0u);
