--- a/src/lab/fleet/rig_loopback.cpp
+++ b/src/lab/fleet/rig_loopback.cpp
@@ -246,7 +246,11 @@
       << R"(","az":"a","pod_group":1,"state":"SERVING","capacity_hint":1.0,"boot_ms":0}]})"
       << R"(,"limits":{"memory_mb":64,"sockets":256},"settings":{"balancers":)" << nodes_
       << R"(,"myZone":0,"failureDomains":["a"],"discovery":"on_request","listeners":[{"name":"chat",)"
-      << R"("handshakeTarget":500000,"dialTimeout":2000000,"effect":"repeatable","group":"all"}],)"
+      << R"("handshakeTarget":500000,"dialTimeout":2000000,"effect":"repeatable","group":"all"})"
+      // As in virtual time: a change may fit some nodes only.
+      << (at.node % 2 ? ""
+                      : R"(,{"name":"even","handshakeTarget":500000,"dialTimeout":2000000,"effect":"once"})")
+      << "],"
       << R"("ceilings":{"maxDials":3,"probes":true},"rules":{"askEvery":10000000,"cold":7200000,"coldShare":0.3,)"
       << R"("overloadFactor":3.0,"tipAfter":1500000},"prices":{"probe":0.002},"reporting":{"fields":["util"]}}})";
   std::vector<std::string> words = program_;
