Give the parts of a change in one place, and drop what rereading found dead; no behaviour changed

A text was cut into parts alike in the carrier, the command and the lab's publisher: changes::parts serves all three. A comment said that each side of a cut is given a change; the second goes to either.

--- a/src/change_command.cpp
+++ b/src/change_command.cpp
@@ -46,12 +46,9 @@
     network_.wait_datagram(*this);
     network_.stop();
   }
-  void want_came(const changes::Sender&, const changes::Which& of, std::uint32_t parts) override {
+  void want_came(const changes::Sender&, const changes::Which& of, std::uint32_t wanted) override {
     if (of != which(change_)) return;
-    for (std::uint32_t i = 0; i * changes::kPart < std::max<std::size_t>(change_.text.size(), 1); ++i)
-      if (parts >> i & 1)
-        send(came_from_,
-             part(me(), of, i, std::string_view(change_.text).substr(i * changes::kPart, changes::kPart)));
+    for (const std::string& one : changes::parts(me(), change_, wanted)) send(came_from_, one);
   }
   void status_came(const changes::Sender& from, std::uint64_t nonce, const Status& status) override {
     statuses[nonce] = {std::string(from.name), status};
--- a/src/changes/carrier.cpp
+++ b/src/changes/carrier.cpp
@@ -21,8 +21,6 @@
 // A change of the largest size for each of those told at once, and no more than that for long.
 constexpr double kBytesPerSecond = 7000, kBytesKept = 24 << 10;
 
-std::uint32_t parts_of(std::uint32_t size) { return size == 0 ? 1 : (size + kPart - 1) / kPart; }
-
 }  // namespace
 
 Carrier::Carrier(Outlet& outlet, std::string fleet, std::string name, const Address& told, std::uint64_t seed)
@@ -130,12 +128,11 @@
   return which == status_.has.newest ? &newest_ : which == status_.has.in_force ? &in_force_ : nullptr;
 }
 
-void Carrier::want_came(const Sender& from, const Which& which, std::uint32_t parts) {
+void Carrier::want_came(const Sender& from, const Which& which, std::uint32_t wanted) {
   const Change* const change = of(which);
   if (!change) return;
-  const std::string_view text = change->text;
-  for (std::uint32_t i = 0; i < parts_of(which.size); ++i)
-    if (parts >> i & 1 && !send(from.told, part(me(), which, i, text.substr(i * kPart, kPart)))) return;
+  for (const std::string& one : parts(me(), *change, wanted))
+    if (!send(from.told, one)) return;
 }
 
 void Carrier::part_came(const Sender& from, const Which& of, std::uint32_t part, std::string_view bytes) {
@@ -187,7 +184,6 @@
   refilled_at_ = now_;
   if (bytes_left_ < static_cast<double>(bytes.size())) return false;
   bytes_left_ -= static_cast<double>(bytes.size());
-  sent_bytes_ += bytes.size();
   outlet_.send(to, bytes);
   return true;
 }
--- a/src/changes/carrier.h
+++ b/src/changes/carrier.h
@@ -38,7 +38,6 @@
   void received(const Address& from, std::string_view bytes);
   void woken(WakeId wake);
   const Status& status() const { return status_; }
-  std::uint64_t sent_bytes() const { return sent_bytes_; }
 
  private:
   enum class Due : std::uint64_t { rest, tell, fetch, seeds };
@@ -50,7 +49,7 @@
     int tries = 0;
   };
   void have_came(const Sender& from, const Has& theirs) override;
-  void want_came(const Sender& from, const Which& of, std::uint32_t parts) override;
+  void want_came(const Sender& from, const Which& of, std::uint32_t wanted) override;
   void part_came(const Sender& from, const Which& of, std::uint32_t part, std::string_view bytes) override;
   void ask_came(const Sender& from, std::uint64_t nonce) override;
   void adopt(Change change, std::string_view from);
@@ -75,7 +74,7 @@
   Address came_from_;
   Micros now_{0}, refilled_at_{0};
   double bytes_left_;
-  std::uint64_t turn_ = 0, sent_bytes_ = 0, rests_ = 0;
+  std::uint64_t turn_ = 0, rests_ = 0;
   int rounds_ = 0, seed_tries_ = 0;
 };
 
--- a/src/changes/change.h
+++ b/src/changes/change.h
@@ -17,6 +17,11 @@
 inline constexpr std::size_t kLongestText = 4096, kPart = 900;  // bytes; a part fits a datagram
 inline constexpr std::size_t kLongestReason = 200;
 
+// An empty text has one part as well.
+inline std::uint32_t parts_of(std::size_t size) {
+  return size == 0 ? 1 : static_cast<std::uint32_t>((size + kPart - 1) / kPart);
+}
+
 struct Change {
   ChangeNumber number;
   std::string text;
--- a/src/changes/datagram.cpp
+++ b/src/changes/datagram.cpp
@@ -135,6 +135,14 @@
 std::string part(const Sender& from, const Which& of, std::uint32_t part, std::string_view bytes) {
   return Writer(Kind::part, from, 5).which(of).number(part).bytes(bytes).done();
 }
+std::vector<std::string> parts(const Sender& from, const Change& of, std::uint32_t wanted) {
+  std::vector<std::string> out;
+  const Which which = changes::which(of);
+  for (std::uint32_t i = 0; i < parts_of(of.text.size()); ++i)
+    if (wanted >> i & 1)
+      out.push_back(part(from, which, i, std::string_view(of.text).substr(i * kPart, kPart)));
+  return out;
+}
 std::string ask(const Sender& from, std::uint64_t nonce) {
   return Writer(Kind::ask, from, 1).number(nonce).done();
 }
--- a/src/changes/datagram.h
+++ b/src/changes/datagram.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "address.h"
 #include "changes/change.h"
@@ -38,6 +39,8 @@
 std::string have(const Sender& from, const Has& has);
 std::string want(const Sender& from, const Which& of, std::uint32_t parts);
 std::string part(const Sender& from, const Which& of, std::uint32_t part, std::string_view bytes);
+// Those parts of it whose bits are set, a datagram each.
+std::vector<std::string> parts(const Sender& from, const Change& of, std::uint32_t wanted);
 std::string ask(const Sender& from, std::uint64_t nonce);
 std::string status(const Sender& from, std::uint64_t nonce, const Status& status);
 
--- a/src/lab/fleet/change_rig.cpp
+++ b/src/lab/fleet/change_rig.cpp
@@ -31,7 +31,7 @@
   }
   // `parts`: what is given of it; fewer where its publisher dies meanwhile.
   void publish(const Change& change, RigPlace to, std::uint32_t parts = ~0u) {
-    held_[which(change)] = {change.text, parts};
+    held_[which(change)] = {change, parts};
     send(to, have(me(), {which(change), {}}));
   }
   void ask(RigPlace whom) {
@@ -56,14 +56,11 @@
     }
     stage_.onlooker().wait_datagram(*this);
   }
-  void want_came(const changes::Sender&, const Which& of, std::uint32_t parts) override {
+  void want_came(const changes::Sender&, const Which& of, std::uint32_t wanted) override {
     const auto it = held_.find(of);
     if (it == held_.end()) return;
-    const auto& [text, given] = it->second;
-    for (std::uint32_t i = 0; i * changes::kPart < std::max<std::size_t>(text.size(), 1); ++i)
-      if (parts >> i & given >> i & 1)
-        stage_.onlooker().send_datagram(
-            came_from_, part(me(), of, i, std::string_view(text).substr(i * changes::kPart, changes::kPart)));
+    for (const std::string& one : changes::parts(me(), it->second.first, wanted & it->second.second))
+      stage_.onlooker().send_datagram(came_from_, one);
   }
   void status_came(const changes::Sender&, std::uint64_t nonce, const changes::Status& status) override {
     if (const auto it = asked_.find(nonce); it != asked_.end()) seen_(it->second, status);
@@ -71,7 +68,7 @@
 
   RigStage& stage_;
   Seen seen_;
-  std::map<Which, std::pair<std::string, std::uint32_t>> held_;
+  std::map<Which, std::pair<Change, std::uint32_t>> held_;
   std::map<std::uint64_t, RigPlace> asked_;
   Address came_from_;  // past all relays, as the question came
   std::uint64_t nonces_ = 0;
@@ -120,7 +117,6 @@
         broken("budget",
                std::to_string(static_cast<int>(out_.most_at_change)) + " bytes a second of one node");
       judge("late");
-      before_ = sent_;
     });
     at(first + 100ms, [this] { begin(); });
     // A change in the middle of it, and what the trouble adds.
@@ -138,9 +134,7 @@
  private:
   struct Unit {
     bool up = false, frozen = false;
-    std::uint64_t start = 0;  // which process
     changes::Has has;
-    std::string reason;
     std::size_t sent = 0;
   };
   struct Published {
@@ -165,7 +159,7 @@
   void start(unsigned i) {
     Unit& u = units_[i];
     if (u.up) return;
-    u = {true, false, u.start + 1, {}, {}, u.sent};
+    u = {true, false, {}, u.sent};
     started_[i] = stage_.now();
     stage_.start({i, 0}, "n" + std::to_string(i), seeds_);
   }
@@ -192,7 +186,7 @@
     published_.push_back({which(change), refused, by_odd, stage_.now(), false});
     std::vector<unsigned> up;
     for (unsigned i = 0; i < units_.size(); ++i)
-      if (units_[i].up && !units_[i].frozen && !cut_off_.contains(i)) up.push_back(i);
+      if (units_[i].up && !units_[i].frozen) up.push_back(i);
     if (up.empty()) return;
     const unsigned to = up[chance_() % up.size()];
     if (parts != ~0u) published_.back().which = {};  // nobody is owed what was never whole
@@ -201,14 +195,11 @@
       after(200ms * i, [this, change, to, parts] { publisher_.publish(change, {to, 0}, parts); });
   }
 
-  void way_of(unsigned a, unsigned b, const Post& post) {
-    if (a != b) stage_.way(a, b) = post;
-  }
   template <class Of>
   void ways(Of of, const Post& post) {
     for (unsigned a = 0; a < plan_.nodes; ++a)
       for (unsigned b = 0; b < plan_.nodes; ++b)
-        if (of(a, b)) way_of(a, b, post);
+        if (a != b && of(a, b)) stage_.way(a, b) = post;
   }
 
   void begin() {
@@ -218,7 +209,7 @@
     if (t == "crash" || t == "restart") {
       for (unsigned i = 0; i < plan_.nodes; ++i) {
         if (i == 0 || chance_() % 2) continue;
-        at_random(i, [this, i, t] {
+        after(part(plan_.lasts / 2), [this, i, t] {
           kill(i);
           if (t == "restart") after(300ms, [this, i] { start(i); });
         });
@@ -235,7 +226,7 @@
       ways([&](unsigned a,
                unsigned b) { return t == "cut" ? (a < half) != (b < half) : a < half && b >= half; },
            bad);
-      // Each side is given one of its own; the larger number is everybody's in the end.
+      // A second one, at either side; the larger number is everybody's in the end.
       after(plan_.lasts / 2, [this] { publish(text()); });
     } else if (t == "loss" || t == "mangled") {
       bad.lost = t == "loss" ? 0.3 : 0.05;
@@ -276,15 +267,10 @@
       });
     }
   }
-  template <class Act>
-  void at_random(unsigned, Act act) {
-    after(part(plan_.lasts / 2), std::move(act));
-  }
 
   void heal() {
     ways([](unsigned, unsigned) { return true; }, Post());
     for (unsigned i = 0; i < plan_.nodes; ++i) freeze(i, false);
-    cut_off_.clear();
   }
 
   void look() {
@@ -322,7 +308,6 @@
     if (s.has.in_force != s.has.newest && s.reason.empty())
       broken("refused", who + " does not run by the newest and says no reason");
     u.has = s.has;
-    u.reason = s.reason;
     note_known();
   }
   void note_known() {
@@ -366,7 +351,6 @@
   std::map<unsigned, Micros> started_;
   std::vector<RigPlace> seeds_;
   std::vector<Published> published_;
-  std::set<unsigned> cut_off_;
   std::set<std::string> said_;
   std::uint64_t number_ = 0;
   std::size_t sent_ = 0, before_ = 0;
--- a/src/lab/fleet/hollow.cpp
+++ b/src/lab/fleet/hollow.cpp
@@ -92,7 +92,6 @@
     const Micros began = loop_.now();
     for (unsigned i = 0; i < members_.size(); ++i) start(i);
     for (unsigned i = 0; i < plan_.real; ++i) spawn(i);
-    out_.memory = (resident() - before) / static_cast<double>(members_.size());
     out_.one_view = until(began, 60s, [this] { return agree(plan_.members); });
     run(5s);
     out_.memory = (resident() - before) / static_cast<double>(members_.size());
--- a/src/lab/reports/capacity.cpp
+++ b/src/lab/reports/capacity.cpp
@@ -70,7 +70,7 @@
 
 }  // namespace
 
-Capacity::Capacity(const std::string& slopes, const std::string& size) : file_(slopes) {
+Capacity::Capacity(const std::string& slopes, const std::string& size) {
   const toml::table sizes = read(size);
   Fields of_size(sizes, "", size);
   for (const auto& [key, node] : sizes) {
--- a/src/lab/reports/capacity.h
+++ b/src/lab/reports/capacity.h
@@ -44,7 +44,6 @@
   double value(const std::string& expression, double hosts) const;
   Worked work(const CapacityRow& row) const;
 
-  std::string file_;
   std::map<std::string, double> counts_;
   std::vector<double> hosts_;
   std::map<std::string, Slope> slopes_;
--- a/src/lab/reports/scale_module.cpp
+++ b/src/lab/reports/scale_module.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -67,6 +68,20 @@
   unsigned moved = 0;
 };
 
+// One node of so many, with so many hosts listed in five zones.
+std::unique_ptr<Balancer> balancer_with(Alone& outlet, unsigned hosts, unsigned nodes, double price,
+                                        std::uint64_t seed) {
+  auto out = make_balancer(outlet, seed, nodes, ZoneId{0},
+                           {Listener{500ms, 2s, Effect::repeatable, Reach::all, 1s, 1}}, DialLimits{3, 0us},
+                           ColdRule{7s, 0.3, 3, 1500ms}, ListRule{true, 10s}, Prices{0.1, price});
+  out->at(outlet.now);
+  out->list_begins(true);
+  for (std::uint64_t h = 1; h <= hosts; ++h)
+    out->listed(HostId{mix(h)}, ZoneId{static_cast<std::uint32_t>(h % 5)}, CellId{0}, Standing::in, 1, 0us);
+  out->list_ends();
+  return out;
+}
+
 }  // namespace
 
 ModuleScale scale_module(unsigned hosts, unsigned sessions, unsigned groups, unsigned nodes,
@@ -79,15 +94,7 @@
   std::vector<double> sums(groups);
   double all = 0;
   for (unsigned g = 0; g < groups; ++g) sums[g] = all += std::pow(g + 1.0, -kExponent);
-  const auto balancer = make_balancer(
-      outlet, seed, nodes, ZoneId{0}, {Listener{500ms, 2s, Effect::repeatable, Reach::all, 1s, 1}},
-      DialLimits{3, 0us}, ColdRule{7s, 0.3, 3, 1500ms}, ListRule{true, 10s}, Prices{0.1, 0.0});
-  balancer->at(outlet.now);
-  balancer->list_begins(true);
-  for (std::uint64_t h = 1; h <= hosts; ++h)
-    balancer->listed(HostId{mix(h)}, ZoneId{static_cast<std::uint32_t>(h % 5)}, CellId{0}, Standing::in, 1,
-                     0us);
-  balancer->list_ends();
+  const auto balancer = balancer_with(outlet, hosts, nodes, 0, seed);
   outlet.pass(*balancer, 3s, 0.4);
   const double before = held_kib();
   std::map<std::uint64_t, std::set<std::uint64_t>> holds;  // by group
@@ -141,15 +148,7 @@
 
 double probes_a_second(unsigned hosts, double rate, double price, std::uint64_t seed) {
   Alone outlet;
-  const auto balancer = make_balancer(
-      outlet, seed, 500, ZoneId{0}, {Listener{500ms, 2s, Effect::repeatable, Reach::all, 1s, 1}},
-      DialLimits{3, 0us}, ColdRule{7s, 0.3, 3, 1500ms}, ListRule{true, 10s}, Prices{0.1, price});
-  balancer->at(outlet.now);
-  balancer->list_begins(true);
-  for (std::uint64_t h = 1; h <= hosts; ++h)
-    balancer->listed(HostId{mix(h)}, ZoneId{static_cast<std::uint32_t>(h % 5)}, CellId{0}, Standing::in, 1,
-                     0us);
-  balancer->list_ends();
+  const auto balancer = balancer_with(outlet, hosts, 500, price, seed);
   std::deque<std::pair<Micros, Sess>> open;
   double owed = 0, sent = 0;
   std::uint64_t id = 0;
--- a/src/node/changing.h
+++ b/src/node/changing.h
@@ -23,7 +23,6 @@
   void begin();
   void received(const Address& from, std::string_view bytes);
   const changes::Status& status() const { return carrier_.status(); }
-  std::uint64_t sent_bytes() const { return carrier_.sent_bytes(); }
 
  private:
   void send(const Address& to, std::string_view bytes) override { network_.send_datagram(to, bytes); }
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -30,7 +30,6 @@
   void carry(const setup::ChangesSection& changes, std::function<std::string(const changes::Change&)> take);
   // None: changes are not carried.
   const changes::Status* change_status() const { return changing_ ? &changing_->status() : nullptr; }
-  std::uint64_t change_bytes() const { return changing_ ? changing_->sent_bytes() : 0; }
   std::uint64_t digest() const { return view_.digest(); }
   unsigned acting() const { return view_.acting(); }
   // Takes new seeds; all else holds until the next start.
