Keep a group that a node does not hold to two warm hosts where room is short; cold hosts take any

Cause: keep_together counted one session of the group in hand for a node that holds none, of eight and its own: one in nine to fourteen, so 8 of 83 hosts for every group. And its bound barred cold hosts that are not among a group's few best.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -679,7 +679,7 @@
     if (best >= barred) return;
     ranks_.clear();
     bool held = false;
-    double home = 0, count = 1, own = kPriorOwn;
+    double home = 0, count = 0, own = kPriorOwn;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       // Guards against a group whose best hosts are all bad from here: it has no place, and waits in vain.
       const bool counts = hosts_[i].usable() && (suspect_ || !hosts_[i].way.bad());
@@ -689,22 +689,29 @@
       held = held || (sees_groups_ && (against_[i] & ~minor) == best && hosts_[i].holds(group));
       if ((against_[i] & ~far) == best_all) home = std::max(home, ranks_[i]);
     }
-    // Where room is short a group keeps to its best hosts, as many as its part of the sessions asks for.
-    // Guards against one more copy for each session that finds those full, until copies fill the fleet.
-    double least = 0;
-    const double wanted = 2 + std::ceil(count / own * static_cast<double>(hosts_.size()));
-    if (mean_load_ >= kFullAt - kLightAt && wanted < static_cast<double>(hosts_.size())) {
-      sorted_ = ranks_;
-      const auto last = sorted_.begin() + static_cast<std::ptrdiff_t>(wanted);
-      std::nth_element(sorted_.begin(), last, sorted_.end(), std::greater<>());
-      least = *last;
-    }
+    const double least = mean_load_ >= kFullAt - kLightAt ? least_rank(count / own) : 0;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-      if (held ? !hosts_[i].holds(group) : ranks_[i] != home) against_[i] |= off_group;
-      if (ranks_[i] <= least && !hosts_[i].holds(group)) against_[i] |= barred;
+      const Host& host = hosts_[i];
+      if (held ? !host.holds(group) : ranks_[i] != home) against_[i] |= off_group;
+      if (ranks_[i] <= least && !host.holds(group) && !guard_.cold(now_, host.started)) against_[i] |= barred;
     }
   }
 
+  // Where room is short a group keeps to its best hosts, at least two, and as many as its part of the
+  // sessions asks for: to those of a higher rank than this. Guards against one more copy for each session
+  // that finds those full, until copies fill the fleet. Cold hosts are not counted and take any group: after
+  // a release half of a fleet is cold, with nothing but room.
+  double least_rank(double part) {
+    sorted_.clear();
+    for (std::size_t i = 0; i < hosts_.size(); ++i)
+      if (!guard_.cold(now_, hosts_[i].started)) sorted_.push_back(ranks_[i]);
+    const double wanted = kFewestHosts + std::ceil(part * static_cast<double>(sorted_.size()));
+    if (wanted >= static_cast<double>(sorted_.size())) return 0;
+    const auto last = sorted_.begin() + static_cast<std::ptrdiff_t>(wanted);
+    std::nth_element(sorted_.begin(), last, sorted_.end(), std::greater<>());
+    return *last;
+  }
+
   // How well a host suits a group, the same at every node: by chance, as often as its size says.
   static double rank(GroupId group, const Host& h) {
     const double chance =
@@ -943,7 +950,7 @@
   static constexpr unsigned kMostPatience = 64;
   static constexpr double kAlone = 1e9, kCrowded = 1.25, kCopy = 2.0 / 3, kMostCopy = 8, kDear = 4,
                           kHeavy = 2, kOneCore = 1e-6, kIdleProbes = 0.125, kFewOfGroup = 2, kPriorOwn = 8,
-                          kCrippled = 2;
+                          kFewestHosts = 2, kCrippled = 2;
 
   Outlet& out_;
   std::knuth_b chance_;
--- /dev/null
+++ b/tests/group_placement_test.cpp
@@ -0,0 +1,82 @@
+// Where a group's sessions are placed while room is short: each host that holds any of a group pays for the
+// whole of it once more, so that nodes which know little must not spread it.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "world.h"
+
+namespace flintweir::test {
+namespace {
+
+constexpr unsigned kHosts = 40;
+constexpr double kNearlyFull = 0.65, kFull = 0.9;
+
+// A node of a large fleet: it holds next to no session, and every host has been reported as nearly full.
+struct ThinNode : World {
+  ThinNode() : World(11) {
+    nodes = 300;
+    for (unsigned i = 1; i <= kHosts; ++i) hosts[HostId{i}] = {ZoneId{0}, CellId{0}};
+    restart();
+    pass(3s);
+    for (unsigned i = 1; i <= kHosts; ++i) report(HostId{i}, load[HostId{i}] = kNearlyFull);
+  }
+  void report_all() {
+    for (const auto& [host, reported] : load) report(host, reported);
+  }
+  std::map<HostId, double> load;
+};
+
+// The first host of the group fills up, then the next: further sessions are refused until one of these has
+// room again. Before, a node that held nothing of a group took it for one session in nine of all, and gave it
+// six hosts.
+TEST(GroupPlacement, OfAGroupThatANodeDoesNotHoldKeepsToTwoHostsWhereRoomIsShort) {
+  for (std::uint64_t group = 1; group <= 20; ++group) {
+    ThinNode node;
+    std::set<HostId> used;
+    for (int i = 0; i < 12; ++i) {
+      const SessId id = node.arrive(0, GroupId{group});
+      if (node.clients.at(id).dials.empty()) continue;
+      const HostId host = node.clients.at(id).dials.back().host;
+      node.accept(id);
+      used.insert(host);
+      node.load[host] = kFull;
+      node.finish(id, Ending::cancelled);
+      node.pass(3s);
+      node.report_all();
+    }
+    EXPECT_EQ(used.size(), 2u) << group;
+  }
+}
+
+// After a release half of the hosts are cold and empty while the others are full. Before, a group could only
+// use those cold hosts that were among its few best, and was refused while the rest stood empty.
+TEST(GroupPlacement, UsesAnyColdHostWithinItsBudget) {
+  ThinNode node;
+  node.nodes = World::kNodes;
+  node.restart();
+  for (unsigned i = 0; i < 2 * kHosts; ++i) node.accept(node.arrive(0));
+  node.pass_asked(5s, [&](HostId host) { node.report(host, kNearlyFull); });
+  for (unsigned i = 1; i <= kHosts / 2; ++i) {
+    node.change(HostId{i}, Standing::in, node.now - 2s);
+    node.load.erase(HostId{i});
+    node.load[HostId{kHosts / 2 + i}] = kFull;
+  }
+  std::set<HostId> used;
+  for (Micros window{0}; window < 6s; window += World::kCold.window) {
+    node.report_all();
+    for (unsigned i = 0; i < kHosts; ++i) {
+      const SessId id = node.arrive(0, GroupId{5});
+      if (node.clients.at(id).dials.empty()) continue;
+      used.insert(node.clients.at(id).dials.back().host);
+      node.finish(id, Ending::cancelled);
+    }
+    node.pass(World::kCold.window);
+  }
+  EXPECT_LE(*used.rbegin(), HostId{kHosts / 2});
+  EXPECT_GE(used.size(), kHosts / 4);
+}
+
+}  // namespace
+}  // namespace flintweir::test
