Give a group three hosts at least where room is short, and bound it where no load is known

And on seven-lines, where hosts may not be probed, no load is ever known, so that the bound never held: copies of 51 groups went from 125 to 720 and every host broke connections off (7,227 times). Change: three hosts instead of two; the bound also holds while no report is known.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -689,7 +689,8 @@
       held = held || (sees_groups_ && (against_[i] & ~minor) == best && hosts_[i].holds(group));
       if ((against_[i] & ~far) == best_all) home = std::max(home, ranks_[i]);
     }
-    const double least = mean_load_ >= kFullAt - kLightAt ? least_rank(count / own) : 0;
+    const bool room_is_sure = mean_known_ && mean_load_ < kFullAt - kLightAt;
+    const double least = room_is_sure ? 0 : least_rank(count / own);
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       const Host& host = hosts_[i];
       if (held ? !host.holds(group) : ranks_[i] != home) against_[i] |= off_group;
@@ -950,7 +951,7 @@
   static constexpr unsigned kMostPatience = 64;
   static constexpr double kAlone = 1e9, kCrowded = 1.25, kCopy = 2.0 / 3, kMostCopy = 8, kDear = 4,
                           kHeavy = 2, kOneCore = 1e-6, kIdleProbes = 0.125, kFewOfGroup = 2, kPriorOwn = 8,
-                          kFewestHosts = 2, kCrippled = 2;
+                          kFewestHosts = 3, kCrippled = 2;
 
   Outlet& out_;
   std::knuth_b chance_;
