Hold dials back under a fault that all hosts share; look further while nothing is placed

Change: DialThrottle, client-side throttling as in the field: beyond two dials ended for each accepted, and two more, new dials are given up by chance. And the bound on a group's hosts grows by three for each two seconds in which a node refuses and places nothing. All 47 tests pass.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -159,6 +159,27 @@
   FadingSum taken_;
 };
 
+// Adaptive throttling: where most dials of late failed, whatever the host, the cause is shared, and each
+// further dial feeds it. New ones are then made about as often again as dials are accepted, and a few
+// besides, by which the end of it shows. Guards against retries that keep a swamped session store from ever
+// catching up.
+class DialThrottle {
+ public:
+  void ended(Micros now, bool accepted) {
+    ended_.add(now, 1);
+    if (accepted) accepted_.add(now, 1);
+  }
+  // Which share of the dials in hand is better not made.
+  double share_held_back(Micros now) const {
+    const double ended = ended_.at(now);
+    return std::max(0.0, ended - kDialsForAccepted * accepted_.at(now) - kFew) / (ended + 1);
+  }
+
+ private:
+  static constexpr double kDialsForAccepted = 2, kFew = 2;  // a few failures say nothing of a shared cause
+  FadingSum ended_{2 * kProbeEvery}, accepted_{2 * kProbeEvery};
+};
+
 struct Host : HostFacts {
   explicit Host(HostId h) : HostFacts(h, kProbeEvery) {}
   bool suspended = false;
@@ -335,6 +356,7 @@
       h->way.met(now_, true);
     }
     patience_ = std::max(1u, patience_ / 2);
+    throttle_.ended(now_, true);
     if (s->state == State::dialing) open(*s);
   }
 
@@ -367,6 +389,7 @@
         look_ = look_ || h->way.bad();
       }
     }
+    if (how == Ending::timed_out || how == Ending::erred) throttle_.ended(now_, false);
     if (how == Ending::timed_out) patience_ = std::min(2 * patience_, kMostPatience);
     const bool proven = how == Ending::turned_away || how == Ending::unconnected || how == Ending::unsent;
     if (!proven) s->ran(h ? h->zone : ZoneId{}, h ? h->cell : CellId{});
@@ -706,7 +729,9 @@
     sorted_.clear();
     for (std::size_t i = 0; i < hosts_.size(); ++i)
       if (!guard_.cold(now_, hosts_[i].started)) sorted_.push_back(ranks_[i]);
-    const double wanted = kFewestHosts + std::ceil(part * static_cast<double>(sorted_.size()));
+    // The longer nothing is placed at all, the further it looks.
+    const double rounds = full() ? 1 + std::floor(ratio(now_ - refusing_since_, kCurrent)) : 1;
+    const double wanted = rounds * kFewestHosts + std::ceil(part * static_cast<double>(sorted_.size()));
     if (wanted >= static_cast<double>(sorted_.size())) return 0;
     const auto last = sorted_.begin() + static_cast<std::ptrdiff_t>(wanted);
     std::nth_element(sorted_.begin(), last, sorted_.end(), std::greater<>());
@@ -726,13 +751,19 @@
     // Where the rules ration further dials and none is left, waiting for one would hold the answer back.
     if (!dials.again(s, now_) || (s.dials > 0 && !budget_.allows(now_)) || (full() && heavy(s)))
       return give_up(key, s, dials);
+    const double held_back = throttle_.share_held_back(now_);
+    if (held_back > 0 && dials.may_refuse(s) && std::generate_canonical<double, 32>(chance_) < held_back)
+      return give_up(key, s, dials);
     Host* h = choose(s, dials);
     if (!h) {
       const bool all_full = !blind() && std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
         return x.usable() && no_room(x, load_of(x));
       });
       if (all_full && mean_load_ >= kFullAt - kLightAt) {
-        if (!full()) out_.log("no host has room, refusing sessions");
+        if (!full()) {
+          out_.log("no host has room, refusing sessions");
+          refusing_since_ = now_;
+        }
         full_at_ = now_;
       }
       if (now_ >= s.give_up_at || all_full || s.dials > 0) return give_up(key, s, dials);
@@ -746,6 +777,7 @@
       return hold(key, s);
     }
     if (guard_.cold(now_, h->started)) h->cold_sent.add(now_, cold_cost(s), now_ - guard_.window());
+    refusing_since_ = now_;
     if (s.dials > 0) budget_.spend(now_);
     // With no other dial to be had after it, this one has all the time there is.
     const Micros limit = dials.limit(s, now_, patience_, budget_.allows(now_));
@@ -971,6 +1003,7 @@
   Rotation rotation_;
   std::vector<FadingMean> usual_;
   ClientLoads sent_away_;
+  DialThrottle throttle_;
   FadingSum under_way_{kProbeEvery};  // load moved off bad ways that is not back yet
   HostsById<Host> hosts_;
   std::vector<std::pair<double, Host*>> order_;
@@ -980,7 +1013,7 @@
   std::vector<double> ranks_, sorted_;
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, full_at_ = kNever,
-                  list_wait_ = kProbeEvery, blind_until_ = kNever;
+                  refusing_since_{0}, list_wait_ = kProbeEvery, blind_until_ = kNever;
   bool listing_whole_ = false, mean_known_ = false, suspect_ = false, sees_groups_ = false, told_ = false;
   double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, mean_session_ = 0, per_share_ = 0, full_ = 0,
          holders_ = 0, counted_ = 0;
--- a/tests/group_placement_test.cpp
+++ b/tests/group_placement_test.cpp
@@ -51,6 +51,32 @@
   }
 }
 
+// The group's hosts stay full, and the node places nothing: it looks further before it has refused for long.
+TEST(GroupPlacement, LooksFurtherWhileNothingIsPlacedAtAll) {
+  ThinNode node;
+  std::set<HostId> filled;
+  for (unsigned i = 0; i < kHosts && filled.size() < kFewestHosts; ++i) {
+    const SessId id = node.arrive(0, GroupId{5});
+    if (!node.clients.at(id).dials.empty()) {
+      const HostId host = node.clients.at(id).dials.back().host;
+      node.load[host] = kFull;
+      filled.insert(host);
+      node.finish(id, Ending::cancelled);
+    }
+    node.pass(3s);
+    node.report_all();
+  }
+  ASSERT_EQ(filled.size(), kFewestHosts);
+  const Micros began = node.now;
+  for (SessId id = node.arrive(0, GroupId{5}); node.clients.at(id).dials.empty() && node.now - began < 10s;) {
+    node.pass(250ms);
+    node.report_all();
+    id = node.arrive(0, GroupId{5});
+  }
+  EXPECT_GE(node.now - began, 1s);
+  EXPECT_LE(node.now - began, 4s);
+}
+
 // Where hosts may not be probed no report tells of room. Each host that the group is given breaks the
 // connection off, as one does that is overloaded. Before, the group went through all hosts of the fleet.
 TEST(GroupPlacement, KeepsToAFewHostsWhereNoLoadIsKnown) {
