--- a/benchlink/wire.cpp
+++ b/benchlink/wire.cpp
@@ -265,10 +265,10 @@
   void dial(SessId s, HostId host, Micros limit) override {
     reply_.message("ROUTE", who_).number(rid(s)).text(names_.at(host.value)).number(limit.count()).end();
   }
-  void refuse(SessId s, Micros away) override {
+  void refuse(SessId s, Micros away, Refusal) override {
     reply_.message("NOT_NOW", who_).number(rid(s)).number(away.count()).end();
   }
-  void tear_down(SessId s) override { reply_.message("ABORT", who_).number(rid(s)).end(); }
+  void tear_down(SessId s, Refusal) override { reply_.message("ABORT", who_).number(rid(s)).end(); }
   void move(SessId s) override { reply_.message("SHIFT", who_).number(rid(s)).end(); }
   void probe(HostId host) override { reply_.message("ASK_LOAD", who_).text(names_.at(host.value)).end(); }
   void wake(Micros in, WakeId wake) override {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -748,11 +748,12 @@
     const Dials dials(listeners_[s.taken.listener.value], dial_limits_.most);
     s.state = State::held;
     // Where the rules ration further dials and none is left, waiting for one would hold the answer back.
-    if (!dials.again(s, now_) || (s.dials > 0 && !budget_.allows(now_)) || (full() && heavy(s)))
-      return give_up(key, s, dials);
+    if (!dials.again(s, now_)) return give_up(key, s, dials, Refusal::no_dials_left);
+    if (s.dials > 0 && !budget_.allows(now_)) return give_up(key, s, dials, Refusal::no_budget_left);
+    if (full() && heavy(s)) return give_up(key, s, dials, Refusal::fleet_full);
     const double held_back = throttle_.share_held_back(now_);
     if (held_back > 0 && dials.may_refuse(s) && std::generate_canonical<double, 32>(chance_) < held_back)
-      return give_up(key, s, dials);
+      return give_up(key, s, dials, Refusal::throttled);
     Host* h = choose(s, dials);
     if (!h) {
       const bool all_full = !blind() && std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
@@ -765,7 +766,10 @@
         }
         full_at_ = now_;
       }
-      if (now_ >= s.give_up_at || all_full || s.dials > 0) return give_up(key, s, dials);
+      if (now_ >= s.give_up_at || all_full || s.dials > 0) {
+        const Refusal no_choice = all_full ? Refusal::fleet_full : Refusal::no_host;
+        return give_up(key, s, dials, blind() ? Refusal::list_overdue : no_choice);
+      }
       return hold(key, s);
     }
     if (must_ask(*h, s)) {
@@ -813,11 +817,11 @@
       if (h.usable() && load_of(h) >= kFullAt - kLightAt) move_off(h, h.own_load * kLightAt, Leaving::heavy);
   }
 
-  void give_up(SlabKey key, Session& s, const Dials& dials) {
+  void give_up(SlabKey key, Session& s, const Dials& dials, Refusal why) {
     if (dials.may_refuse(s))
-      out_.refuse(s.id, std::min(dial_limits_.longest_stay_away, spread(kProbeEvery)));
+      out_.refuse(s.id, std::min(dial_limits_.longest_stay_away, spread(kProbeEvery)), why);
     else
-      out_.tear_down(s.id);
+      out_.tear_down(s.id, why);
     sessions_.drop(key);
   }
 
--- a/src/balance.h
+++ b/src/balance.h
@@ -92,12 +92,22 @@
   std::optional<double> queued;    // sessions waiting
 };
 
+// Why a session gets no host, for the log alone.
+enum class Refusal {
+  no_host,        // none was found until its time to wait was over
+  fleet_full,     // no host has room, or it weighs too much while that is so
+  list_overdue,   // hosts may drain of which this node has not heard
+  throttled,      // most dials fail, whatever the host
+  no_dials_left,  // it may not be dialled again, or not in time
+  no_budget_left  // the budget of further dials is spent
+};
+
 class Outlet {
  public:
   virtual ~Outlet() = default;
   virtual void dial(SessId sess, HostId host, Micros limit) = 0;  // zero: until the client gives up
-  virtual void refuse(SessId sess, Micros stay_away) = 0;
-  virtual void tear_down(SessId sess) = 0;
+  virtual void refuse(SessId sess, Micros stay_away, Refusal why) = 0;
+  virtual void tear_down(SessId sess, Refusal why) = 0;
   virtual void move(SessId sess) = 0;
   virtual void probe(HostId host) = 0;
   virtual void wake(Micros in, WakeId wake) = 0;
--- a/src/lab/models/baselines.cpp
+++ b/src/lab/models/baselines.cpp
@@ -175,7 +175,7 @@
                             (l.effect == Effect::referenced && l.reach == Reach::all);
       const SessId id = s.id;
       sessions_.drop(key);
-      return harmless ? out_.refuse(id, 0us) : out_.tear_down(id);
+      return harmless ? out_.refuse(id, 0us, Refusal::no_host) : out_.tear_down(id, Refusal::no_host);
     }
     s.host = best->id;
     if (s.dials < s.tried.size()) s.tried[s.dials] = best->id;
--- a/src/lab/reports/scale_module.cpp
+++ b/src/lab/reports/scale_module.cpp
@@ -36,8 +36,8 @@
 
 struct Alone final : Outlet {
   void dial(SessId, HostId host, Micros) override { dialled = host; }
-  void refuse(SessId, Micros) override {}
-  void tear_down(SessId) override {}
+  void refuse(SessId, Micros, Refusal) override {}
+  void tear_down(SessId, Refusal) override {}
   void move(SessId) override { ++moved; }
   void probe(HostId host) override { probes.push_back(host); }
   void wake(Micros in, WakeId wake) override { wakes.emplace(now + in, wake); }
--- a/src/line/heads.cpp
+++ b/src/line/heads.cpp
@@ -36,6 +36,13 @@
   return out;
 }
 
+std::string_view id_word(std::string_view line) {
+  if (!printable(line)) return "-";
+  cut(line, ' ');
+  const std::string_view id = cut(line, ' ');
+  return is_word(id) ? id : "-";
+}
+
 // Whatever a host might not read is turned away here: passed on, it would cost that host's good name.
 bool HeadReader::open(std::string_view line, Micros now, Taken& taken, GivenId& given, std::string_view& at,
                       std::string_view& time_left) const {
--- a/src/line/heads.h
+++ b/src/line/heads.h
@@ -11,6 +11,9 @@
 
 namespace flintweir::line {
 
+// The id in a first line, whatever else is wrong with it; "-" where there is none that can be logged.
+std::string_view id_word(std::string_view line);
+
 // What the settings say about a first line.
 class HeadReader {
  public:
--- a/src/line/link.cpp
+++ b/src/line/link.cpp
@@ -25,6 +25,7 @@
   key_ = key;
   handle_ = Sess();
   taken_ = Taken{};
+  logged_id_ = {};
   time_left_ = {};
   at_ = HostId{};
   dials_ = 0;
@@ -37,6 +38,7 @@
 
 void Link::head_came(std::string_view line) {
   began_ = sessions_.wakes_.now();
+  logged_id_ = LoggedId(id_word(line));
   std::string_view at;
   GivenId id;
   if (!sessions_.heads_.open(line, began_, taken_, id, at, time_left_))
@@ -65,6 +67,8 @@
   const Micros left = taken_.valid_until - sessions_.wakes_.now();
   const Micros limit = within > 0us ? std::min(within, left) : left;
   const Hosts::Host* h = sessions_.hosts_.find(host);
+  if (dials_ > 1)
+    log_line("retry id=%s host=%s dials=%u", logged_id_.text(), sessions_.hosts_.name(host), dials_);
   if (!h || !sessions_.has_room()) return host_.fail();
   host_.dial(h->at, client_.head(), time_left_, limit);
 }
@@ -74,9 +78,9 @@
   if (!answered_) dial(at_, 0us);
 }
 
-void Link::answer(std::string_view line, Reason reason) {
+void Link::answer(std::string_view line, Reason reason, std::optional<Refusal> refusal) {
   answered_ = true;
-  log_end(code_of(reason));
+  log_end(code_of(reason), refusal);
   client_.answer(line);
 }
 
@@ -169,12 +173,13 @@
 
 void Link::relay_closed() { free(); }
 
-void Link::log_end(const char* code) {
+void Link::log_end(const char* code, std::optional<Refusal> refusal) {
   const auto ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(sessions_.wakes_.now() - began_).count();
-  log_line("end %s client=%016llx host=%s listener=%u dials=%u ms=%lld", code,
+  log_line("end %s id=%s client=%016llx host=%s listener=%u dials=%u ms=%lld%s%s", code, logged_id_.text(),
            static_cast<unsigned long long>(taken_.client.value_or(ClientKey{}).value),
-           sessions_.hosts_.name(at_), taken_.listener.value, dials_, static_cast<long long>(ms));
+           sessions_.hosts_.name(at_), taken_.listener.value, dials_, static_cast<long long>(ms),
+           refusal ? " why=" : "", refusal ? code_of(*refusal) : "");
 }
 
 }  // namespace flintweir::line
--- a/src/line/link.h
+++ b/src/line/link.h
@@ -20,7 +20,7 @@
   void begin(SlabKey key, SocketKey socket);
   // What the module does.
   void dial(HostId host, Micros within);
-  void answer(std::string_view line, Reason reason);
+  void answer(std::string_view line, Reason reason, std::optional<Refusal> refusal = {});
   void move(Reason why);
   bool movable() const { return open_ && !relay_.moving(); }
   void dial_holder();
@@ -42,7 +42,8 @@
   // The module knows only one dial of a connection that was open before.
   DialNo dial_no() const { return {inherited_ ? 0 : dials_ - 1}; }
   void free();
-  void log_end(const char* code);  // one line for each connection that ends
+  // One line for each connection and each dial that ends; `refusal`: why the module gave no host.
+  void log_end(const char* code, std::optional<Refusal> refusal = {});
 
   Sessions& sessions_;
   ClientConn client_;
@@ -51,6 +52,7 @@
   SlabKey key_;
   Sess handle_;
   std::optional<GivenId> id_;  // while it is claimed
+  LoggedId logged_id_;
   Taken taken_{};
   std::string_view time_left_;
   HostId at_;
--- a/src/line/open_ids.h
+++ b/src/line/open_ids.h
@@ -1,7 +1,10 @@
 // The ids that clients give their connections.
 #pragma once
 
+#include <algorithm>
+#include <array>
 #include <cstdint>
+#include <string_view>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -12,6 +15,21 @@
 
 using GivenId = Id<struct GivenIdTag, std::uint64_t>;  // as a client's first line says
 
+// An id as its client wrote it, for log lines: "-" where none came, cut where it is longer than ids are.
+class LoggedId {
+ public:
+  LoggedId() : LoggedId("-") {}
+  explicit LoggedId(std::string_view id) {
+    const std::size_t size = std::min(id.size(), text_.size() - 1);
+    std::copy_n(id.begin(), size, text_.begin());
+    text_[size] = '\0';
+  }
+  const char* text() const { return text_.data(); }
+
+ private:
+  std::array<char, 33> text_;
+};
+
 // Ids are new with every connection. Guards against one that comes again, while its connection lasts or
 // after: hosts answer that with an error for which they are not to blame.
 class OpenIds {
--- a/src/line/reason.cpp
+++ b/src/line/reason.cpp
@@ -62,4 +62,22 @@
   return "dial-unknown";
 }
 
+const char* code_of(Refusal why) {
+  switch (why) {
+    case Refusal::no_host:
+      return "no-host";
+    case Refusal::fleet_full:
+      return "fleet-full";
+    case Refusal::list_overdue:
+      return "list-overdue";
+    case Refusal::throttled:
+      return "throttled";
+    case Refusal::no_dials_left:
+      return "no-dials-left";
+    case Refusal::no_budget_left:
+      return "no-budget-left";
+  }
+  return "unknown";
+}
+
 }  // namespace flintweir::line
--- a/src/line/reason.h
+++ b/src/line/reason.h
@@ -26,5 +26,6 @@
 };
 const char* code_of(Reason reason);
 const char* code_of(Ending how);  // of a dial that was not accepted
+const char* code_of(Refusal why);
 
 }  // namespace flintweir::line
--- a/src/line/sessions.cpp
+++ b/src/line/sessions.cpp
@@ -41,19 +41,19 @@
   if (Link* link = find(sess)) link->dial(host, limit);
 }
 
-void Sessions::refuse(SessId sess, Micros stay_away) {
-  if (Link* link = find(sess)) busy(*link, stay_away, Reason::refused);
+void Sessions::refuse(SessId sess, Micros stay_away, Refusal why) {
+  if (Link* link = find(sess)) busy(*link, stay_away, Reason::refused, why);
 }
 
-void Sessions::busy(Link& link, Micros stay_away, Reason why) {
+void Sessions::busy(Link& link, Micros stay_away, Reason why, std::optional<Refusal> refusal) {
   char line[40] = "BUSY\r\n";
   const long long ms = std::chrono::ceil<std::chrono::milliseconds>(stay_away).count();
   if (ms > 0) std::snprintf(line, sizeof line, "BUSY %lld\r\n", ms);
-  link.answer(line, why);
+  link.answer(line, why, refusal);
 }
 
-void Sessions::tear_down(SessId sess) {
-  if (Link* link = find(sess)) link->answer("ERR\r\n", Reason::torn_down);
+void Sessions::tear_down(SessId sess, Refusal why) {
+  if (Link* link = find(sess)) link->answer("ERR\r\n", Reason::torn_down, why);
 }
 
 void Sessions::move(SessId sess) {
--- a/src/line/sessions.h
+++ b/src/line/sessions.h
@@ -44,8 +44,8 @@
   std::uint64_t dials_not_begun() const { return dials_not_begun_; }
 
   void dial(SessId sess, HostId host, Micros limit) override;
-  void refuse(SessId sess, Micros stay_away) override;
-  void tear_down(SessId sess) override;
+  void refuse(SessId sess, Micros stay_away, Refusal why) override;
+  void tear_down(SessId sess, Refusal why) override;
   void move(SessId sess) override;
   void probe(HostId host) override;
   void wake(Micros in, WakeId wake) override { wakes_.after(in, module_wakes_, wake.value); }
@@ -67,7 +67,7 @@
   void dial_again(std::uint64_t key);
   void move_next(std::uint64_t);
 
-  void busy(Link& link, Micros stay_away, Reason why);
+  void busy(Link& link, Micros stay_away, Reason why, std::optional<Refusal> refusal = {});
   Link* find(SessId sess) { return links_.find(SlabKey::unpacked(sess.value)); }
   bool has_room() const { return count_ <= most_ && sockets_.room(kSpare); }
   void again(SlabKey key, Micros in) { wakes_.after(in, dial_again_, key.packed()); }
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -22,6 +22,10 @@
   return std::nullopt;
 }
 
+long long in_millis(Micros time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 }  // namespace
 
 void Discovery::watch(bool fresh) {
@@ -48,6 +52,8 @@
   const std::chrono::milliseconds wait(version_ ? part(chance_) : 0);
   clock_.called(wakes_.now(), wait);
   look_when_overdue();
+  log_line("list: asked %s",
+           version_ ? ("for changes since " + std::to_string(*version_)).c_str() : "for all of it");
   if (!version_) return get_.get("/api/targets", 0s, kSlack);
   get_.get("/api/targets?since=" + std::to_string(*version_) + "&timeout_ms=" + std::to_string(wait.count()),
            wait, kSilent);
@@ -88,6 +94,7 @@
 
 void Discovery::failed() {
   look_when_overdue();
+  log_line("list: not heard; counts as told in %lld ms", in_millis(clock_.told_from() - wakes_.now()));
   if (agent_again_)
     wakes_.after(*agent_again_, *this, token(Due::again));
   else {
@@ -105,7 +112,11 @@
 void Discovery::woken(std::uint64_t t) {
   if (t == token(Due::again)) ask();
   if (t == token(Due::in_time)) watch();
-  if (t == token(Due::overdue) && wakes_.now() >= clock_.told_from()) told_.balancer_now().list_overdue();
+  if (t == token(Due::overdue) && wakes_.now() >= clock_.told_from()) {
+    log_line("list: what was not heard counts as told since %lld ms",
+             in_millis(wakes_.now() - clock_.told_from()));
+    told_.balancer_now().list_overdue();
+  }
 }
 
 template <class Entry>
@@ -155,6 +166,8 @@
     if (standing != Standing::gone) hosts_.listed(id, name, at);
   });
   balancer.list_ends();
+  if (version_ != version)
+    log_line("list: taken version=%llu all=%d", static_cast<unsigned long long>(version), whole);
   version_ = version;
   return true;
 }
--- a/tests/cold_test.cpp
+++ b/tests/cold_test.cpp
@@ -76,8 +76,8 @@
     }
   }
   void dial(SessId, HostId host, Micros) override { dialled_ = host; }
-  void refuse(SessId, Micros) override {}
-  void tear_down(SessId) override {}
+  void refuse(SessId, Micros, Refusal) override {}
+  void tear_down(SessId, Refusal) override {}
   void move(SessId) override {}
   void probe(HostId host) override { probes.push_back(host); }
   void wake(Micros in, WakeId wake) override { wakes_.emplace(now_ + in, wake); }
--- a/tests/world.h
+++ b/tests/world.h
@@ -183,7 +183,7 @@
     p.sent.push_back(now);
     cold_budget(p);
   }
-  void refuse(SessId sess, Micros) override {
+  void refuse(SessId sess, Micros, Refusal) override {
     const Client& c = clients.at(sess);
     const Listener& l = listeners[c.listener.value];
     for (const Dialed& d : c.dials) {
@@ -194,7 +194,7 @@
     ++refused;
     answer(sess);
   }
-  void tear_down(SessId sess) override { answer(sess); }
+  void tear_down(SessId sess, Refusal) override { answer(sess); }
   void move(SessId sess) override { clients.at(sess).moved = true; }
   void probe(HostId host) override { probes.push_back(host); }
   void wake(Micros in, WakeId wake) override { wakes.emplace(now + in, wake); }
