--- /dev/null
+++ b/src/lab/checks/change_deadlines.h
@@ -0,0 +1,32 @@
+// When a change of the list counts as told to nodes that have not heard of it, by the protocol's page: 6 s
+// after discovery had it and could be reached, or 4 s after nodes were told of another service. No I/O and no
+// clock.
+#pragma once
+
+#include <vector>
+
+#include "lab/models/list_model.h"
+
+namespace flintweir::lab {
+
+class ChangeDeadlines {
+ public:
+  struct Due {
+    ListModel::Entry entry;
+    Micros had;      // by discovery, as far as is known
+    Micros told_at;  // to all nodes, heard or not
+  };
+  explicit ChangeDeadlines(std::uint64_t version) : version_(version) {}
+
+  // To be called often: a deadline may be later by the time between two calls, never sooner.
+  void look(const ListModel& list, bool reachable, Micros now);
+  void moved(Micros now);  // nodes are told of another service
+  // Those that count as told by now, in their order, each once.
+  std::vector<Due> due(Micros now);
+
+ private:
+  std::uint64_t version_;  // up to which all is taken in
+  std::vector<Due> open_;
+};
+
+}  // namespace flintweir::lab
--- a/src/lab/checks/checker.cpp
+++ b/src/lab/checks/checker.cpp
@@ -131,7 +131,19 @@
   if (standing == Standing::in)
     n.told_away.erase(host.value);
   else if (standing == Standing::draining || !only_draining_binds_)
-    n.told_away.emplace(host.value, Node::Away{now, teller});
+    n.told_away.emplace(host.value, Node::Away{now, teller, now});
+}
+
+void Checker::counts_as_told(NodeNo node, MachineNo teller, HostNo host, Standing standing, Micros had,
+                             Micros at) {
+  Node& n = nodes_[node.value];
+  Node::Start& last = n.told_start[host.value];
+  if (!n.up || last.told_at >= had) return;  // it was told of that, or of something newer
+  last.told_at = had;
+  if (standing == Standing::in)
+    n.told_away.erase(host.value);
+  else if (standing == Standing::draining || !only_draining_binds_)
+    n.told_away.emplace(host.value, Node::Away{at, teller, had});
 }
 
 void Checker::asked(SessionNo id, NodeNo node, MachineNo client, const Listener& listener, Micros patience,
@@ -254,7 +266,7 @@
     const Micros late = now - away->second.at - grace_;
     const Micros travels =
         paths_.longest(away->second.teller, node.machine) + 3 * paths_.longest(node.machine, h.machine);
-    if (late > kOnSockets + travels && paths_.sound(away->second.teller, node.machine, away->second.at) &&
+    if (late > kOnSockets + travels && paths_.sound(away->second.teller, node.machine, away->second.since) &&
         paths_.sound(node.machine, h.machine, s->asked_at))
       breaks(Rule::drain, id, *s, now,
              "it was sent to " + h.name + ' ' + ms(late) + " after the grace of its drain");
--- a/src/lab/checks/checker.h
+++ b/src/lab/checks/checker.h
@@ -75,6 +75,8 @@
   void host_tipped(HostNo host, Micros now);
   // An answer of discovery has been written out, from that machine.
   void told(NodeNo node, MachineNo teller, HostNo host, Standing standing, Micros started, Micros now);
+  // What discovery has since `had` counts as told to that node from `at` on, whether or not it was.
+  void counts_as_told(NodeNo node, MachineNo teller, HostNo host, Standing standing, Micros had, Micros at);
 
   // What a client does and sees.
   void asked(SessionNo id, NodeNo node, MachineNo client, const Listener& listener, Micros patience,
@@ -138,6 +140,7 @@
     struct Away {
       Micros at;
       MachineNo teller;
+      Micros since;  // the way from there has to be good from then on for the node to know
     };
     std::map<std::uint32_t, Away> told_away;  // by host
     struct Start {
--- a/src/lab/faults/plan.cpp
+++ b/src/lab/faults/plan.cpp
@@ -329,6 +329,8 @@
       {"clients-burst", "client", false, "a share `share` of the resting clients comes at once"},
       {"list-down", "list", false, "discovery takes no calls"},
       {"list-slow", "list", false, "it answers `size` seconds later"},
+      {"list-turns-away", "list", false,
+       "it holds each call for `size` seconds and answers 503; watches end"},
       {"list-stale", "list", false, "it goes on telling what it knew when the fault began"},
       {"list-malformed", "list", false, "its answers are cut off or nonsense"},
       {"list-shrinks", "list", false,
--- a/src/lab/models/list_server.cpp
+++ b/src/lab/models/list_server.cpp
@@ -70,12 +70,13 @@
     c.watch = head.find("since=") != head.npos;
     c.since = number_after(head, "since=", 0);
     c.until = wakes_.now() + std::chrono::milliseconds(number_after(head, "timeout_ms=", 0));
-    c.slowed = mood_.slow == 0us;
-    if (c.slowed) {
+    c.slowed = mood_.slow == 0us && !mood_.turns_away;
+    if (mood_.turns_away)
+      wakes_.after(*mood_.turns_away, *this, c.key.packed());
+    else if (c.slowed)
       look(c);
-    } else {
+    else
       wakes_.after(mood_.slow, *this, c.key.packed());
-    }
     // Whoever has stopped waiting is told nothing.
     return c.stream.want_read();
   }
@@ -85,6 +86,7 @@
 
 void ListServer::look(Call& c) {
   if (!c.asked || !c.slowed) return;
+  if (mood_.turns_away) return turn_away(c);
   const Micros now = wakes_.now();
   if (!c.watch || list_.version(now) != c.since || now >= c.until) return answer(c);
   const Micros change = list_.next_after(now);
@@ -115,6 +117,12 @@
   came(c);
 }
 
+void ListServer::turn_away(Call& c) {
+  c.asked = false;
+  if (!c.out.say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")) return free(c);
+  came(c);
+}
+
 void ListServer::woken(std::uint64_t token) {
   if (token >> 28 & 1) {
     if (Call* c = calls_.find(SlabKey::unpacked(token & ~(std::uint64_t{1} << 28))))
--- a/src/lab/models/list_server.h
+++ b/src/lab/models/list_server.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
 struct ListMood {
   bool down = false, malformed = false;
   Micros slow{0};
+  std::optional<Micros> turns_away;  // each call is held for so long, then answered 503
 };
 
 // The list, or its changes since a version, in discovery's form.
@@ -58,6 +60,7 @@
   void came(Call& c);
   void look(Call& c);
   void answer(Call& c);
+  void turn_away(Call& c);
   static std::uint64_t told_token(SlabKey key) { return key.packed() | std::uint64_t{1} << 28; }
   void free(Call& c);
 
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -377,7 +377,7 @@
 }
 
 unsigned* World::list_trouble(const std::string& kind) {
-  const char* const kinds[] = {"list-down", "list-malformed", "list-slow", "list-stale"};
+  const char* const kinds[] = {"list-down", "list-malformed", "list-slow", "list-stale", "list-turns-away"};
   const auto found = std::find(std::begin(kinds), std::end(kinds), kind);
   return found == std::end(kinds) ? nullptr : &list_trouble_[found - std::begin(kinds)];
 }
@@ -387,6 +387,7 @@
   mood_.down = list_trouble_[0] > 0;
   mood_.malformed = list_trouble_[1] > 0;
   if (list_trouble_[2] == 0) mood_.slow = 0us;
+  if (list_trouble_[4] == 0) mood_.turns_away.reset();
   if (!stale) list_.thaw();
   for (NodeUnit& n : nodes_) n.list->changed();
 }
@@ -487,6 +488,7 @@
     }
     return;
   } else if (f.kind == "list-moves") {
+    deadlines_.moved(now());
     for (NodeUnit& each : nodes_) {
       each.list->close_all();
       stage_.end(*each.list_network);
@@ -498,6 +500,7 @@
   } else {
     if (unsigned* lasting = list_trouble(f.kind)) ++*lasting;
     if (f.kind == "list-slow") mood_.slow = Micros{static_cast<std::int64_t>(f.size * 1e6)};
+    if (f.kind == "list-turns-away") mood_.turns_away = Micros{static_cast<std::int64_t>(f.size * 1e6)};
     if (f.kind == "list-stale") list_.freeze(now());
     list_mood();
   }
@@ -546,8 +549,19 @@
   list_mood();
 }
 
+// What no node has heard of counts as told all the same, once discovery could be asked for it.
+void World::count_as_told() {
+  deadlines_.look(list_, !mood_.down && !mood_.turns_away, now());
+  for (const ChangeDeadlines::Due& change : deadlines_.due(now()))
+    for (const NodeUnit& n : nodes_)
+      if (n.up && !n.lost)
+        checker_.counts_as_told(n.no, n.list_machine, host_of(change.entry), change.entry.standing,
+                                change.had, change.told_at);
+}
+
 void World::tick() {
   checker_.scan(now());
+  count_as_told();
   Second& s = second();
   const double part = seconds(kTick);
   for (const auto& c : clients_) {
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "lab/checks/change_deadlines.h"
 #include "lab/faults/faults.h"
 #include "lab/models/client_peer.h"
 #include "lab/models/front_peer.h"
@@ -96,6 +97,7 @@
   void shrink_list(const Fault& f);
   unsigned* list_trouble(const std::string& kind);  // none: it is no trouble of the list
   void list_mood();
+  void count_as_told();
   void tick();
 
   const Experiment& experiment_;
@@ -109,7 +111,8 @@
   Checker checker_;
   ListModel list_{1};
   ListMood mood_;
-  unsigned list_trouble_[4]{};  // how many faults of each kind last: down, malformed, slow, stale
+  ChangeDeadlines deadlines_{1};
+  unsigned list_trouble_[5]{};  // how many faults of each kind last, as list_trouble() orders them
   std::vector<HostUnit> hosts_;
   std::vector<NodeUnit> nodes_;
   std::vector<Crowd> crowds_;  // by zone
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -14,6 +14,8 @@
 // A watch that has not answered so long after its wait is taken to have fallen silent: what it misses counts
 // as told kAfterWait after that wait, and a whole list has to be here by then.
 constexpr Micros kSilent = ListClock::kAfterWait / 4;
+// Between a call that failed and the next, where the module's pause is longer.
+constexpr Micros kLeastPause = 500ms;
 // A call that is to be answered at once is left so long after it went out, in time for one more. Guards
 // against calls that are given up, and made anew behind all others, just before a crowded service comes to
 // them.
@@ -84,10 +86,12 @@
     log_line("discovery: status %u", status);
     return failed(Failure::refused);
   }
+  const auto known = version_;
   if (parser_.parse(body).get(list) || !take(list)) {
     log_line("discovery: an answer of %zu bytes is malformed or stale", body.size());
     return failed(Failure::not_whole);
   }
+  if (known != version_) log_line("list: taken version=%llu", static_cast<unsigned long long>(*version_));
   clock_.answered();
   ask();
   if (!std::exchange(spoken_, true)) told_.first_word();
@@ -133,7 +137,7 @@
     // two nodes ask in the same moment.
     std::uniform_int_distribution<std::int64_t> sooner(0, ListClock::kAfterWait / 2us);
     const Micros in = clock_.ask_by() - wakes_.now() - Micros{sooner(chance_)};
-    if (in > 0us) wakes_.after(in, *this, token(Due::in_time));
+    if (in > 0us) wakes_.after(std::max(in, kLeastPause), *this, token(Due::in_time));
   }
   if (!std::exchange(spoken_, true)) told_.first_word();
 }
@@ -191,8 +195,6 @@
     if (standing != Standing::gone) hosts_.listed(id, name, at);
   });
   balancer.list_ends();
-  if (version_ != version)
-    log_line("list: taken version=%llu all=%d", static_cast<unsigned long long>(version), whole);
   version_ = version;
   return true;
 }
--- a/src/node/list_clock.cpp
+++ b/src/node/list_clock.cpp
@@ -9,6 +9,8 @@
 // A service found down twice within so long was down in between. Guards against one that comes back and goes
 // down again between two calls, with a change that nobody heard of.
 constexpr Micros kStillDown = ListClock::kAfterWait;
+// A call that fails within so long may have waited for its turn all the while, and never have begun to watch.
+constexpr Micros kInQueue = ListClock::kAfterChange - ListClock::kAfterWait;
 
 }  // namespace
 
@@ -31,7 +33,7 @@
       return could_be_reached();
     case Failure::not_whole:
       // Its first byte came at most the wait for its last one ago.
-      owed_ = std::min(owed_, now + kAfterChange - kAfterWait);
+      owed_ = std::min({owed_, now + kAfterChange - kAfterWait, unheard_since(now) + kAfterChange});
       return could_be_reached();
     case Failure::refused:
     case Failure::broken:
@@ -50,7 +52,7 @@
 void ListClock::turned_away(Micros now, Failure how) {
   const bool first = failing_ == kNothing && down_at_ == kNothing;
   could_be_reached();
-  failing_ = std::min(failing_, now + kAfterChange);
+  failing_ = std::min(failing_, unheard_since(now) + kAfterChange);
   if (first && how == Failure::broken) broken_at_ = now;
 }
 
@@ -70,7 +72,8 @@
 }
 
 void ListClock::turned(Micros now) {
-  owed_ = std::min({owed_, out_, failing_, down_told_from(), now + kAfterTurn});
+  if (out_ != kNothing) owed_ = std::min({owed_, out_, unheard_since(now) + kAfterChange});
+  owed_ = std::min({owed_, failing_, down_told_from(), now + kAfterTurn});
   out_ = failing_ = broken_at_ = down_at_ = kNothing;
   outage_believed_ = false;
 }
@@ -89,6 +92,9 @@
   return owed_ != kNothing || failing_ != kNothing || down_at_ != kNothing;
 }
 
+// A call that ends now without a list has told of nothing since then.
+Micros ListClock::unheard_since(Micros now) const { return now - called_at_ <= kInQueue ? called_at_ : now; }
+
 // What is there when the service returns counts so long after it was last known to be down at the earliest.
 Micros ListClock::down_told_from() const { return down_at_ == kNothing ? kNothing : down_at_ + kAfterChange; }
 
--- a/src/node/list_clock.h
+++ b/src/node/list_clock.h
@@ -49,6 +49,7 @@
   void turned_away(Micros now, Failure how);
   void found_down(Micros now);
   void could_be_reached();
+  Micros unheard_since(Micros now) const;
   Micros down_told_from() const;
 
   Micros outage_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -19,7 +19,10 @@
 // Until a node that was told to end may be killed: so long after the longest dial timeout. It ends a little
 // before.
 constexpr Micros kKilled = 700ms, kEndsBefore = 200ms;
-constexpr Micros kOutage = 10s;    // calls for the list that fail for less may be bad luck
+// The protocol holds a node to the list it has for so many times the settings' time for asking where its
+// calls fail.
+constexpr int kAsksInOutage = 4;
+constexpr Micros kShortestOutage = 10s;
 constexpr int kAcceptsInARow = 8;  // so that those taken get their hosts before the next take the descriptors
 
 std::vector<Micros> listener_times(const setup::Values& settings, std::string_view key) {
@@ -61,8 +64,8 @@
 }
 
 // For how long calls for the list have to fail until they are taken for an outage.
-Micros longest_without_list(const setup::Values& settings) {
-  return std::max<Micros>(setup::Values(settings, "rules").time("askEvery"), kOutage);
+Micros believed_outage(const setup::Values& settings) {
+  return std::max<Micros>(kAsksInOutage * setup::Values(settings, "rules").time("askEvery"), kShortestOutage);
 }
 
 std::size_t socket_limit(const NodeFile& file) {
@@ -90,7 +93,7 @@
       sessions_(sockets_, wakes_, hosts_, patience(file.settings()), message_target(file.settings()),
                 head_reader(file.settings()), most_sessions(file), socket_limit(file) / kIdleShare, *this),
       discovery_(sockets_, wakes_, file.discovery(), setup::names(file.settings(), "failureDomains"), hosts_,
-                 agent_again(file.settings()), longest_without_list(file.settings()), file.seed(), *this),
+                 agent_again(file.settings()), believed_outage(file.settings()), file.seed(), *this),
       own_(setup::running_of(file.settings())),
       listener_names_(setup::names(file.settings(), "listeners")),
       own_discovery_(file.discovery()),
--- a/tests/flaws.cmake
+++ b/tests/flaws.cmake
@@ -134,9 +134,15 @@
   "kSilent = ListClock::kAfterWait / 4;" "kSilent = 100 * ListClock::kAfterWait;"
   "told_.balancer_now().list_overdue()" "void()")
 flintweir_flaw(failures-put-off-the-list crossings drain src/node/list_clock.cpp
-  "failing_ = std::min(failing_, now + kAfterChange);" "failing_ = now + kAfterChange;")
+  "failing_ = std::min(failing_, unheard_since(now) + kAfterChange);" "failing_ = now + kAfterChange;")
 flintweir_flaw(turn-not-counted crossings drain src/node/discovery.cpp
   "  clock_.turned(wakes_.now());" "")
+flintweir_flaw(outage-believed-at-once list_outages drain src/node/list_clock.cpp
+  "owed_ == kNothing && now >= failing_ + outage_" "true")
+flintweir_flaw(queue-taken-for-a-watch list_outages drain src/node/list_clock.cpp
+  "return now - called_at_ <= kInQueue ? called_at_ : now;" "return now;")
+flintweir_flaw(overdue-list-used list_outages drain src/balance.cpp
+  "    list_overdue_ = true;" "    list_overdue_ = now_ < kQuietRest;")
 flintweir_flaw(answer-lost-at-stop crossings answer src/node/node.cpp
   "  while (accept()) continue;" ""
   "wakes_.after(longest_dial_ + kKilled - kEndsBefore, *this, left)" "wakes_.after(Micros{0}, *this, left)")
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -290,10 +290,10 @@
 }
 INSTANTIATE_TEST_SUITE_P(Of, Days,
                          testing::Values("all_drop", "burst", "by_turns", "calm", "clients_leave", "groups",
-                                         "hosts_die", "hosts_hang", "list_lies", "list_troubles",
-                                         "lost_machines", "mix", "node_killed", "nodes_restart", "one_sided",
-                                         "overload", "rolling_deploy", "rude_clients", "slow_way",
-                                         "zone_cut"),
+                                         "hosts_die", "hosts_hang", "list_lies", "list_outages",
+                                         "list_troubles", "lost_machines", "mix", "node_killed",
+                                         "nodes_restart", "one_sided", "overload", "rolling_deploy",
+                                         "rude_clients", "slow_way", "zone_cut"),
                          [](const auto& info) { return std::string(info.param); });
 
 // A hundred nodes, and the same load for each host on a few: what a crowd does that one node does not.
@@ -368,7 +368,8 @@
       "[[row]]\nstate = \"s\"\nrole = \"r\"\nwhat = \"w\"\nslope = \"a\"\ncount = \"nodes/10\"\n"
       "bound = \"bound\"\nmechanism = \"m\"\n";
   const std::string line = made(slope("1, 2, 3, 4") + row, sizes);
-  EXPECT_NE(line.find("| r | w | 5 (1.25 times beyond the points) (a) | 50 | fits, 10% of it | m |"), line.npos)
+  EXPECT_NE(line.find("| r | w | 5 (1.25 times beyond the points) (a) | 50 | fits, 10% of it | m |"),
+            line.npos)
       << line;
   EXPECT_NE(made(slope("1, 2, 4, 16") + row, sizes).find("bends: not worked out"), line.npos);
   for (const auto& [s, z, says] : std::vector<std::tuple<std::string, std::string, std::string>>{
--- a/tests/list_clock_test.cpp
+++ b/tests/list_clock_test.cpp
@@ -41,7 +41,7 @@
 TEST(ListClock, CountsFromTheFirstFailureOn) {
   for (const Failure how : {Failure::refused, Failure::broken}) {
     ListClock clock(kOutage);
-    clock.called(100s, 20s);
+    clock.called(90s, 20s);
     clock.failed(101s, how);
     EXPECT_TRUE(clock.owes_list());
     EXPECT_EQ(clock.told_from(), 107s);
@@ -58,6 +58,13 @@
     clock.answered();
     EXPECT_EQ(clock.told_from(), kNothing);
     EXPECT_FALSE(clock.owes_list());
+    // A call may have waited for its turn until it failed.
+    for (const Micros took : {Micros{4s}, 4s + 1us}) {
+      clock.called(200s, 20s);
+      clock.failed(200s + took, how);
+      EXPECT_EQ(clock.told_from(), took == 4s ? 206s : 206s + took);
+      clock.answered();
+    }
   }
 }
 
@@ -132,15 +139,23 @@
   clock.turned(411s);
   EXPECT_EQ(clock.told_from(), 412s);
   clock.answered();
-  clock.called(500s, 20s);
+  clock.called(490s, 20s);
   clock.failed(501s, Failure::broken);
   clock.turned(504s);
   EXPECT_EQ(clock.told_from(), 507s);
   clock.answered();
+  clock.called(550s, 20s);
+  clock.turned(553s);
+  EXPECT_EQ(clock.told_from(), 556s);
+  clock.answered();
   // Half a list on a watch that may wait for long: by when it came, not by that wait.
   clock.called(600s, 20s);
-  clock.failed(601s, Failure::not_whole);
-  EXPECT_EQ(clock.told_from(), 605s);
+  clock.failed(605s, Failure::not_whole);
+  EXPECT_EQ(clock.told_from(), 609s);
+  clock.answered();
+  clock.called(700s, 20s);
+  clock.failed(703s, Failure::not_whole);  // it may have waited for its turn
+  EXPECT_EQ(clock.told_from(), 706s);
 }
 
 TEST(ListClock, BelievesAnOutageThatLasts) {
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -149,7 +149,8 @@
          targets + "]}";
 }
 
-inline std::string settings(bool probes, bool stay_away, bool pushed, int dial_timeout) {
+inline std::string settings(bool probes, bool stay_away, bool pushed, int dial_timeout,
+                            int ask_every = 10'000'000) {
   std::ostringstream out;
   out << R"({"balancers":1,"ceilings":{"connectTimeout":500000,"maxDials":4,"maxRetryAfter":1500000,"retryAfter":)"
       << (stay_away ? "true" : "false") << R"(,)"
@@ -158,7 +159,8 @@
       << R"(","failureDomains":["a","b"],"myZone":0,"prices":{"probe":0},)"
       << R"("familyInfo":{"groups":true,"messageAim":[150000],"tellsDelay":true},)"
       << R"("reporting":{"fields":["util","x0"],"how":"on_probe"},)"
-      << R"("rules":{"askEvery":10000000,"cold":7000000,"coldShare":0.3,"overloadFactor":3.0,"tipAfter":1500000},)"
+      << R"("rules":{"askEvery":)" << ask_every
+      << R"(,"cold":7000000,"coldShare":0.3,"overloadFactor":3.0,"tipAfter":1500000},)"
       << R"("listeners":[{"name":"chat","dialTimeout":)" << dial_timeout
       << R"(,"effect":"repeatable","group":"all","handshakeTarget":)" << dial_timeout / 2
       << R"(,"utility":2},{"name":"pay","dialTimeout":)" << dial_timeout
@@ -267,7 +269,7 @@
       return R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" + std::to_string(at) +
              R"(","seed":"8c1f","limits":{"cores":1.0,"memory_mb":)" + std::to_string(memory_mb) +
              R"(,"sockets":)" + std::to_string(sockets) + R"(},"known":)" + list(1, true, targets) +
-             R"(,"settings":)" + settings(probes, stay_away, pushed, dial_timeout) + '}';
+             R"(,"settings":)" + settings(probes, stay_away, pushed, dial_timeout, ask_every) + '}';
     };
     program = std::make_unique<Program>(config(1), std::vector<std::string>{"serve"},
                                         "127.0.0.1:" + std::to_string(discovery.port()), reload_first);
@@ -325,7 +327,7 @@
   Acceptor discovery;
   std::unique_ptr<Program> program;
   std::function<std::string(int)> config;  // with discovery at a port
-  int port = 0, ids = 0, dial_timeout = 2'000'000, memory_mb = 192;
+  int port = 0, ids = 0, dial_timeout = 2'000'000, ask_every = 10'000'000, memory_mb = 192;
   bool pushed = false;
 };
 
--- a/tests/node_overdue_list_test.cpp
+++ b/tests/node_overdue_list_test.cpp
@@ -127,9 +127,11 @@
   expect_stopped(turned + kToldAfterTurn + kGrace, "told of another service, which is not there");
 }
 
-// Guards against a node that stops for a while only, or only once, as long as it hears nothing: discovery was
-// down for longer than that while before new configurations came.
+// Guards against a node that stops for a while only, or only once, as long as it hears nothing. Here
+// discovery was down for longer than it takes to be believed, so that the node sends again before the new
+// configuration.
 TEST_F(OverdueList, NothingIsSentAfterANewConfigurationThatFollowsALongOutage) {
+  ask_every = 2'500'000;  // four times that, and six seconds, until an outage is believed
   start(2);
   ListService first(targets()), second(targets());
   turn_to(first.port());
