--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -38,6 +38,8 @@
 
   // Takes a list in discovery's form; false, with nothing changed, where it is malformed.
   bool take(const simdjson::dom::element& list);
+  // From now on this node sends by the list it has.
+  void begin() { clock_.began(wakes_.now()); }
   // `fresh`: a whole list first, whatever is known.
   void watch(bool fresh = false);
   // Asks there from now on, at once and for a whole list: its versions have nothing to do with those so far.
--- a/src/node/list_clock.cpp
+++ b/src/node/list_clock.cpp
@@ -20,13 +20,14 @@
 }
 
 void ListClock::answered() {
-  out_ = owed_ = failing_ = broken_at_ = down_at_ = kNothing;
+  began_at_ = out_ = owed_ = failing_ = broken_at_ = down_at_ = kNothing;
   outage_believed_ = false;
 }
 
 void ListClock::failed(Micros now, Failure how) {
   const Micros out = std::exchange(out_, kNothing);
   failed_at_ = now;
+  if (now - called_at_ > kInQueue) began_at_ = kNothing;  // it was a watch, and would have told
   switch (how) {
     case Failure::silent:
       owed_ = std::min(owed_, out);
@@ -93,7 +94,10 @@
 }
 
 // A call that ends now without a list has told of nothing since then.
-Micros ListClock::unheard_since(Micros now) const { return now - called_at_ <= kInQueue ? called_at_ : now; }
+Micros ListClock::unheard_since(Micros now) const {
+  if (now - called_at_ > kInQueue) return now;
+  return std::min(began_at_, called_at_);
+}
 
 // What is there when the service returns counts so long after it was last known to be down at the earliest.
 Micros ListClock::down_told_from() const { return down_at_ == kNothing ? kNothing : down_at_ + kAfterChange; }
--- a/src/node/list_clock.h
+++ b/src/node/list_clock.h
@@ -29,6 +29,8 @@
   // silent, are taken for an outage: then what fails is down, and a change counts from its return on.
   explicit ListClock(Micros outage) : outage_(outage) {}
 
+  // The node starts, by a list that may be old.
+  void began(Micros now) { began_at_ = now; }
   // A call goes out that the service may hold for so long. It may have fallen silent at once.
   void called(Micros now, Micros wait);
   // With a list that holds all there is.
@@ -53,6 +55,7 @@
   Micros down_told_from() const;
 
   Micros outage_;
+  Micros began_at_ = kNothing;          // until the first list
   Micros called_at_{0}, failed_at_{0};  // the latest call, and the latest that failed
   Micros out_ = kNothing;               // of the call that is out
   Micros owed_ = kNothing;              // of calls and services given up; only a list settles it
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -140,6 +140,7 @@
   const Address at = network_.listen(listen_);
   if (peers_) peers_->begin();
   log_line("serving at %s", to_text(at).c_str());
+  discovery_.begin();
   if (!pushed_) return open();
   // What the agent has counts as told from the first moment on: clients wait until it is known.
   discovery_.watch(true);
--- a/tests/flaws.cmake
+++ b/tests/flaws.cmake
@@ -140,7 +140,7 @@
 flintweir_flaw(outage-believed-at-once list_outages drain src/node/list_clock.cpp
   "owed_ == kNothing && now >= failing_ + outage_" "true")
 flintweir_flaw(queue-taken-for-a-watch list_outages drain src/node/list_clock.cpp
-  "return now - called_at_ <= kInQueue ? called_at_ : now;" "return now;")
+  "  return std::min(began_at_, called_at_);" "  return now;")
 flintweir_flaw(overdue-list-used list_outages drain src/balance.cpp
   "    list_overdue_ = true;" "    list_overdue_ = now_ < kQuietRest;")
 flintweir_flaw(answer-lost-at-stop crossings answer src/node/node.cpp
--- a/tests/list_clock_test.cpp
+++ b/tests/list_clock_test.cpp
@@ -68,6 +68,31 @@
   }
 }
 
+// Guards against a node that starts from an old list and whose first call comes late, by chance, and fails.
+TEST(ListClock, CountsFromTheStartUntilTheFirstList) {
+  for (const Failure how : {Failure::refused, Failure::broken, Failure::not_whole}) {
+    ListClock clock(kOutage);
+    clock.began(100s);
+    EXPECT_EQ(clock.told_from(), kNothing);
+    clock.called(103s, 20s);
+    EXPECT_EQ(clock.told_from(), 125s);
+    clock.failed(104s, how);
+    EXPECT_EQ(clock.told_from(), 106s);
+    clock.answered();
+    clock.called(110s, 20s);
+    clock.failed(120s, how);
+    EXPECT_GE(clock.told_from(), 124s);
+    // A watch that lasts would have told, as an answer does.
+    ListClock watching(kOutage);
+    watching.began(100s);
+    watching.called(103s, 20s);
+    watching.failed(110s, how);
+    watching.called(111s, 0s);
+    watching.failed(112s, how);
+    EXPECT_GE(watching.told_from(), 114s);
+  }
+}
+
 TEST(ListClock, CountsFromTheReturnOfAServiceThatNobodyCanReach) {
   ListClock clock(kOutage);
   const auto unreachable = [&](Micros at) {
