--- a/tests/node_life_test.cpp
+++ b/tests/node_life_test.cpp
@@ -175,5 +175,18 @@
                                           testing::Values(Known::none, Known::old, Known::gone),
                                           testing::Bool()));
 
+// Guards against whoever reads the log and stops: the pipe fills up, and a node that waits for it answers
+// nobody.
+TEST_F(Node, AnswersThoughNobodyReadsItsLog) {
+  start(1);
+  for (const auto until = Steady::now() + 4s; Steady::now() < until;) {
+    Peer front = Peer::to(port);
+    front.say("PING\r\n");
+    ASSERT_EQ(front.line(1s), "PONG");  // its end leaves a line
+  }
+  EXPECT_FALSE(program->logged("end checked").empty());
+  accepted();
+}
+
 }  // namespace
 }  // namespace flintweir::node_tests
