Drop log lines that would have to wait for their reader, instead of waiting

Cause: log_line wrote to standard error whatever its state; a pipe of 64 KB that nobody reads holds up the node's only thread, and with it all clients. Now each line is written in one piece where it is taken at once, else dropped and counted. Ruled out: O_NONBLOCK on standard error, which would be set for whoever shares it.

--- a/src/net/log.h
+++ b/src/net/log.h
@@ -13,7 +13,8 @@
 };
 void log_to(LogSink* sink);
 
-// One line to standard error, printf style. Past a burst, lines of a second too many are dropped and counted.
+// One line to standard error, printf style. Past a burst, lines of a second too
+// many are dropped and counted, and so are those that would have to wait for whoever reads them.
 [[gnu::format(printf, 1, 2)]] void log_line(const char* format, ...);
 
 }  // namespace flintweir::net
