--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -478,7 +478,7 @@
 
   void list_ends() override {
     list_wait_ = kProbeEvery;
-    list_overdue_ = false;
+    list_stale_ = false;
     if (std::exchange(listing_whole_, false))
       for (Host& h : hosts_)
         if (!h.listed) h.list_lacks_it(now_, list_.only_draining_binds);
@@ -499,14 +499,14 @@
   }
 
   // Hosts may drain unheard of. Sessions wait for the list as for any host.
-  void list_overdue() override {
-    out_.log("the list is overdue, sending nothing until it comes");
-    list_overdue_ = true;
+  void list_stale() override {
+    out_.log("the list is stale, sending nothing until it comes");
+    list_stale_ = true;
   }
-  void list_usable() override { list_overdue_ = false; }
+  void list_fresh() override { list_stale_ = false; }
   bool may_send(HostId id) override {
     const Host* h = hosts_.find(id);
-    return h && h->usable() && !list_overdue_;
+    return h && h->usable() && !list_stale_;
   }
 
  private:
@@ -625,7 +625,7 @@
   }
 
   Host* choose(const Session& s, const Dials& dials) {
-    if (list_overdue_) return nullptr;
+    if (list_stale_) return nullptr;
     take_means();
     int more_ill = 0;
     bool held = false;
@@ -753,7 +753,7 @@
       return give_up(key, s, dials, Refusal::throttled);
     Host* h = choose(s, dials);
     if (!h) {
-      const bool all_full = !list_overdue_ && std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
+      const bool all_full = !list_stale_ && std::any_of(hosts_.begin(), hosts_.end(), [&](const Host& x) {
         return x.usable() && no_room(x, load_of(x));
       });
       if (all_full && mean_load_ >= kFullAt - kLightAt) {
@@ -765,7 +765,7 @@
       }
       if (now_ >= s.give_up_at || all_full || s.dials > 0) {
         const Refusal no_choice = all_full ? Refusal::fleet_full : Refusal::no_host;
-        return give_up(key, s, dials, list_overdue_ ? Refusal::list_overdue : no_choice);
+        return give_up(key, s, dials, list_stale_ ? Refusal::list_stale : no_choice);
       }
       return hold(key, s);
     }
@@ -1014,7 +1014,7 @@
   Slab<Session> sessions_;
   Micros now_{0}, began_ = kNever, quiet_since_{0}, ask_list_at_ = kNever, full_at_ = kNever,
                   refusing_since_{0}, list_wait_ = kProbeEvery;
-  bool list_overdue_ = false, listing_whole_ = false, mean_known_ = false, suspect_ = false,
+  bool list_stale_ = false, listing_whole_ = false, mean_known_ = false, suspect_ = false,
        sees_groups_ = false, told_ = false;
   double mean_load_ = 0, mean_own_ = 0, per_load_ = 0, mean_session_ = 0, per_share_ = 0, full_ = 0,
          holders_ = 0, counted_ = 0;
--- a/src/balance.h
+++ b/src/balance.h
@@ -96,7 +96,7 @@
 enum class Refusal {
   no_host,        // none was found until its time to wait was over
   fleet_full,     // no host has room, or it weighs too much while that is so
-  list_overdue,   // hosts may drain of which this node has not heard
+  list_stale,     // hosts may drain of which this node has not heard
   throttled,      // most dials fail, whatever the host
   no_dials_left,  // it may not be dialled again, or not in time
   no_budget_left  // the budget of further dials is spent
@@ -159,10 +159,10 @@
   virtual void list_ends() = 0;
   virtual void list_failed() = 0;
   // What this node has not heard may count as told by now: nothing is sent until a list comes, or
-  // list_usable.
-  virtual void list_overdue() = 0;
+  // list_fresh.
+  virtual void list_stale() = 0;
   // The list there is may be used again: the service can't be reached, so that nothing counts as told.
-  virtual void list_usable() = 0;
+  virtual void list_fresh() = 0;
   // Whether a dial that has not begun may still go there: a list may have come since it was decided.
   virtual bool may_send(HostId host) = 0;
 
--- a/src/lab/models/baselines.cpp
+++ b/src/lab/models/baselines.cpp
@@ -104,8 +104,8 @@
       for (PlainHost& h : hosts_)
         if (!h.listed) h.standing = Standing::gone;
   }
-  void list_overdue() override {}
-  void list_usable() override {}
+  void list_stale() override {}
+  void list_fresh() override {}
   bool may_send(HostId) override { return true; }
   void list_failed() override { out_.wake(std::min<Micros>(1s, ask_every_ / 4), WakeId{1}); }
 
--- a/src/line/reason.cpp
+++ b/src/line/reason.cpp
@@ -68,8 +68,8 @@
       return "no-host";
     case Refusal::fleet_full:
       return "fleet-full";
-    case Refusal::list_overdue:
-      return "list-overdue";
+    case Refusal::list_stale:
+      return "list-stale";
     case Refusal::throttled:
       return "throttled";
     case Refusal::no_dials_left:
--- a/src/net/http_get.cpp
+++ b/src/net/http_get.cpp
@@ -13,7 +13,7 @@
 
 HttpGet::HttpGet(Sockets& sockets, Wakes& wakes, const Address& at, Told& told)
     : stream_(sockets), wakes_(wakes), told_(told) {
-  turn_to(at);
+  switch_to(at);
   http_parser_settings_init(&callbacks_);
   callbacks_.on_body = [](http_parser* p, const char* bytes, std::size_t n) {
     std::string& body = static_cast<HttpGet*>(p->data)->body_;
@@ -28,7 +28,7 @@
   };
 }
 
-void HttpGet::turn_to(const Address& at) {
+void HttpGet::switch_to(const Address& at) {
   at_ = at;
   host_ = to_text(at);
   drop();
@@ -69,7 +69,7 @@
 }
 
 void HttpGet::connected(Stream&, bool failed) {
-  if (failed) return fail("no connection", CallFailure::unreachable);
+  if (failed) return fail("no connection", RequestFailure::connection_refused);
   expect(wait_ + slack_);
   stream_.want_read();
   send();
@@ -99,7 +99,7 @@
     if (!whole_) return broken(stream_);
   }
   const auto error = HTTP_PARSER_ERRNO(&parser_);
-  if (error != HPE_OK && error != HPE_PAUSED) return fail(http_errno_name(error), CallFailure::not_whole);
+  if (error != HPE_OK && error != HPE_PAUSED) return fail(http_errno_name(error), RequestFailure::truncated);
   stream_.in().clear();
   if (!whole_) return stream_.want_read();
   asking_ = false;
@@ -121,15 +121,15 @@
     sent_ = 0;
     return expect(stream_.connect(at_, *this) ? kComesUp : Micros{0});
   }
-  fail("the connection broke", unless_begun(CallFailure::broken));
+  fail("the connection broke", unless_begun(RequestFailure::connection_closed));
 }
 
 void HttpGet::woken(std::uint64_t token) {
   if (token == token_ && asking_ && wakes_.now() >= due_)
-    fail("no answer in time", unless_begun(CallFailure::silent));
+    fail("no answer in time", unless_begun(RequestFailure::timeout));
 }
 
-void HttpGet::fail(const char* why, CallFailure how) {
+void HttpGet::fail(const char* why, RequestFailure how) {
   drop();
   told_.http_failed(why, how);
 }
--- a/src/net/http_get.h
+++ b/src/net/http_get.h
@@ -10,11 +10,11 @@
 
 namespace flintweir::net {
 
-enum class CallFailure {
-  silent,      // no byte of an answer came in time
-  not_whole,   // an answer began and did not come whole, or is none
-  broken,      // the connection ended without an answer
-  unreachable  // the connection was refused
+enum class RequestFailure {
+  timeout,            // no byte of a response came in time
+  truncated,          // a response began and did not come whole, or is not HTTP
+  connection_closed,  // without a response
+  connection_refused
 };
 
 class HttpGet final : StreamEvents, Woken {
@@ -22,7 +22,7 @@
   class Told {
    public:
     virtual void http_answered(unsigned status, std::string& body) = 0;
-    virtual void http_failed(const char* why, CallFailure how) = 0;
+    virtual void http_failed(const char* why, RequestFailure how) = 0;
 
    protected:
     ~Told() = default;
@@ -33,7 +33,7 @@
   // that and the answer's end may each come `slack` later.
   void get(std::string_view path, Micros wait, Micros slack);
   // From now on asks there; a call that is out ends without a word.
-  void turn_to(const Address& at);
+  void switch_to(const Address& at);
 
  private:
   void connected(Stream&, bool failed) override;
@@ -43,9 +43,9 @@
   void woken(std::uint64_t token) override;
   void send();
   void drop();  // the call that is out, with its connection
-  void fail(const char* why, CallFailure how);
+  void fail(const char* why, RequestFailure how);
   // How a call fails of which nothing more is to be had.
-  CallFailure unless_begun(CallFailure how) const { return begun_ ? CallFailure::not_whole : how; }
+  RequestFailure unless_begun(RequestFailure how) const { return begun_ ? RequestFailure::truncated : how; }
   void expect(Micros within);  // what comes next
 
   Stream stream_;
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -13,13 +13,13 @@
 constexpr Micros kWait = 20s;  // of a watch, at most
 // A watch that has not answered so long after its wait is taken to have fallen silent: what it misses counts
 // as told kAfterWait after that wait, and a whole list has to be here by then.
-constexpr Micros kSilent = ListClock::kAfterWait / 4;
+constexpr Micros kWatchSlack = StalenessClock::kAfterWait / 4;
 // Between a call that failed and the next, where the module's pause is longer.
-constexpr Micros kLeastPause = 500ms;
+constexpr Micros kShortestPause = 500ms;
 // A call that is to be answered at once is left so long after it went out, in time for one more. Guards
 // against calls that are given up, and made anew behind all others, just before a crowded service comes to
 // them.
-constexpr Micros kAnswers = ListClock::kAfterChange - ListClock::kAfterWait;
+constexpr Micros kAnswerWithin = StalenessClock::kAfterChange - StalenessClock::kAfterWait;
 
 std::optional<Standing> standing_of(std::string_view state) {
   if (state == "SERVING") return Standing::in;
@@ -36,9 +36,9 @@
   ask();
 }
 
-void Discovery::turn_to(const Address& at) {
-  get_.turn_to(at);
-  clock_.turned(wakes_.now());
+void Discovery::switch_to(const Address& at) {
+  get_.switch_to(at);
+  clock_.service_switched(wakes_.now());
   version_.reset();
   watching_ = true;
   ++turn_;
@@ -53,81 +53,81 @@
   std::uniform_int_distribution<std::int64_t> part(kWait / 2ms, kWait / 1ms);
   // While a list is owed even one that holds nothing new has to come at once. Guards against a node that
   // sends nothing for as long as nothing changes.
-  const bool at_once = !version_ || clock_.owes_list();
+  const bool at_once = !version_ || clock_.is_catching_up();
   const std::chrono::milliseconds wait(at_once ? 0 : part(chance_));
-  clock_.called(wakes_.now(), wait);
-  judge();
+  clock_.request_sent(wakes_.now(), wait);
+  update_staleness();
   log_line("list: asked for %s", version_ ? ("changes since " + std::to_string(*version_)).c_str() : "all");
-  const Micros slack = at_once ? kAnswers : kSilent;
+  const Micros slack = at_once ? kAnswerWithin : kWatchSlack;
   if (!version_) return get_.get("/api/targets", 0s, slack);
   get_.get("/api/targets?since=" + std::to_string(*version_) + "&timeout_ms=" + std::to_string(wait.count()),
            wait, slack);
 }
 
-void Discovery::judge() {
+void Discovery::update_staleness() {
   const Micros now = wakes_.now();
-  const Micros told_from = clock_.told_from();
-  if (told_from > now) wakes_.after(told_from - now, *this, token(Due::overdue));
-  const bool overdue = told_from <= now;
-  if (overdue == std::exchange(overdue_, overdue)) return;
-  if (overdue) {
-    log_line("list: overdue, what was not heard may count as told");
-    told_.balancer_now().list_overdue();
+  const Micros stale_from = clock_.stale_from();
+  if (stale_from > now) wakes_.after(stale_from - now, *this, token(Due::stale));
+  const bool stale = stale_from <= now;
+  if (stale == std::exchange(stale_, stale)) return;
+  if (stale) {
+    log_line("list: stale, a change that was not heard may count as told");
+    told_.balancer_now().list_stale();
   } else {
-    log_line("list: no longer overdue");
-    told_.balancer_now().list_usable();
+    log_line("list: fresh");
+    told_.balancer_now().list_fresh();
   }
 }
 
 void Discovery::http_answered(unsigned status, std::string& body) {
-  using Failure = ListClock::Failure;
+  using Failure = StalenessClock::Failure;
   simdjson::dom::element list;
   if (status != 200) {
     log_line("discovery: status %u", status);
-    return failed(Failure::refused);
+    return failed(Failure::error_response);
   }
   const auto known = version_;
   if (parser_.parse(body).get(list) || !take(list)) {
     log_line("discovery: an answer of %zu bytes is malformed or stale", body.size());
-    return failed(Failure::not_whole);
+    return failed(Failure::truncated);
   }
   if (known != version_) log_line("list: taken version=%llu", static_cast<unsigned long long>(*version_));
-  clock_.answered();
+  clock_.list_received();
   ask();
   if (!std::exchange(spoken_, true)) told_.first_word();
 }
 
-void Discovery::http_failed(const char* why, CallFailure how) {
+void Discovery::http_failed(const char* why, RequestFailure how) {
   log_line("discovery: %s", why);
-  using Failure = ListClock::Failure;
+  using Failure = StalenessClock::Failure;
   switch (how) {
-    case CallFailure::silent:
-      return failed(Failure::silent);
-    case CallFailure::not_whole:
-      return failed(Failure::not_whole);
-    case CallFailure::broken:
-      return failed(Failure::broken);
-    case CallFailure::unreachable:
-      return failed(Failure::unreachable);
+    case RequestFailure::timeout:
+      return failed(Failure::timeout);
+    case RequestFailure::truncated:
+      return failed(Failure::truncated);
+    case RequestFailure::connection_closed:
+      return failed(Failure::connection_closed);
+    case RequestFailure::connection_refused:
+      return failed(Failure::connection_refused);
   }
 }
 
-void Discovery::failed(ListClock::Failure how) {
-  using Failure = ListClock::Failure;
-  const bool first = !clock_.owes_list();
-  clock_.failed(wakes_.now(), how);
-  judge();
-  const Micros told_in = clock_.told_from() - wakes_.now();
+void Discovery::failed(StalenessClock::Failure how) {
+  using Failure = StalenessClock::Failure;
+  const bool first = !clock_.is_catching_up();
+  clock_.request_failed(wakes_.now(), how);
+  update_staleness();
+  const Micros told_in = clock_.stale_from() - wakes_.now();
   log_line("list: not heard; may count as told in %lld ms",
            static_cast<long long>(std::chrono::duration_cast<std::chrono::milliseconds>(told_in).count()));
   // A watch that has fallen silent, or whose answer broke off, has kept something back: the whole list, and
   // at once.
-  const bool kept_back = how == Failure::silent || how == Failure::not_whole;
+  const bool kept_back = how == Failure::timeout || how == Failure::truncated;
   if (kept_back && std::exchange(version_, std::nullopt) && first) return ask();
-  again_later();
+  retry_later();
 }
 
-void Discovery::again_later() {
+void Discovery::retry_later() {
   if (agent_again_)
     wakes_.after(*agent_again_, *this, token(Due::again));
   else {
@@ -135,9 +135,9 @@
     told_.balancer_now().list_failed();
     // The module's pauses double. Guards against one that lasts until what came meanwhile counts as told. No
     // two nodes ask in the same moment.
-    std::uniform_int_distribution<std::int64_t> sooner(0, ListClock::kAfterWait / 2us);
-    const Micros in = clock_.ask_by() - wakes_.now() - Micros{sooner(chance_)};
-    if (in > 0us) wakes_.after(std::max(in, kLeastPause), *this, token(Due::in_time));
+    std::uniform_int_distribution<std::int64_t> sooner(0, StalenessClock::kAfterWait / 2us);
+    const Micros in = clock_.request_by() - wakes_.now() - Micros{sooner(chance_)};
+    if (in > 0us) wakes_.after(std::max(in, kShortestPause), *this, token(Due::in_time));
   }
   if (!std::exchange(spoken_, true)) told_.first_word();
 }
@@ -145,7 +145,7 @@
 void Discovery::woken(std::uint64_t t) {
   if (t == token(Due::again)) ask();
   if (t == token(Due::in_time)) watch();
-  if (t == token(Due::overdue)) judge();
+  if (t == token(Due::stale)) update_staleness();
 }
 
 template <class Entry>
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -8,7 +8,7 @@
 #include "balance.h"
 #include "line/hosts.h"
 #include "net/http_get.h"
-#include "node/list_clock.h"
+#include "node/staleness_clock.h"
 
 namespace flintweir::node {
 
@@ -39,23 +39,23 @@
   // Takes a list in discovery's form; false, with nothing changed, where it is malformed.
   bool take(const simdjson::dom::element& list);
   // From now on this node sends by the list it has.
-  void begin() { clock_.began(wakes_.now()); }
+  void begin() { clock_.started(wakes_.now()); }
   // `fresh`: a whole list first, whatever is known.
   void watch(bool fresh = false);
   // Asks there from now on, at once and for a whole list: its versions have nothing to do with those so far.
-  void turn_to(const Address& at);
+  void switch_to(const Address& at);
 
  private:
-  enum class Due : std::uint64_t { again, in_time, overdue };
+  enum class Due : std::uint64_t { again, in_time, stale };
   std::uint64_t token(Due due) const { return turn_ << 2 | static_cast<std::uint64_t>(due); }
   void http_answered(unsigned status, std::string& body) override;
-  void http_failed(const char* why, CallFailure how) override;
+  void http_failed(const char* why, RequestFailure how) override;
   void woken(std::uint64_t token) override;
   void ask();
-  void failed(ListClock::Failure how);
-  void again_later();
+  void failed(StalenessClock::Failure how);
+  void retry_later();
   // Tells the module when what this node has not heard begins to count as told, and when it no longer does.
-  void judge();
+  void update_staleness();
   // Calls entry(id, name, endpoint, zone, cell, standing, share, started) for each target; false: malformed.
   template <class Entry>
   bool each_target(const simdjson::dom::array& targets, Entry entry) const;
@@ -69,10 +69,10 @@
   std::knuth_b chance_;
   Wakes& wakes_;
   Told& told_;
-  ListClock clock_;
+  StalenessClock clock_;
   simdjson::dom::parser parser_;
   std::optional<std::uint64_t> version_;  // of the list that changes are asked for; none: a whole one is
-  bool watching_ = false, spoken_ = false, overdue_ = false;
+  bool watching_ = false, spoken_ = false, stale_ = false;
   std::uint64_t turn_ = 0;  // of the service asked
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -21,7 +21,7 @@
 constexpr Micros kKilled = 700ms, kEndsBefore = 200ms;
 // The protocol holds a node to the list it has for so many times the settings' time for asking where its
 // calls fail.
-constexpr int kAsksInOutage = 4;
+constexpr int kOutageIntervals = 4;
 constexpr Micros kShortestOutage = 10s;
 constexpr int kAcceptsInARow = 8;  // so that those taken get their hosts before the next take the descriptors
 
@@ -64,8 +64,9 @@
 }
 
 // For how long calls for the list have to fail until they are taken for an outage.
-Micros believed_outage(const setup::Values& settings) {
-  return std::max<Micros>(kAsksInOutage * setup::Values(settings, "rules").time("askEvery"), kShortestOutage);
+Micros outage_threshold(const setup::Values& settings) {
+  return std::max<Micros>(kOutageIntervals * setup::Values(settings, "rules").time("askEvery"),
+                          kShortestOutage);
 }
 
 std::size_t socket_limit(const NodeFile& file) {
@@ -93,7 +94,7 @@
       sessions_(sockets_, wakes_, hosts_, patience(file.settings()), message_target(file.settings()),
                 head_reader(file.settings()), most_sessions(file), socket_limit(file) / kIdleShare, *this),
       discovery_(sockets_, wakes_, file.discovery(), setup::names(file.settings(), "failureDomains"), hosts_,
-                 agent_again(file.settings()), believed_outage(file.settings()), file.seed(), *this),
+                 agent_again(file.settings()), outage_threshold(file.settings()), file.seed(), *this),
       own_(setup::running_of(file.settings())),
       listener_names_(setup::names(file.settings(), "listeners")),
       own_discovery_(file.discovery()),
@@ -133,7 +134,7 @@
 void Node::follow(const Address& at) {
   if (at == std::exchange(discovery_at_, at)) return;
   log_line("discovery at %s from now on", to_text(at).c_str());
-  discovery_.turn_to(at);
+  discovery_.switch_to(at);
 }
 
 void Node::serve() {
@@ -163,7 +164,7 @@
     else {
       log_line("reload: discovery at %s", to_text(at).c_str());
       discovery_at_ = at;
-      discovery_.turn_to(at);
+      discovery_.switch_to(at);
     }
     if (own.fleet.has_value() != (peers_ != nullptr))
       log_line("reload: fleet: holds until the next start");
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -271,9 +271,9 @@
 }
 
 // Guards against hosts that drain unheard of while a watch is silent: what it misses counts as told.
-TEST(ListOverdue, HoldsSessionsUntilTheListComesOrMayBeUsedAgain) {
+TEST(StaleList, HoldsSessionsUntilTheListComesOrMayBeUsedAgain) {
   Three w;
-  w.balancer->list_overdue();
+  w.balancer->list_stale();
   const SessId held = w.arrive(0);
   w.pass(200ms);
   EXPECT_TRUE(w.clients.at(held).dials.empty());
@@ -282,18 +282,18 @@
   w.pass(200ms);
   EXPECT_EQ(w.clients.at(held).dials.size(), 1u);
   // However long it lasts, nothing is sent, until a list comes or the old one is known to hold.
-  w.balancer->list_overdue();
+  w.balancer->list_stale();
   for (int i = 0; i < 4; ++i) {
     const SessId refused = w.arrive(0);
     w.pass(600ms);
     EXPECT_TRUE(w.clients.at(refused).answered && w.clients.at(refused).dials.empty());
     w.pass(10s);
   }
-  w.balancer->list_usable();
+  w.balancer->list_fresh();
   EXPECT_TRUE(w.balancer->may_send(w.hosts.begin()->first));
   EXPECT_EQ(w.clients.at(w.arrive(0)).dials.size(), 1u);
   // And once more.
-  w.balancer->list_overdue();
+  w.balancer->list_stale();
   const SessId again = w.arrive(0);
   w.pass(600ms);
   EXPECT_TRUE(w.clients.at(again).answered && w.clients.at(again).dials.empty());
--- a/tests/flaws.cmake
+++ b/tests/flaws.cmake
@@ -131,18 +131,18 @@
 flintweir_flaw(drained-while-connecting crossings drain src/line/link.cpp
   "inherited_ || sessions_.balancer_now().may_send(at_)" "true")
 flintweir_flaw(silent-watch-kept crossings drain src/node/discovery.cpp
-  "kSilent = ListClock::kAfterWait / 4;" "kSilent = 100 * ListClock::kAfterWait;"
-  "told_.balancer_now().list_overdue()" "void()")
-flintweir_flaw(failures-put-off-the-list crossings drain src/node/list_clock.cpp
-  "failing_ = std::min(failing_, unheard_since(now) + kAfterChange);" "failing_ = now + kAfterChange;")
+  "kWatchSlack = StalenessClock::kAfterWait / 4;" "kWatchSlack = 100 * StalenessClock::kAfterWait;"
+  "told_.balancer_now().list_stale()" "void()")
+flintweir_flaw(failures-put-off-the-list crossings drain src/node/staleness_clock.cpp
+  "failing_from_ = std::min(failing_from_, unheard_since(now) + kAfterChange);" "failing_from_ = now + kAfterChange;")
 flintweir_flaw(turn-not-counted crossings drain src/node/discovery.cpp
-  "  clock_.turned(wakes_.now());" "")
-flintweir_flaw(outage-believed-at-once list_outages drain src/node/list_clock.cpp
-  "owed_ == kNothing && now >= failing_ + outage_" "true")
-flintweir_flaw(queue-taken-for-a-watch list_outages drain src/node/list_clock.cpp
-  "  return std::min(began_at_, called_at_);" "  return now;")
-flintweir_flaw(overdue-list-used list_outages drain src/balance.cpp
-  "    list_overdue_ = true;" "    list_overdue_ = now_ < kQuietRest;")
+  "  clock_.service_switched(wakes_.now());" "")
+flintweir_flaw(outage-believed-at-once list_outages drain src/node/staleness_clock.cpp
+  "unsettled_from_ == kNever && now >= failing_from_ + outage_threshold_" "true")
+flintweir_flaw(queue-taken-for-a-watch list_outages drain src/node/staleness_clock.cpp
+  "  return std::min(started_at_, requested_at_);" "  return now;")
+flintweir_flaw(stale-list-used list_outages drain src/balance.cpp
+  "    list_stale_ = true;" "    list_stale_ = now_ < kQuietRest;")
 flintweir_flaw(answer-lost-at-stop crossings answer src/node/node.cpp
   "  while (accept()) continue;" ""
   "wakes_.after(longest_dial_ + kKilled - kEndsBefore, *this, left)" "wakes_.after(Micros{0}, *this, left)")
--- a/tests/node_overdue_list_test.cpp
+++ b/tests/node_stale_list_test.cpp
@@ -73,11 +73,11 @@
   std::thread thread_;  // the last: it uses all the others
 };
 
-class OverdueList : public Node {
+class StaleList : public Node {
  protected:
   using Mode = ListService::Mode;
   // The protocol's figures, and what the rule allows beyond them.
-  static constexpr auto kToldAfterTurn = 4s, kToldAfterChange = 6s;
+  static constexpr auto kStaleAfterSwitch = 4s, kStaleAfterChange = 6s;
   static constexpr auto kGrace = 350ms;
   static constexpr auto kStops = 3s;  // for so long nothing may be sent
 
@@ -118,19 +118,19 @@
 };
 
 // Guards against a refused connection that puts off what counts as told since a new configuration.
-TEST_F(OverdueList, NothingIsSentWhereANewConfigurationNamesAServiceThatRefuses) {
+TEST_F(StaleList, NothingIsSentWhereANewConfigurationNamesAServiceThatRefuses) {
   start(2);
   Acceptor nobody;
   nobody.shut();
   const auto turned = turn_to(nobody.port());
   EXPECT_TRUE(sends());
-  expect_stopped(turned + kToldAfterTurn + kGrace, "told of another service, which is not there");
+  expect_stopped(turned + kStaleAfterSwitch + kGrace, "told of another service, which is not there");
 }
 
 // Guards against a node that stops for a while only, or only once, as long as it hears nothing. Here
 // discovery was down for longer than it takes to be believed, so that the node sends again before the new
 // configuration.
-TEST_F(OverdueList, NothingIsSentAfterANewConfigurationThatFollowsALongOutage) {
+TEST_F(StaleList, NothingIsSentAfterANewConfigurationThatFollowsALongOutage) {
   ask_every = 2'500'000;  // four times that, and six seconds, until an outage is believed
   start(2);
   ListService first(targets()), second(targets());
@@ -142,11 +142,11 @@
   EXPECT_TRUE(sent) << "a list that nobody can give ends all service";
   second.turn(Mode::silent);
   const auto turned = turn_to(second.port());
-  expect_stopped(turned + kToldAfterTurn + kGrace, "told of another service, which is silent");
+  expect_stopped(turned + kStaleAfterSwitch + kGrace, "told of another service, which is silent");
 }
 
 // Guards against half a list that counts by the wait its call was allowed, up to 22 s, not by when it came.
-TEST_F(OverdueList, NothingIsSentSixSecondsAfterHalfAListCame) {
+TEST_F(StaleList, NothingIsSentSixSecondsAfterHalfAListCame) {
   start(2);
   ListService service(targets());
   turn_to(service.port());
@@ -155,7 +155,7 @@
   service.turn(Mode::half_lists);
   ASSERT_FALSE(program->logged("malformed or stale").empty());
   EXPECT_TRUE(sends());
-  expect_stopped(spoilt + kToldAfterChange + kGrace, "half a list had come");
+  expect_stopped(spoilt + kStaleAfterChange + kGrace, "half a list had come");
 }
 
 }  // namespace
