--- a/src/lab/checks/interleaving.cpp
+++ b/src/lab/checks/interleaving.cpp
@@ -37,8 +37,8 @@
 // One end of a connection that a test holds: what came, and how it ended.
 struct End final : net::StreamEvents {
   explicit End(net::Sockets& sockets) : stream(sockets) {}
-  void connected(net::Stream& s, bool failed) override {
-    if (failed) return broken(s);
+  void connected(net::Stream& s, net::ConnectResult result) override {
+    if (result != net::ConnectResult::established) return broken(s);
     if (up) up();
     s.want_read();
   }
--- a/src/lab/fleet/rig_loopback.cpp
+++ b/src/lab/fleet/rig_loopback.cpp
@@ -82,7 +82,7 @@
       network.tell(socket, *this);
       network.wait_read(socket);
     }
-    void connected(bool) override {}
+    void connected(net::ConnectResult) override {}
     void writable(bool) override {}
     void readable(bool broken) override {
       char bytes[512];
@@ -132,8 +132,8 @@
 
  private:
   void begin() { socket_ = network_.connect(at_, *this); }
-  void connected(bool failed) override {
-    if (failed) return end(false);
+  void connected(net::ConnectResult result) override {
+    if (result != net::ConnectResult::established) return end(false);
     // A new one at each try: that of a session just refused may still be in use.
     const std::string id = std::to_string(++rig_.sessions_);
     const std::string text = "OPEN " + id + " k" + id + " c=chat,d=2000\r\n";
--- a/src/lab/leases/lease_rig.cpp
+++ b/src/lab/leases/lease_rig.cpp
@@ -472,7 +472,8 @@
   answer.network.wait_datagram(answer);
   const auto say = [&](const char* what) {
     answer.said.clear();
-    answer.network.send_datagram(*at, std::string(what) + ' ' + token + ' ' + as + ' ' + std::to_string(getpid()));
+    answer.network.send_datagram(*at,
+                                 std::string(what) + ' ' + token + ' ' + as + ' ' + std::to_string(getpid()));
     for (const Micros until = answer.network.now() + 5s; answer.said.empty() && answer.network.now() < until;)
       answer.network.run_for(until - answer.network.now());
     return answer.said == "ok";
--- a/src/lab/models/client_peer.cpp
+++ b/src/lab/models/client_peer.cpp
@@ -46,8 +46,8 @@
   wakes_.after(model_.patience(), *this, token(Due::patience));
 }
 
-void ClientPeer::connected(net::Stream&, bool failed) {
-  if (failed) {
+void ClientPeer::connected(net::Stream&, net::ConnectResult result) {
+  if (result != net::ConnectResult::established) {
     log_.line(wakes_.now(), "unconnected node=n%u", node_.value);
     shut();
     return wait(kNoWay);
@@ -277,8 +277,8 @@
   node_ = way->node;
 }
 
-void RudePeer::connected(net::Stream&, bool failed) {
-  if (failed) return done();
+void RudePeer::connected(net::Stream&, net::ConnectResult result) {
+  if (result != net::ConnectResult::established) return done();
   began_ = wakes_.now();
   waiting_ = true;
   wakes_.after(4s, *this, ++turn_);
--- a/src/lab/models/client_peer.h
+++ b/src/lab/models/client_peer.h
@@ -56,7 +56,7 @@
   enum class Phase { idle, connecting, asking, open, ending };
   enum class Due : std::uint64_t { due, patience, speak, had, linger, leave };
   std::uint64_t token(Due due) const { return turn_ << 3 | static_cast<std::uint64_t>(due); }
-  void connected(net::Stream&, bool failed) override;
+  void connected(net::Stream&, net::ConnectResult result) override;
   void came(net::Stream&) override;
   void writable(net::Stream&) override;
   void broken(net::Stream&) override;
@@ -110,7 +110,7 @@
 
  private:
   enum Kind : unsigned { silent, rubbish, endless, twice, half, leaves, flood, unknown, kinds };
-  void connected(net::Stream&, bool failed) override;
+  void connected(net::Stream&, net::ConnectResult result) override;
   void came(net::Stream&) override;
   void writable(net::Stream&) override { out_.flush(); }
   void broken(net::Stream&) override { done(); }
--- a/src/lab/models/front_peer.h
+++ b/src/lab/models/front_peer.h
@@ -24,8 +24,8 @@
     wakes_.after(every_, *this, ++turn_);
     if (!stream_.connect(at_, *this)) told_(false);
   }
-  void connected(net::Stream& s, bool failed) override {
-    if (failed || !s.write("PING\r\n")) return over(false);
+  void connected(net::Stream& s, net::ConnectResult result) override {
+    if (result != net::ConnectResult::established || !s.write("PING\r\n")) return over(false);
     s.want_read();
   }
   void came(net::Stream& s) override {
--- a/src/lab/network/fabric.cpp
+++ b/src/lab/network/fabric.cpp
@@ -132,7 +132,7 @@
         side.process->post([wire, to] {
           const Side& here = wire->side[to];
           if (Process::Entry* e = here.process ? here.process->sockets_.find(here.key) : nullptr)
-            e->whom->connected(false);
+            e->whom->connected(net::ConnectResult::established);
         });
       }
       return;
@@ -198,7 +198,7 @@
       asker.process->post([wire] {
         const Side& s = wire->side[0];
         if (Process::Entry* e = s.process ? s.process->sockets_.find(s.key) : nullptr)
-          e->whom->connected(true);
+          e->whom->connected(net::ConnectResult::refused);
       });
     });
   }
--- a/src/line/host_conn.cpp
+++ b/src/line/host_conn.cpp
@@ -36,8 +36,8 @@
   return stream_;
 }
 
-void HostConn::connected(Stream&, bool failed) {
-  if (failed) return end(Ending::unconnected);
+void HostConn::connected(Stream&, ConnectResult result) {
+  if (result != ConnectResult::established) return end(Ending::unconnected);
   if (!owner_.still_wanted()) return;
   phase_ = Phase::sending;
   if (!time_left_.empty()) {
--- a/src/line/host_conn.h
+++ b/src/line/host_conn.h
@@ -39,7 +39,7 @@
  private:
   enum class Phase { idle, failed, connecting, sending, sent, given };
   enum class Due : std::uint64_t { connect, limit };
-  void connected(Stream&, bool) override;
+  void connected(Stream&, ConnectResult result) override;
   void came(Stream&) override;
   void writable(Stream&) override;
   void broken(Stream&) override;
--- a/src/line/probes.cpp
+++ b/src/line/probes.cpp
@@ -61,7 +61,9 @@
   probes_.wakes_.after(probes_.answer_within_, *this, token_);
 }
 
-void Probes::Probe::connected(Stream&, bool failed) { failed ? broken(stream_) : send(); }
+void Probes::Probe::connected(Stream&, ConnectResult result) {
+  result == ConnectResult::established ? send() : broken(stream_);
+}
 
 void Probes::Probe::send() {
   sent_ = 0;
--- a/src/line/probes.h
+++ b/src/line/probes.h
@@ -40,7 +40,7 @@
     void give_way();
 
    private:
-    void connected(Stream&, bool failed) override;
+    void connected(Stream&, ConnectResult result) override;
     void came(Stream&) override;
     void writable(Stream&) override { send_rest(); }
     void broken(Stream&) override;
--- a/src/net/http_get.cpp
+++ b/src/net/http_get.cpp
@@ -68,8 +68,9 @@
   wakes_.after(within, *this, token_);
 }
 
-void HttpGet::connected(Stream&, bool failed) {
-  if (failed) return fail("no connection", RequestFailure::connection_refused);
+void HttpGet::connected(Stream&, ConnectResult result) {
+  if (result == ConnectResult::refused) return fail("connection refused", RequestFailure::connection_refused);
+  if (result == ConnectResult::failed) return fail("no connection", RequestFailure::connection_closed);
   expect(wait_ + slack_);
   stream_.want_read();
   send();
--- a/src/net/http_get.h
+++ b/src/net/http_get.h
@@ -13,7 +13,7 @@
 enum class RequestFailure {
   timeout,            // no byte of a response came in time
   truncated,          // a response began and did not come whole, or is not HTTP
-  connection_closed,  // without a response
+  connection_closed,  // without a response, or it did not come up
   connection_refused
 };
 
@@ -36,7 +36,7 @@
   void switch_to(const Address& at);
 
  private:
-  void connected(Stream&, bool failed) override;
+  void connected(Stream&, ConnectResult result) override;
   void came(Stream&) override;
   void writable(Stream&) override { send(); }
   void broken(Stream&) override;
--- a/src/net/kernel_network.cpp
+++ b/src/net/kernel_network.cpp
@@ -124,6 +124,11 @@
   return asio::bind_allocator(HandlerAllocator<void>(memory_), std::move(handler));
 }
 
+ConnectResult KernelNetwork::result_of(std::error_code error) {
+  if (!error) return ConnectResult::established;
+  return error == asio::error::connection_refused ? ConnectResult::refused : ConnectResult::failed;
+}
+
 SocketKey KernelNetwork::connect(const Address& to, SocketEvents& whom) {
   const Tcp::endpoint there = endpoint<Tcp>(to);
   Socket socket(io_);
@@ -131,9 +136,9 @@
   socket.open(there.protocol(), ec);
   if (ec) return {};
   const SocketKey key = adopt(std::move(socket), &whom);
-  sockets_.find(key)->socket.async_connect(there, kept([key](std::error_code failed) {
+  sockets_.find(key)->socket.async_connect(there, kept([key](std::error_code error) {
                                              if (Entry* e = Places<Entry>::find(key))
-                                               e->whom->connected(bool(failed));
+                                               e->whom->connected(result_of(error));
                                            }));
   return key;
 }
--- a/src/net/kernel_network.h
+++ b/src/net/kernel_network.h
@@ -71,6 +71,7 @@
   auto kept(Handler handler);  // with memory that is used again
   template <bool reading>
   void wait(SocketKey key);
+  static ConnectResult result_of(std::error_code error);
   SocketKey adopt(Socket socket, SocketEvents* whom);
   void next_signal();
 
--- a/src/net/network.h
+++ b/src/net/network.h
@@ -13,9 +13,15 @@
 
 namespace flintweir::net {
 
+enum class ConnectResult {
+  established,
+  refused,  // by the other machine: no process listens there
+  failed    // not up, for another reason, which may lie with this machine or the network
+};
+
 class SocketEvents {
  public:
-  virtual void connected(bool failed) = 0;
+  virtual void connected(ConnectResult result) = 0;
   virtual void readable(bool broken) = 0;  // once for each wait_read()
   virtual void writable(bool broken) = 0;  // once for each wait_write()
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -17,7 +17,7 @@
 
 class StreamEvents {
  public:
-  virtual void connected(Stream&, bool /*failed*/) {}
+  virtual void connected(Stream&, ConnectResult) {}
   virtual void came(Stream& stream) = 0;    // new bytes are in, or the other side has ended its sending
   virtual void writable(Stream&) {}         // as asked for
   virtual void broken(Stream& stream) = 0;  // reset or lost; the stream is still to be closed
@@ -59,7 +59,7 @@
   void abort() { close(true); }  // with a reset
 
  private:
-  void connected(bool failed) override { events_->connected(*this, failed); }
+  void connected(ConnectResult result) override { events_->connected(*this, result); }
   void readable(bool broken) override;
   void writable(bool broken) override;
   void close(bool reset);
--- a/tests/flaws.cmake
+++ b/tests/flaws.cmake
@@ -47,7 +47,7 @@
   "    sockets_.network().close(std::exchange(socket_, {}), reset);"
   "    const SocketKey going = std::exchange(socket_, {});
     static struct Nobody final : SocketEvents {
-      void connected(bool) override {}
+      void connected(ConnectResult) override {}
       void readable(bool) override {}
       void writable(bool) override {}
     } nobody;
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -69,9 +69,9 @@
     stream_.want_read();
     push();
   }
-  void connected(net::Stream&, bool f) override {
-    failed = f;
-    if (f) return;
+  void connected(net::Stream&, net::ConnectResult result) override {
+    failed = result != net::ConnectResult::established;
+    if (failed) return;
     up_ = true;
     stream_.want_read();
     push();
@@ -177,7 +177,7 @@
   // Two sockets and no more descriptors: a third is not given.
   net::Sockets sockets(left, 1000);
   struct Nobody final : net::SocketEvents {
-    void connected(bool) override {}
+    void connected(net::ConnectResult) override {}
     void readable(bool) override {}
     void writable(bool) override {}
   } nobody;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -10,8 +10,10 @@
 #include "address.h"
 #include "line/heads.h"
 #include "line/open_ids.h"
+#include "net/http_get.h"
 #include "net/kernel_network.h"
 #include "net/line_buffer.h"
+#include "net/nowhere.h"
 #include "net/wakes.h"
 
 namespace flintweir::net {
@@ -97,6 +99,39 @@
   EXPECT_FALSE(r.piled_up);
 }
 
+// A network on which no connection comes up.
+class NoConnections : public net::Nowhere {
+ public:
+  net::SocketKey connect(const Address&, net::SocketEvents& whom) override {
+    asked_ = &whom;
+    return {0, 1};
+  }
+  void end(net::ConnectResult result) { std::exchange(asked_, nullptr)->connected(result); }
+
+ private:
+  net::SocketEvents* asked_ = nullptr;
+};
+
+// Guards against any failure to connect, such as a machine without free ports or routes, that is taken for
+// proof that the service is down.
+TEST(HttpGet, TellsARefusedConnectionFromOneThatFails) {
+  struct Heard : net::HttpGet::Told {
+    void http_answered(unsigned, std::string&) override {}
+    void http_failed(const char*, net::RequestFailure how) override { failures.push_back(how); }
+    std::vector<net::RequestFailure> failures;
+  } heard;
+  NoConnections network;
+  net::Sockets sockets(network, 10);
+  net::Wakes wakes(network);
+  net::HttpGet get(sockets, wakes, *address_of("127.0.0.1:81"), heard);
+  for (const net::ConnectResult result : {net::ConnectResult::failed, net::ConnectResult::refused}) {
+    get.get("/", 0s, 1s);
+    network.end(result);
+  }
+  using How = net::RequestFailure;
+  EXPECT_EQ(heard.failures, (std::vector<How>{How::connection_closed, How::connection_refused}));
+}
+
 TEST(Hosts, AddressesAreNumbers) {
   EXPECT_EQ(address_of("127.0.0.1:81")->port, 81);
   EXPECT_TRUE(address_of("[::1]:81"));
