Keep what is known of a service that a new configuration names again; mend a test's race

Processes.HoldOneViewOfWhoeverRuns failed twice at the same second (12.6 s, reload, n5 to n7), on a busy machine and on an idle one: not load. Its fleet reloads an unchanged discovery address where nobody listens; since the SIGHUP's 4 s hold until a list comes, that ended all sessions. A configuration that names the same service now keeps the proof that it is down; with a request out, or after failures, the 4 s count as before. StaleList.NothingIsSentSixSecondsAfterHalfAListCame failed once with sanitizers: its stand-in could fall silent before the next watch came, and never gave half a list. Now it falls silent once it has given one; what is asserted is unchanged.

--- a/src/net/http_get.h
+++ b/src/net/http_get.h
@@ -34,6 +34,7 @@
   void get(std::string_view path, Micros wait, Micros slack);
   // From now on asks there; a call that is out ends without a word.
   void switch_to(const Address& at);
+  const Address& at() const { return at_; }
 
  private:
   void connected(Stream&, ConnectResult result) override;
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -37,8 +37,12 @@
 }
 
 void Discovery::switch_to(const Address& at) {
+  if (at == get_.at()) {
+    clock_.configuration_reread(wakes_.now());
+  } else {
+    clock_.service_switched(wakes_.now());
+  }
   get_.switch_to(at);
-  clock_.service_switched(wakes_.now());
   version_.reset();
   watching_ = true;
   ++turn_;
--- a/src/node/staleness_clock.cpp
+++ b/src/node/staleness_clock.cpp
@@ -86,6 +86,13 @@
   outage_assumed_ = false;
 }
 
+// As after a switch, but what is known of this service's being down still holds. Guards against a
+// configuration that changes something else, and ends service since discovery happens to be down.
+void StalenessClock::configuration_reread(Micros now) {
+  if (pending_from_ != kNever) request_failed(now, Failure::connection_closed);
+  if (outage_proven_at_ == kNever) failing_from_ = std::min(failing_from_, now + kAfterSwitch);
+}
+
 Micros StalenessClock::stale_from() const {
   return std::min({pending_from_, unsettled_from_, failing_from_, stale_from_outage()});
 }
--- a/src/node/staleness_clock.h
+++ b/src/node/staleness_clock.h
@@ -41,6 +41,8 @@
   void request_failed(Micros now, Failure how);
   // Requests go to another service from now on. Deadlines of the one before stay.
   void service_switched(Micros now);
+  // A new configuration names the same service: the pending request is given up, and sent anew.
+  void configuration_reread(Micros now);
 
   // The earliest deadline; kNever: there is none.
   Micros stale_from() const;
--- a/tests/node_stale_list_test.cpp
+++ b/tests/node_stale_list_test.cpp
@@ -14,7 +14,7 @@
   enum class Mode {
     answers,     // watches wait, other calls get the whole list
     turns_away,  // each call is answered 503 at once
-    half_lists,  // those that are out get half a list; silent from then on
+    half_lists,  // the calls that are out get half a list, the next one where none is; silent from then on
     silent       // calls are taken and get no answer
   };
   explicit ListService(const std::string& targets)
@@ -44,7 +44,7 @@
         hear(call);
         if (call.out) answer(call);
       }
-      if (mode_ == Mode::half_lists) mode_ = Mode::silent;
+      if (std::exchange(gave_half_, false)) mode_ = Mode::silent;
     }
   }
   static void hear(Call& call) {
@@ -57,6 +57,7 @@
     const Mode mode = mode_;
     if (mode == Mode::silent || (mode == Mode::answers && call.watch)) return;
     call.out = false;
+    gave_half_ = mode == Mode::half_lists;
     const std::string body = mode == Mode::turns_away   ? ""
                              : mode == Mode::half_lists ? whole_.substr(0, whole_.size() / 2)
                                                         : whole_;
@@ -69,6 +70,7 @@
   std::string whole_;
   std::atomic<Mode> mode_ = Mode::answers;
   std::atomic<bool> over_ = false;
+  bool gave_half_ = false;
   std::vector<Call> calls_;
   std::thread thread_;  // the last: it uses all the others
 };
--- a/tests/staleness_clock_test.cpp
+++ b/tests/staleness_clock_test.cpp
@@ -183,6 +183,30 @@
   EXPECT_EQ(clock.stale_from(), 706s);
 }
 
+// Guards against a configuration that changes something else, and ends service since discovery is down.
+TEST(StalenessClock, KeepsWhatIsKnownOfAServiceThatIsNamedAgain) {
+  StalenessClock clock(kOutage);
+  clock.request_sent(90s, 20s);
+  clock.configuration_reread(100s);
+  EXPECT_EQ(clock.stale_from(), 104s);
+  clock.request_sent(100s, 0s);
+  clock.request_failed(101s, Failure::error_response);
+  EXPECT_EQ(clock.stale_from(), 104s);
+  clock.list_received();
+  // It is down, and was before.
+  clock.request_failed(200s, Failure::connection_refused);
+  clock.configuration_reread(201s);
+  EXPECT_EQ(clock.stale_from(), 206s);
+  clock.request_failed(201s, Failure::connection_refused);
+  EXPECT_EQ(clock.stale_from(), 207s);
+  // It went down with the request that is given up.
+  clock.list_received();
+  clock.request_sent(290s, 20s);
+  clock.configuration_reread(300s);
+  clock.request_failed(301s, Failure::connection_refused);
+  EXPECT_EQ(clock.stale_from(), 307s);
+}
+
 TEST(StalenessClock, BelievesAnOutageThatLasts) {
   const auto fail_until = [](StalenessClock& clock, Micros from, Micros until, Failure how) {
     for (Micros at = from; at <= until; at += 3s) {
