Review case 3: a held-up node sends a referenced session after its dedup window

Cause: DialRules::may_dial_again ends at the very end of the window, without the 0.15 s that a node may be held up, and nothing looks at the window again before the first byte.

Change: review/3. No code of the project is changed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+CASE=3
+. "$(dirname "$0")/../common/run.sh"
--- a/review/common/standin.h
+++ b/review/common/standin.h
@@ -373,6 +373,13 @@
                                        : number == SIGHUP ? "SIGHUP" : "a signal", name_.c_str());
     if (pid_ > 0) ::kill(pid_, number);
   }
+  // Holds the process up until resume().
+  void pause() {
+    if (pid_ > 0) ::kill(pid_, SIGSTOP);
+  }
+  void resume() {
+    if (pid_ > 0) ::kill(pid_, SIGCONT);
+  }
   bool running() {
     int status = 0;
     if (pid_ <= 0) return false;
