--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-constexpr int kHosts = 8, kResetHosts = 2, kRounds = 8, kSessionsInRound = 40;
+constexpr int kHosts = 8, kResetHosts = 2, kRounds = 10, kSessionsInRound = 40;
 constexpr double kWindowMs = 300, kSlackMs = 50;  // listeners[].dedupWindow below, and the sockets' slack
 constexpr double kUpAfterMs = 340;                // a host's time for a session, within the handshake target
-constexpr double kResetAfterMs = 285, kHeldUpMs = 140;
+constexpr double kResetAfterMs = 272, kHeldUpMs = 140;
 
 const std::string kSettings = R"({
   "balancers": 1, "myNumber": 0, "myZone": 0, "failureDomains": ["a"], "discovery": "on_request",
@@ -146,7 +146,7 @@
     for (int i = 0; i < kResetHosts; ++i)
       hosts[static_cast<std::size_t>((round * kResetHosts + i) % kHosts)]->reset_begun();
     if (trouble()) {
-      sleep_ms(0.1 * (round % 4));
+      sleep_ms(0.1 * (round % 5));
       node.pause();
       const double paused_at = now_ms();
       sleep_ms(kHeldUpMs);
