--- a/review/common/run.sh
+++ b/review/common/run.sh
@@ -7,7 +7,10 @@
 CASE_TMP="$(mktemp -d)" || exit 2
 export NODE_RUN CASE_TMP
 trap 'rm -rf "$CASE_TMP"' EXIT
-timeout -s KILL 115 "build/review/case$CASE" "$HERE/record.txt"
+timeout -s KILL 115 "build/review/case$CASE" "$HERE/record.txt" &
+pid=$!
+trap 'kill "$pid"; wait "$pid"; exit 2' HUP INT TERM  # the nodes end with the case
+wait "$pid"
 status=$?
 [ -z "${KEEP_LOGS:-}" ] || cp "$CASE_TMP"/*.log "$KEEP_LOGS"/
 case $status in 0|1) exit $status ;; *) exit 2 ;; esac
