Refuse until the agent of a pushed list has answered a new process

Cause: StalenessClock knew the deadlines of a service that is asked only. Serving from `known` after kAgentWait was what that looked like, not its cause: the same node also served at once after any first call that failed (503, reset, refused, half a list), and a SIGHUP to another silent agent gave it 4 s more.

Evidence: the log of the killed node has "request timed out; the list is stale in 1999 ms" 4 s after the start and `dial-turned-away host=s-0` before it; nothing else told it of that host.

Fix: the clock of a pushed list has a deadline from the start, of the kind that only a received list removes, and Discovery tells the balancer before the first client is taken. Sessions wait up to their handshake target and are then answered BUSY.

Node.AcceptsClientsIfThePushedListDoesNotArrive asserted the fault: that a session is dialled by `known` while the agent is silent. It is replaced by AnswersClientsIfThePushedListDoesNotArrive: an answer in time, no dial, service after the list. The stand-in for discovery moved to a header of its own, since two files use it now.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -30,6 +30,11 @@
 
 }  // namespace
 
+void Discovery::start() {
+  clock_.started(timers_.now());
+  update_staleness();
+}
+
 void Discovery::poll(bool whole_list) {
   if (std::exchange(polling_, true)) return;
   if (whole_list) version_.reset();
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -38,13 +38,14 @@
         rng_(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32))),
         timers_(timers),
         events_(events),
-        clock_(outage_threshold) {}
+        clock_(agent_retry_delay ? StalenessClock::pushed(outage_threshold)
+                                 : StalenessClock(outage_threshold)) {}
 
   // Applies a list in the service's JSON format. Returns false, without applying any of it, if the list is
   // malformed or older than the known one; in the latter case the next request is for the whole list.
   bool apply_list(const simdjson::dom::element& list);
-  // From now on this node uses the list it has.
-  void start() { clock_.started(timers_.now()); }
+  // From now on this node uses the list it has, unless that counts as stale until the first request succeeds.
+  void start();
   // Sends a request unless one is pending or an agent's retry is scheduled. `whole_list`: requests the whole
   // list even if a version is known.
   void poll(bool whole_list = false);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t kIdleClientDivisor = 8;
 // A client that sends nothing has to get an answer within 3 s.
 constexpr Micros kFirstLineTimeout = 2s;
-// How long clients wait for the first list of a local agent.
+// How long clients wait for the first list of a local agent before they are refused.
 constexpr Micros kAgentWait = 1s;
 // After SIGTERM the process may be killed this long after the longest dial timeout. It exits the margin
 // earlier.
@@ -159,7 +159,8 @@
   log_line("serving at %s", to_text(at).c_str());
   discovery_.start();
   if (!list_is_pushed_) return start_accepting();
-  // The list that the agent holds binds this node from the start, so that clients wait until it is received.
+  // The list that the agent holds binds this node from the start. Clients wait for it, and are refused if it
+  // does not come.
   discovery_.poll(true);
   timers_.schedule(kAgentWait, *this, agent_wait_over);
 }
--- a/src/node/staleness_clock.cpp
+++ b/src/node/staleness_clock.cpp
@@ -16,6 +16,11 @@
 
 }  // namespace
 
+void StalenessClock::started(Micros now) {
+  started_at_ = now;
+  if (pushed_) persistent_deadline_ = now;
+}
+
 void StalenessClock::request_sent(Micros now, Micros wait) {
   requested_at_ = now;
   pending_deadline_ = now + std::max(kChangeDeadline, wait + kLongPollDeadline);
--- a/src/node/staleness_clock.h
+++ b/src/node/staleness_clock.h
@@ -33,9 +33,16 @@
   // an outage is assumed. Each further failure then counts as proof that the service was down when the
   // request was sent.
   explicit StalenessClock(Micros outage_threshold) : outage_threshold_(outage_threshold) {}
+  // For a list that is pushed to an agent on this machine: whatever the agent holds binds this node, also a
+  // new process that the agent has not answered yet.
+  static StalenessClock pushed(Micros outage_threshold) {
+    StalenessClock clock(outage_threshold);
+    clock.pushed_ = true;
+    return clock;
+  }
 
   // The node starts with a copy of unknown age.
-  void started(Micros now) { started_at_ = now; }
+  void started(Micros now);
   // `wait` is how long the service may hold the request until the list changes; zero for a request that is to
   // be answered immediately.
   void request_sent(Micros now, Micros wait);
@@ -63,6 +70,7 @@
   Micros unreported_since(Micros now) const;
   Micros outage_deadline() const;
 
+  bool pushed_ = false;
   Micros outage_threshold_;
   Micros started_at_ = kNever;             // until the first list is received
   Micros requested_at_{0}, failed_at_{0};  // the latest request, and the latest failure
--- /dev/null
+++ b/tests/list_service.h
@@ -0,0 +1,114 @@
+// A discovery service for tests of the node process. It runs in its own thread.
+#pragma once
+
+#include <atomic>
+#include <list>
+#include <mutex>
+#include <thread>
+
+#include "node_fixture.h"
+
+namespace flintweir::node_tests {
+
+class ListService {
+ public:
+  enum class Mode {
+    normal,       // long polls stay pending until the list changes, other requests get the whole list
+    error,        // each request is answered with 503 immediately
+    truncating,   // pending requests get half a list, or the next one if none is pending; then unresponsive
+    closing,      // each request is answered by a reset of its connection
+    unresponsive  // accepts requests and does not respond
+  };
+  explicit ListService(const std::string& targets, Mode mode = Mode::normal)
+      : list_(list_json(1, true, targets)), mode_(mode), thread_([this] { serve(); }) {}
+  ~ListService() { stop(); }
+  ListService(const ListService&) = delete;
+  int port() const { return acceptor_.port(); }
+  void set_mode(Mode mode) { mode_ = mode; }
+  // The list from now on, which answers pending long polls unless the mode prevents it.
+  void publish(int version, const std::string& targets) {
+    const std::lock_guard lock(mutex_);
+    version_ = version;
+    list_ = list_json(version, true, targets);
+  }
+  // Changes list and mode at the same moment, and resets all connections before any request is answered.
+  void reset_connections(Mode next, int version, const std::string& targets) {
+    const std::lock_guard lock(mutex_);
+    version_ = version;
+    list_ = list_json(version, true, targets);
+    mode_ = next;
+    for (Request& request : requests_) request.peer.reset();
+    requests_.clear();
+  }
+  // Stops listening and resets all connections.
+  void stop() {
+    stopped_ = true;
+    if (thread_.joinable()) thread_.join();
+    for (Request& request : requests_) request.peer.reset();
+    requests_.clear();
+    acceptor_.close();
+  }
+  // Listens again at the same port after stop().
+  void restart(Mode mode) {
+    acceptor_ = Acceptor(acceptor_.port());
+    mode_ = mode;
+    stopped_ = false;
+    thread_ = std::thread([this] { serve(); });
+  }
+
+ private:
+  struct Request {
+    Peer peer;
+    bool is_long_poll = false, is_pending = false;
+    int since = 0;
+  };
+  void serve() {
+    while (!stopped_) {
+      const bool connection_pending = acceptor_.connection_pending(2ms);
+      const std::lock_guard lock(mutex_);
+      if (connection_pending) requests_.push_back({acceptor_.accept()});
+      for (Request& request : requests_) {
+        receive(request);
+        if (request.is_pending) respond(request);
+      }
+      if (std::exchange(truncated_, false)) mode_ = Mode::unresponsive;
+    }
+  }
+  static void receive(Request& request) {
+    for (std::string line = request.peer.read_line(0ms); !line.starts_with('(');
+         line = request.peer.read_line(0ms)) {
+      if (line.starts_with("GET ")) {
+        const auto since = line.find("since=");
+        request.is_long_poll = since != line.npos && line.find("timeout_ms=0 ") == line.npos;
+        request.since = since == line.npos ? 0 : std::stoi(line.substr(since + 6));
+      }
+      request.is_pending = line.empty();
+    }
+  }
+  void respond(Request& request) {
+    const Mode mode = mode_;
+    const bool waits = request.is_long_poll && request.since >= version_;
+    if (mode == Mode::unresponsive || (mode == Mode::normal && waits)) return;
+    request.is_pending = false;
+    if (mode == Mode::closing) return request.peer.reset();
+    truncated_ = mode == Mode::truncating;
+    const std::string body = mode == Mode::error        ? ""
+                             : mode == Mode::truncating ? list_.substr(0, list_.size() / 2)
+                                                        : list_;
+    const char* status = mode == Mode::error ? "503 Service Unavailable" : "200 OK";
+    request.peer.send("HTTP/1.1 " + std::string(status) +
+                      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+
+  Acceptor acceptor_;
+  std::mutex mutex_;  // guards the list and the requests
+  int version_ = 1;
+  std::string list_;
+  std::atomic<Mode> mode_;
+  std::atomic<bool> stopped_ = false;
+  bool truncated_ = false;
+  std::list<Request> requests_;
+  std::thread thread_;  // last, because it uses all other members
+};
+
+}  // namespace flintweir::node_tests
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -108,12 +108,16 @@
   std::string in_;
 };
 
-// A listening socket on a free port of the loopback address. Owns its descriptor.
+// A listening socket at the loopback address. Owns its descriptor.
 class Acceptor {
  public:
-  Acceptor() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  // A `port` of zero stands for any free port.
+  explicit Acceptor(int port = 0) : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const int reuse = 1;
+    setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
     sockaddr_in at{};
     at.sin_family = AF_INET;
+    at.sin_port = htons(static_cast<std::uint16_t>(port));
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     EXPECT_EQ(bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
     socklen_t size = sizeof at;
@@ -122,6 +126,12 @@
     EXPECT_EQ(listen(fd_, 256), 0);
   }
   Acceptor(Acceptor&& o) noexcept : fd_(std::exchange(o.fd_, -1)), port_(o.port_) {}
+  Acceptor& operator=(Acceptor&& o) noexcept {
+    close();
+    fd_ = std::exchange(o.fd_, -1);
+    port_ = o.port_;
+    return *this;
+  }
   ~Acceptor() { close(); }
   void close() {
     if (fd_ >= 0) ::close(fd_);
@@ -283,8 +293,10 @@
              R"(,"sockets":)" + std::to_string(sockets) + R"(},"known":)" + list_json(1, true, targets) +
              R"(,"settings":)" + settings_json(probes, retry_after, pushed, dial_timeout, ask_every) + '}';
     };
-    program = std::make_unique<Program>(config(1), std::vector<std::string>{"serve"},
-                                        "127.0.0.1:" + std::to_string(discovery.port()), reload_first);
+    program = std::make_unique<Program>(
+        config(1), std::vector<std::string>{"serve"},
+        "127.0.0.1:" + std::to_string(list_service_port != 0 ? list_service_port : discovery.port()),
+        reload_first);
     const std::string line = program->wait_for_log("serving at ");
     ASSERT_FALSE(line.empty()) << "the program does not serve";
     port = std::stoi(line.substr(line.rfind(':') + 1));
@@ -347,6 +359,7 @@
   int dial_timeout = 2'000'000, ask_every = 10'000'000;  // in microseconds
   int memory_mb = 192;
   bool pushed = false;
+  int list_service_port = 0;  // of the discovery service, if that is not `discovery`
 };
 
 }  // namespace flintweir::node_tests
--- a/tests/node_list_test.cpp
+++ b/tests/node_list_test.cpp
@@ -83,12 +83,18 @@
   EXPECT_LT(Steady::now() - reset_at, 300ms);
 }
 
-TEST_F(Node, AcceptsClientsIfThePushedListDoesNotArrive) {
+// Guards against a node that leaves its clients without an answer because its agent does not respond.
+TEST_F(Node, AnswersClientsIfThePushedListDoesNotArrive) {
   pushed = true;
   start_node(1);
   Peer request = discovery.accept();
   read_request(request);
   EXPECT_EQ(Peer::connect(port).read_line(0ms), "(nothing)");
+  Peer client = open_session();
+  EXPECT_EQ(client.read_line(2500ms), "BUSY");
+  EXPECT_FALSE(hosts[0].connection_pending(0ms));
+  respond(request, list_json(1, true, target_json("s-0", hosts[0].port())));
+  read_request(request);  // the next request shows that the node has accepted the list
   accepted_session();
 }
 
--- /dev/null
+++ b/tests/node_pushed_list_test.cpp
@@ -0,0 +1,126 @@
+// A node process whose host list is pushed to an agent on its machine. What the agent holds binds the node at
+// once, so that the node may not dial by a copy that it cannot confirm, whatever keeps it from confirming.
+#include "list_service.h"
+#include "node_fixture.h"
+
+namespace flintweir::node_tests {
+namespace {
+
+using Mode = ListService::Mode;
+
+class PushedList : public Node {
+ protected:
+  // From the protocol: the agent's list binds a node so long after SIGHUP has named the agent.
+  static constexpr auto kStaleAfterSwitch = 4s;
+  // The tolerance of sockets, and as much for a busy machine.
+  static constexpr auto kTolerance = 100ms;
+  static constexpr auto kObservation = 2s;
+
+  PushedList() { pushed = true; }
+
+  // Starts a node whose `known` list has two serving hosts, and gives the agent a newer one in which the
+  // first of them drains.
+  void start_with_outdated_list(ListService& agent) {
+    list_service_port = agent.port();
+    start_node(2);
+    agent.publish(2, targets("DRAINING"));
+  }
+  // Starts a node that has confirmed the list of its agent.
+  void start_with_confirmed_list(ListService& agent) {
+    list_service_port = agent.port();
+    start_node(2);
+    agent.publish(2, targets("SERVING"));
+    agent.set_mode(Mode::normal);
+    ASSERT_FALSE(program->wait_for_log("list: taken version=2").empty());
+    ASSERT_TRUE(dials_for_a_session());
+  }
+  std::string targets(const char* state_of_first) const {
+    return target_json(host_name(0), hosts[0].port(), state_of_first) + "," +
+           target_json(host_name(1), hosts[1].port());
+  }
+  void reload_with(int discovery_port) {
+    program->write_config(config(discovery_port));
+    program->send_signal(SIGHUP);
+    ASSERT_FALSE(program->wait_for_log("reload: discovery at ").empty());
+  }
+  // Whether the node dials a host for a new session.
+  bool dials_for_a_session() {
+    program->wait_for_log("(no such line)", 50ms);  // reads the log, as a full pipe would block the node
+    while (dialled_host(0ms)) continue;
+    const Peer client = open_session();
+    return dialled_host(200ms).has_value();
+  }
+  void expect_no_dials(Steady::time_point from = Steady::now()) {
+    while (Steady::now() < from) wait_readable(-1, 5ms);
+    while (Steady::now() < from + kObservation) ASSERT_FALSE(dials_for_a_session());
+  }
+  // Expects that sessions are served by the agent's list, in which the first host drains.
+  void expect_dials_to_the_second_host_only() {
+    ASSERT_FALSE(program->wait_for_log("list: taken version=").empty());
+    for (int i = 0; i < 4; ++i) {
+      while (dialled_host(0ms)) continue;
+      const Peer client = open_session();
+      EXPECT_EQ(dialled_host(kMaxWait), 1u);
+    }
+  }
+
+ private:
+  // The connection to the host stays open, because closing it would make the node dial another host.
+  std::optional<std::size_t> dialled_host(Steady::duration within) {
+    std::vector<pollfd> acceptors;
+    for (const Acceptor& host : hosts) acceptors.push_back({host.fd(), POLLIN, 0});
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(within).count();
+    if (poll(acceptors.data(), acceptors.size(), static_cast<int>(ms)) <= 0) return std::nullopt;
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+      if (!(acceptors[i].revents & POLLIN)) continue;
+      host_connections_.push_back(hosts[i].accept());
+      return i;
+    }
+    return std::nullopt;
+  }
+  std::vector<Peer> host_connections_;
+};
+
+class PushedListAtStart : public PushedList, public testing::WithParamInterface<Mode> {};
+
+// Guards against a new process that dials by the list in its file while its agent, which may hold a later
+// one, does not answer.
+TEST_P(PushedListAtStart, DialsNoHostBeforeTheAgentAnswers) {
+  ListService agent("", GetParam());
+  start_with_outdated_list(agent);
+  Peer front = Peer::connect(port);
+  front.send("PING\r\n");
+  EXPECT_EQ(front.read_line(3s), "PONG");  // it refuses, but answers
+  Peer client = open_session();
+  EXPECT_EQ(client.read_line(1500ms), "BUSY");
+  expect_no_dials();
+  agent.set_mode(Mode::normal);
+  expect_dials_to_the_second_host_only();
+}
+INSTANTIATE_TEST_SUITE_P(Agent, PushedListAtStart,
+                         testing::Values(Mode::unresponsive, Mode::error, Mode::closing, Mode::truncating));
+
+// Guards against a new process that takes an agent that is not running for one that holds no later list.
+TEST_F(PushedList, DialsNoHostBeforeAnAgentThatIsNotRunningAnswers) {
+  ListService agent("");
+  agent.stop();
+  start_with_outdated_list(agent);
+  expect_no_dials();
+  agent.restart(Mode::normal);
+  expect_dials_to_the_second_host_only();
+}
+
+// Guards against a SIGHUP that makes a new process dial by the list in its file: the deadline of the other
+// agent is later than that of the first one, which has passed.
+TEST_F(PushedList, DialsNoHostIfSighupNamesAnotherSilentAgentAfterTheStart) {
+  ListService first("", Mode::unresponsive), second("", Mode::unresponsive);
+  start_with_outdated_list(first);
+  reload_with(second.port());
+  expect_no_dials();
+  second.publish(3, targets("DRAINING"));
+  second.set_mode(Mode::normal);
+  expect_dials_to_the_second_host_only();
+}
+
+}  // namespace
+}  // namespace flintweir::node_tests
--- a/tests/node_stale_list_test.cpp
+++ b/tests/node_stale_list_test.cpp
@@ -1,81 +1,11 @@
 // A node process that fails to receive the host list for longer than one failure lasts. Once its copy of the
 // list is stale by the protocol's deadlines it must dial no host for new sessions, whatever failures follow.
-#include <atomic>
-#include <thread>
-
+#include "list_service.h"
 #include "node_fixture.h"
 
 namespace flintweir::node_tests {
 namespace {
 
-// A discovery service that runs in its own thread.
-class ListService {
- public:
-  enum class Mode {
-    normal,       // long polls stay pending, other requests get the whole list
-    error,        // each request is answered with 503 immediately
-    truncating,   // pending requests get half a list, or the next one if none is pending; then unresponsive
-    unresponsive  // accepts requests and does not respond
-  };
-  explicit ListService(const std::string& targets)
-      : list_(list_json(1, true, targets)), thread_([this] { serve(); }) {}
-  ~ListService() { stop(); }
-  ListService(const ListService&) = delete;
-  int port() const { return acceptor_.port(); }
-  void set_mode(Mode mode) { mode_ = mode; }
-  // Stops listening and resets all connections.
-  void stop() {
-    stopped_ = true;
-    if (thread_.joinable()) thread_.join();
-    for (Request& request : requests_) request.peer.reset();
-    requests_.clear();
-    acceptor_.close();
-  }
-
- private:
-  struct Request {
-    Peer peer;
-    bool is_long_poll = false, is_pending = false;
-  };
-  void serve() {
-    while (!stopped_) {
-      if (acceptor_.connection_pending(2ms)) requests_.push_back({acceptor_.accept()});
-      for (Request& request : requests_) {
-        receive(request);
-        if (request.is_pending) respond(request);
-      }
-      if (std::exchange(truncated_, false)) mode_ = Mode::unresponsive;
-    }
-  }
-  static void receive(Request& request) {
-    for (std::string line = request.peer.read_line(0ms); !line.starts_with('(');
-         line = request.peer.read_line(0ms)) {
-      if (line.starts_with("GET ")) request.is_long_poll = line.find("since=") != line.npos;
-      request.is_pending = line.empty();
-    }
-  }
-  void respond(Request& request) {
-    const Mode mode = mode_;
-    if (mode == Mode::unresponsive || (mode == Mode::normal && request.is_long_poll)) return;
-    request.is_pending = false;
-    truncated_ = mode == Mode::truncating;
-    const std::string body = mode == Mode::error        ? ""
-                             : mode == Mode::truncating ? list_.substr(0, list_.size() / 2)
-                                                        : list_;
-    const char* status = mode == Mode::error ? "503 Service Unavailable" : "200 OK";
-    request.peer.send("HTTP/1.1 " + std::string(status) +
-                      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-  }
-
-  Acceptor acceptor_;
-  std::string list_;
-  std::atomic<Mode> mode_ = Mode::normal;
-  std::atomic<bool> stopped_ = false;
-  bool truncated_ = false;
-  std::vector<Request> requests_;
-  std::thread thread_;  // last, because it uses all other members
-};
-
 class StaleList : public Node {
  protected:
   using Mode = ListService::Mode;
--- a/tests/staleness_clock_test.cpp
+++ b/tests/staleness_clock_test.cpp
@@ -94,6 +94,31 @@
   }
 }
 
+// Guards against a new process that uses its copy of a pushed list before its agent has answered: no failure
+// of a request, and no switch to another agent, proves that the copy is up to date.
+TEST(StalenessClock, IsStaleFromTheStartUntilTheFirstPushedList) {
+  for (const Failure failure : {Failure::timeout, Failure::error_response, Failure::connection_closed,
+                                Failure::connection_refused, Failure::truncated}) {
+    StalenessClock clock = StalenessClock::pushed(kOutageThreshold);
+    clock.started(100s);
+    EXPECT_EQ(clock.stale_from(), 100s);
+    EXPECT_TRUE(clock.is_catching_up());
+    for (Micros at = 100s; at < 160s; at += 1s) {
+      clock.request_sent(at, 0s);
+      clock.request_failed(at + 1s, failure);
+      EXPECT_EQ(clock.stale_from(), 100s);
+    }
+    clock.service_switched(160s);
+    EXPECT_EQ(clock.stale_from(), 100s);
+    clock.configuration_reread(161s);
+    EXPECT_EQ(clock.stale_from(), 100s);
+    clock.request_sent(162s, 0s);
+    clock.list_received();
+    EXPECT_EQ(clock.stale_from(), kNever);
+    EXPECT_FALSE(clock.is_catching_up());
+  }
+}
+
 TEST(StalenessClock, CountsFromTheReturnOfAnUnreachableService) {
   StalenessClock clock(kOutageThreshold);
   const auto unreachable = [&](Micros at) {
