Take clients from the start while the agent of a pushed list is silent

What callers saw: a client that came to a new process within its first second, while the agent did not answer, waited in the backlog until the node was ready. Fronts send clients to a node that was killed until they notice, some seconds later.

Cause: Node made one thing of being ready and of accepting connections: it accepted none before the agent's list or 1 s, and being ready waited for nothing else. Now connections are accepted at once. Sessions wait for the list in the balancer, as they do for a host, up to their handshake target; only health checks wait until the node is ready, which now takes the first list, or 1 s, and no longer any failed request. Sessions have a Readiness of three states in place of the flag for shutting down.

--- a/src/line/client_conn.cpp
+++ b/src/line/client_conn.cpp
@@ -33,22 +33,23 @@
     const auto line = stream_.input().line();
     if (!line) break;
     if (line->size() > kMaxLineBytes || !line->ends_with("\r\n")) return reject_first_line();
+    const std::size_t line_size = line->size();
     if (*line != "PING\r\n") {
       // A client has to wait for its answer. Rejects pipelined commands, since a host can use only one.
-      const std::string_view next = stream_.input().buffered().substr(line->size());
+      const std::string_view next = stream_.input().buffered().substr(line_size);
       if (next.starts_with("OPEN ") || next.starts_with("PING")) return reject_first_line();
       phase_ = Phase::waiting;
       ++token_;
       idle_clients_.remove(*this);
       // Dials send the line from this buffer, so it must not move when more input arrives.
       stream_.input().compact();
-      first_line_ = stream_.input().buffered().substr(0, line->size());
+      first_line_ = stream_.input().buffered().substr(0, line_size);
       return events_.on_first_line(first_line_.substr(0, first_line_.size() - 2));
     }
     pinged_ = true;
-    const std::size_t size = line->size();
-    if (!events_.accepting_clients() || !send("PONG\r\n")) return reject_first_line();
-    stream_.input().consume(size);
+    if (events_.readiness() == Readiness::starting) break;
+    if (events_.readiness() == Readiness::leaving || !send("PONG\r\n")) return reject_first_line();
+    stream_.input().consume(line_size);
     timers_.schedule(first_line_timeout_, *this, ++token_);
   }
   if (!all_sent()) return;
@@ -57,12 +58,16 @@
 }
 
 void ClientConn::reject_first_line() {
-  const bool check_only = pinged_ && (stream_.input().empty() || !events_.accepting_clients());
+  const bool check_only = pinged_ && (stream_.input().empty() || events_.readiness() != Readiness::ready);
   events_.on_client_failed(check_only ? Reason::checked : Reason::bad_line);
   if (stream_.at_eof()) return close();
   answer("ERR\r\n");
 }
 
+void ClientConn::readiness_changed() {
+  if (phase_ == Phase::first_line && pinged_) input_ready(stream_);
+}
+
 // The kernel may take only a part of an answer, for example when the client's receive window is full.
 bool ClientConn::send(std::string_view text) {
   if (text.size() > unsent_.size() - unsent_end_) return false;
--- a/src/line/client_conn.h
+++ b/src/line/client_conn.h
@@ -13,10 +13,16 @@
 
 using namespace net;
 
+// Whether this node can take clients, as it tells the load balancers in front of it.
+enum class Readiness {
+  starting,  // health checks (PING) wait for their answer
+  ready,
+  leaving  // health checks are rejected
+};
+
 class ClientConnEvents {
  public:
-  // Whether health checks (PING) are answered and new clients taken; false while this node shuts down.
-  virtual bool accepting_clients() const = 0;
+  virtual Readiness readiness() const = 0;
   // `line` lacks its line end. It stays valid until the stream is released or the client is answered.
   virtual void on_first_line(std::string_view line) = 0;
   virtual void on_client_left() = 0;                 // after its first line, before any answer
@@ -41,6 +47,8 @@
   void start(SocketKey socket);
   // The first line with its line end, as a view into the input buffer.
   std::string_view first_line() const { return first_line_; }
+  // Answers a health check that has waited for this node to become ready, or to leave.
+  void readiness_changed();
   // Reads what has arrived and returns whether the client still waits for its answer. If it has left,
   // on_client_left() has been called.
   bool check_waiting();
--- a/src/line/proxy_session.cpp
+++ b/src/line/proxy_session.cpp
@@ -35,7 +35,7 @@
   client_conn_.start(socket);
 }
 
-bool ProxySession::accepting_clients() const { return !sessions_.shutting_down_; }
+Readiness ProxySession::readiness() const { return sessions_.readiness_; }
 
 void ProxySession::on_first_line(std::string_view line) {
   started_at_ = sessions_.timers_.now();
@@ -46,7 +46,7 @@
     return answer("ERR\r\n", Reason::bad_line);
   // The following refusals need no call of the balancer: it does not know the session yet and nothing has
   // been dialled.
-  if (sessions_.shutting_down_) {
+  if (sessions_.readiness_ == Readiness::leaving) {
     // If BUSY may carry a retry delay, clients come back when the load balancers in front have noticed that
     // this node is shutting down.
     const Micros retry_after =
@@ -141,7 +141,7 @@
     sess_.dial_accepted(dial_no());
   relay_.start(client_conn_.release_stream(), host_conn_.release_stream());
   // Accepted after the staggered moves have begun, so it is moved at once.
-  if (sessions_.shutting_down_ && sessions_.timers_.now() >= sessions_.moves_start_at_)
+  if (sessions_.readiness_ == Readiness::leaving && sessions_.timers_.now() >= sessions_.moves_start_at_)
     move(Reason::restarting);
 }
 
--- a/src/line/proxy_session.h
+++ b/src/line/proxy_session.h
@@ -24,12 +24,13 @@
   void dial(HostId host, Micros timeout);
   void answer(std::string_view line, Reason reason, std::optional<RefusalReason> refusal = {});
   void move(Reason reason);
+  void readiness_changed() { client_conn_.readiness_changed(); }
   bool movable() const { return relaying_ && !relay_.moving(); }
   // Dials the host that already holds the session, unless the client has been answered.
   void dial_current_host();
 
  private:
-  bool accepting_clients() const override;
+  Readiness readiness() const override;
   void on_first_line(std::string_view line) override;
   void on_client_left() override;
   void on_client_closed() override;
--- a/src/line/sessions.cpp
+++ b/src/line/sessions.cpp
@@ -103,8 +103,17 @@
   return true;
 }
 
+void Sessions::become_ready() {
+  if (readiness_ == Readiness::starting) set_readiness(Readiness::ready);
+}
+
+void Sessions::set_readiness(Readiness readiness) {
+  readiness_ = readiness;
+  sessions_.for_each([](SlabKey, ProxySession& session) { session.readiness_changed(); });
+}
+
 void Sessions::shut_down(Micros over) {
-  shutting_down_ = true;
+  set_readiness(Readiness::leaving);
   // Clients moved earlier could be sent here again by the load balancers in front of this node, only to be
   // refused.
   moves_start_at_ = timers_.now() + kFrontCheckDelay;
--- a/src/line/sessions.h
+++ b/src/line/sessions.h
@@ -40,6 +40,8 @@
   void add_client(SocketKey socket);
   // Closes the oldest connection that has no session, to free its descriptor. Returns false if there is none.
   bool evict_idle_client() { return idle_clients_.evict_oldest(); }
+  // Answers health checks from now on. Until then they wait; sessions do not.
+  void become_ready();
   // Refuses new sessions from now on. Once the load balancers in front of this node have noticed, moves the
   // open sessions, spread evenly over `over`.
   void shut_down(Micros over);
@@ -75,6 +77,7 @@
   void on_balancer_timer(std::uint64_t timer) { balancer_now().timer_expired(TimerId{timer}); }
   void redial(std::uint64_t key);
   void move_next(std::uint64_t);
+  void set_readiness(Readiness readiness);
 
   void answer_busy(ProxySession& session, Micros retry_after, Reason reason,
                    std::optional<RefusalReason> refusal = {});
@@ -106,7 +109,7 @@
       move_timer_{*this, &Sessions::move_next};
   Slab<ProxySession> sessions_;
   std::unique_ptr<Balancer> balancer_;
-  bool shutting_down_ = false;
+  Readiness readiness_ = Readiness::starting;
   std::uint64_t clients_gone_ = 0, dials_not_begun_ = 0;
   Micros moves_start_at_{0}, moves_end_at_{0};
 };
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -105,7 +105,7 @@
     log_line("list: taken version=%llu", static_cast<unsigned long long>(*version_));
   clock_.list_received();
   send_request();
-  if (!std::exchange(first_request_done_, true)) events_.first_request_done();
+  if (!std::exchange(list_received_, true)) events_.first_list_received();
 }
 
 void Discovery::http_failed(const char* reason, RequestFailure failure) {
@@ -150,7 +150,6 @@
     const Micros delay = clock_.request_by() - timers_.now() - Micros{random_lead(rng_)};
     if (delay > 0us) timers_.schedule(std::max(delay, kMinRetryDelay), *this, token(Timer::early_retry));
   }
-  if (!std::exchange(first_request_done_, true)) events_.first_request_done();
 }
 
 void Discovery::timer_expired(std::uint64_t expired) {
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -20,8 +20,8 @@
  public:
   class Events {
    public:
-    virtual Balancer& balancer_now() = 0;   // its time has been set
-    virtual void first_request_done() = 0;  // the first request has succeeded or failed
+    virtual Balancer& balancer_now() = 0;  // its time has been set
+    virtual void first_list_received() = 0;
 
    protected:
     ~Events() = default;
@@ -83,7 +83,7 @@
   StalenessClock clock_;
   simdjson::dom::parser parser_;
   std::optional<std::uint64_t> version_;  // changes since this one are requested; if unset, the whole list
-  bool polling_ = false, first_request_done_ = false, stale_ = false;
+  bool polling_ = false, list_received_ = false, stale_ = false;
   std::uint64_t service_generation_ = 0;  // increases with each switch, which invalidates earlier timers
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -18,8 +18,9 @@
 constexpr std::size_t kIdleClientDivisor = 8;
 // A client that sends nothing has to get an answer within 3 s.
 constexpr Micros kFirstLineTimeout = 2s;
-// How long clients wait for the first list of a local agent before they are refused.
-constexpr Micros kAgentWait = 1s;
+// How long health checks wait for the first list of a local agent. A node that is not ready within seconds of
+// its start counts as failed.
+constexpr Micros kReadinessTimeout = 1s;
 // After SIGTERM the process may be killed this long after the longest dial timeout. It exits the margin
 // earlier.
 constexpr Micros kKillDelay = 700ms, kShutdownMargin = 200ms;
@@ -158,15 +159,13 @@
   if (fleet_member_) fleet_member_->start();
   log_line("serving at %s", to_text(at).c_str());
   discovery_.start();
-  if (!list_is_pushed_) return start_accepting();
-  // The list that the agent holds binds this node from the start. Clients wait for it, and are refused if it
-  // does not come.
+  network_.wait_accept(*this);
+  if (!list_is_pushed_) return sessions_.become_ready();
+  // The list that the agent holds binds this node from the start: it is not ready before it has that list.
+  // Clients that come all the same have to be answered in time, and sessions wait for the list as they do
+  // for a host.
   discovery_.poll(true);
-  timers_.schedule(kAgentWait, *this, agent_wait_over);
-}
-
-void Node::start_accepting() {
-  if (!std::exchange(accepting_, true)) network_.wait_accept(*this);
+  timers_.schedule(kReadinessTimeout, *this, readiness_timeout);
 }
 
 void Node::reload(const std::function<ConfigFiles()>& read) {
@@ -216,7 +215,7 @@
 }
 
 void Node::timer_expired(std::uint64_t timer) {
-  if (timer == agent_wait_over) return start_accepting();
+  if (timer == readiness_timeout) return sessions_.become_ready();
   if (timer == retry_accept) return void(accept_clients());
   // Connections that are still pending because the node was busy have to be answered, too.
   while (accept_clients()) continue;
@@ -229,7 +228,6 @@
 // Spreads the moves over half of the longest dial timeout; answers new clients until the end.
 void Node::shut_down() {
   if (std::exchange(shutting_down_, true)) return;
-  start_accepting();
   log_line("leaving: moving all sessions");
   if (fleet_member_) fleet_member_->leave();
   sessions_.shut_down(max_dial_timeout_ / 2);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -38,16 +38,15 @@
   void shut_down();
 
  private:
-  enum Timer : std::uint64_t { retry_accept, agent_wait_over, shutdown_over };
+  enum Timer : std::uint64_t { retry_accept, readiness_timeout, shutdown_over };
   void watch_host_list() override { discovery_.poll(); }
   Balancer& balancer_now() override { return sessions_.balancer_now(); }
   void timer_expired(std::uint64_t timer) override;
   void connection_pending() override { accept_clients(); }
-  void first_request_done() override { start_accepting(); }
+  void first_list_received() override { sessions_.become_ready(); }
   // Applies the whole change and returns an empty text, or applies nothing and returns the reason.
   std::string apply_change(const changes::Change& change);
   void use_discovery(const Address& service);
-  void start_accepting();
   // Accepts a batch of pending connections. Returns false if none is left or accepting failed.
   bool accept_clients();
 
@@ -58,7 +57,7 @@
   HostTable hosts_;
   Micros max_dial_timeout_;
   bool list_is_pushed_;  // to an agent on this machine, which this node polls
-  bool accepting_ = false, shutting_down_ = false;
+  bool shutting_down_ = false;
   Sessions sessions_;
   Discovery discovery_;
   std::unique_ptr<FleetMember> fleet_member_;  // null unless the operator's file has a fleet
--- a/tests/node_list_test.cpp
+++ b/tests/node_list_test.cpp
@@ -56,8 +56,8 @@
 }
 
 // If lists are pushed, a node is bound from its start on by the list that the agent beside it holds, whether
-// it has requested that list or not. Guards against a node that does not request a pushed list, or accepts
-// clients before it has received it.
+// it has requested that list or not. Guards against a node that does not request a pushed list, or is ready
+// before it has received it.
 TEST_F(Node, UsesAPushedListFromTheStart) {
   pushed = true;
   start_node(2);
@@ -91,7 +91,7 @@
   read_request(request);
   EXPECT_EQ(Peer::connect(port).read_line(0ms), "(nothing)");
   Peer client = open_session();
-  EXPECT_EQ(client.read_line(2500ms), "BUSY");
+  EXPECT_EQ(client.read_line(1500ms), "BUSY");
   EXPECT_FALSE(hosts[0].connection_pending(0ms));
   respond(request, list_json(1, true, target_json("s-0", hosts[0].port())));
   read_request(request);  // the next request shows that the node has accepted the list
--- a/tests/node_pushed_list_test.cpp
+++ b/tests/node_pushed_list_test.cpp
@@ -100,6 +100,33 @@
 INSTANTIATE_TEST_SUITE_P(Agent, PushedListAtStart,
                          testing::Values(Mode::unresponsive, Mode::error, Mode::closing, Mode::truncating));
 
+// Guards against clients that wait in the backlog until the node is ready, for longer than they have. Load
+// balancers in front send clients to a node that was killed until they notice that.
+TEST_F(PushedList, AnswersSessionsInTimeBeforeItIsReady) {
+  ListService agent("", Mode::unresponsive);
+  start_with_outdated_list(agent);
+  Peer front = Peer::connect(port);
+  front.send("PING\r\n");
+  constexpr auto kDeadline = 300ms, kLostAfterDeadline = 500ms;
+  Peer client = open_session("chat", kDeadline.count());
+  EXPECT_EQ(client.read_line(kDeadline + kLostAfterDeadline), "BUSY");
+  EXPECT_EQ(front.read_line(0ms), "(nothing)");
+  EXPECT_EQ(front.read_line(3s), "PONG");
+}
+
+// Guards against a health check that gets no answer because the node leaves before it is ready.
+TEST_F(PushedList, RejectsAHealthCheckIfItLeavesBeforeItIsReady) {
+  ListService agent("", Mode::unresponsive);
+  start_with_outdated_list(agent);
+  Peer front = Peer::connect(port);
+  front.send("PING\r\n");
+  EXPECT_EQ(front.read_line(100ms), "(nothing)");
+  program->send_signal(SIGTERM);
+  EXPECT_EQ(front.read_line(500ms), "ERR");
+  EXPECT_EQ(program->wait_for_exit(), 0);
+  program.reset();
+}
+
 // Guards against a new process that takes an agent that is not running for one that holds no later list.
 TEST_F(PushedList, DialsNoHostBeforeAnAgentThatIsNotRunningAnswers) {
   ListService agent("");
