Use a pushed list only while a watch is open or no agent runs

What callers would see: lists are pushed, a node runs, its watch breaks off, the agent gets a list in which a host drains, and then answers 503, resets, sends half a list or falls silent: the node went on dialling that host for 4 to 6 s, and again when it took ten seconds of failures for an outage.

Change: StalenessClock::pushed has delays of its own. A failure of an agent that runs makes the copy stale at once; an outage is never assumed; refused connections prove for two retries that no agent runs, so that its return is noticed within half the grace of drains; a new configuration keeps its 4 s. Silence under an open watch is as before: the agent learns nothing while discovery is down. Discovery renews a broken watch without a pause, once.

Tests, red 3 of 3 before: LostAgent.DialsNoHostAfterTheWatchHasBroken (silent, 503, reset, half a list), PushedList.DialsNoHostAfterHalfAList, ServesWhileTheAgentIsNotRunningAndNotAfterItsReturn; green 3 of 3 now. ServesWhileTheAgentIsSilentUntilTheDeadlineOfASighup holds the other side, green before and after.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -64,7 +64,8 @@
   // would dial no host until the next change.
   const bool immediate = !version_ || clock_.is_catching_up();
   const std::chrono::milliseconds wait(immediate ? 0 : random_wait(rng_));
-  clock_.request_sent(timers_.now(), wait);
+  requested_at_ = timers_.now();
+  clock_.request_sent(requested_at_, wait);
   update_staleness();
   log_line("list: requested %s",
            version_ ? ("changes since " + std::to_string(*version_)).c_str() : "the whole list");
@@ -135,21 +136,24 @@
   // list, the first time without a pause.
   const bool change_withheld = failure == Failure::timeout || failure == Failure::truncated;
   if (change_withheld && std::exchange(version_, std::nullopt) && first) return send_request();
-  schedule_retry();
+  schedule_retry(first);
 }
 
-void Discovery::schedule_retry() {
-  if (agent_retry_delay_)
-    timers_.schedule(*agent_retry_delay_, *this, token(Timer::agent_retry));
-  else {
-    polling_ = false;
-    events_.balancer_now().list_failed();
-    // The balancer's retry delays double and may end after the list has become stale. This timer sends the
-    // request before that, at a random time so that nodes do not all send theirs at once.
-    std::uniform_int_distribution<std::int64_t> random_lead(0, StalenessClock::kLongPollDeadline / 2us);
-    const Micros delay = clock_.request_by() - timers_.now() - Micros{random_lead(rng_)};
-    if (delay > 0us) timers_.schedule(std::max(delay, kMinRetryDelay), *this, token(Timer::early_retry));
+void Discovery::schedule_retry(bool first) {
+  if (agent_retry_delay_) {
+    // A watch that has broken is renewed without a gap. An agent that breaks each one at once gets no more
+    // requests than one that fails them.
+    const bool immediate = first && timers_.now() - requested_at_ >= *agent_retry_delay_;
+    if (immediate) return send_request();
+    return timers_.schedule(*agent_retry_delay_, *this, token(Timer::agent_retry));
   }
+  polling_ = false;
+  events_.balancer_now().list_failed();
+  // The balancer's retry delays double and may end after the list has become stale. This timer sends the
+  // request before that, at a random time so that nodes do not all send theirs at once.
+  std::uniform_int_distribution<std::int64_t> random_lead(0, StalenessClock::kLongPollDeadline / 2us);
+  const Micros delay = clock_.request_by() - timers_.now() - Micros{random_lead(rng_)};
+  if (delay > 0us) timers_.schedule(std::max(delay, kMinRetryDelay), *this, token(Timer::early_retry));
 }
 
 void Discovery::timer_expired(std::uint64_t expired) {
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -38,7 +38,7 @@
         rng_(static_cast<std::knuth_b::result_type>(seed ^ (seed >> 32))),
         timers_(timers),
         events_(events),
-        clock_(agent_retry_delay ? StalenessClock::pushed(outage_threshold)
+        clock_(agent_retry_delay ? StalenessClock::pushed(*agent_retry_delay)
                                  : StalenessClock(outage_threshold)) {}
 
   // Applies a list in the service's JSON format. Returns false, without applying any of it, if the list is
@@ -63,7 +63,7 @@
   void timer_expired(std::uint64_t token) override;
   void send_request();
   void request_failed(StalenessClock::Failure failure);
-  void schedule_retry();
+  void schedule_retry(bool first);
   // Tells the balancer when the copy of the list becomes stale and when it no longer is.
   void update_staleness();
   // Calls visit(id, name, endpoint, zone, cell, status, share, started) for each target. Returns false if one
@@ -81,6 +81,7 @@
   TimerQueue& timers_;
   Events& events_;
   StalenessClock clock_;
+  Micros requested_at_{0};
   simdjson::dom::parser parser_;
   std::optional<std::uint64_t> version_;  // changes since this one are requested; if unset, the whole list
   bool polling_ = false, list_received_ = false, stale_ = false;
--- a/src/node/staleness_clock.h
+++ b/src/node/staleness_clock.h
@@ -33,13 +33,11 @@
   // an outage is assumed. Each further failure then counts as proof that the service was down when the
   // request was sent.
   explicit StalenessClock(Micros outage_threshold) : outage_threshold_(outage_threshold) {}
-  // For a list that is pushed to an agent on this machine: whatever the agent holds binds this node, also a
-  // new process that the agent has not answered yet.
-  static StalenessClock pushed(Micros outage_threshold) {
-    StalenessClock clock(outage_threshold);
-    clock.pushed_ = true;
-    return clock;
-  }
+  // For a list that is pushed to an agent on this machine: whatever the agent holds binds this node at once,
+  // also a new process that the agent has not answered yet. The copy is current as long as a long poll is
+  // pending or no agent is running, which requests that follow each failure after `retry_delay` have to show.
+  // An outage is never assumed.
+  static StalenessClock pushed(Micros retry_delay);
 
   // The node starts with a copy of unknown age.
   void started(Micros now);
@@ -64,14 +62,24 @@
   bool is_catching_up() const;
 
  private:
-  void request_rejected(Micros now, Failure failure);
+  // How long after a change was missed it binds this node, by how it was missed.
+  struct Delays {
+    Micros unreported;         // a request failed without an answer
+    Micros service_return;     // made after the service was last known to be down
+    Micros continuous_outage;  // two requests at most this far apart that both found the service down prove
+                               // that it was down in between
+  };
+  void end_request(Micros now, Failure failure, Micros unreported_delay);
+  void request_rejected(Micros now, Failure failure, Micros unreported_delay);
   void service_down(Micros now);
   void service_was_reachable();
   Micros unreported_since(Micros now) const;
   Micros outage_deadline() const;
 
   bool pushed_ = false;
-  Micros outage_threshold_;
+  bool awaiting_agent_ = false;  // it has not answered since the start or the latest switch
+  Delays delays_{kChangeDeadline, kChangeDeadline, kLongPollDeadline};
+  Micros outage_threshold_;                // kNever: no outage is assumed
   Micros started_at_ = kNever;             // until the first list is received
   Micros requested_at_{0}, failed_at_{0};  // the latest request, and the latest failure
   Micros pending_deadline_ = kNever;       // of the pending request
--- a/tests/flaws.cmake
+++ b/tests/flaws.cmake
@@ -137,13 +137,13 @@
   "kLongPollSlack = 100 * StalenessClock::kLongPollDeadline;"
   "events_.balancer_now().list_stale()" "void()")
 flintweir_flaw(failures-put-off-the-list crossings drain src/node/staleness_clock.cpp
-  "failure_deadline_ = std::min(failure_deadline_, unreported_since(now) + kChangeDeadline);"
-  "failure_deadline_ = now + kChangeDeadline;")
+  "failure_deadline_ = std::min(failure_deadline_, unreported_since(now) + unreported_delay);"
+  "failure_deadline_ = now + unreported_delay;")
 flintweir_flaw(turn-not-counted crossings drain src/node/discovery.cpp
   "  clock_.service_switched(timers_.now());" "")
 flintweir_flaw(outage-believed-at-once list_outages drain src/node/staleness_clock.cpp
   "persistent_deadline_ == kNever &&
-      now >= failure_deadline_ + outage_threshold_" "true")
+      now - failure_deadline_ >= outage_threshold_" "true")
 flintweir_flaw(queue-taken-for-a-watch list_outages drain src/node/staleness_clock.cpp
   "  return std::min(started_at_, requested_at_);" "  return now;")
 flintweir_flaw(stale-list-used list_outages drain src/balance.cpp
--- a/tests/node_pushed_list_test.cpp
+++ b/tests/node_pushed_list_test.cpp
@@ -149,5 +149,68 @@
   expect_dials_to_the_second_host_only();
 }
 
+class LostAgent : public PushedList, public testing::WithParamInterface<Mode> {};
+
+// Guards against a running node that goes on by its copy although the watch has broken and the agent, which
+// may hold a later list by now, does not answer.
+TEST_P(LostAgent, DialsNoHostAfterTheWatchHasBroken) {
+  ListService agent("", Mode::unresponsive);
+  start_with_confirmed_list(agent);
+  agent.reset_connections(GetParam(), 3, targets("DRAINING"));
+  expect_no_dials(Steady::now() + kTolerance);
+  agent.set_mode(Mode::normal);
+  expect_dials_to_the_second_host_only();
+}
+INSTANTIATE_TEST_SUITE_P(Agent, LostAgent,
+                         testing::Values(Mode::unresponsive, Mode::error, Mode::closing, Mode::truncating));
+
+// Guards against a running node that goes on by its copy although a spoilt answer has shown that the list
+// has changed.
+TEST_F(PushedList, DialsNoHostAfterHalfAList) {
+  ListService agent("", Mode::unresponsive);
+  start_with_confirmed_list(agent);
+  agent.set_mode(Mode::truncating);
+  agent.publish(3, targets("DRAINING"));
+  ASSERT_FALSE(program->wait_for_log("malformed or stale").empty());
+  expect_no_dials(Steady::now() + kTolerance);
+  agent.set_mode(Mode::normal);
+  expect_dials_to_the_second_host_only();
+}
+
+// Guards against a node that stops serving because its agent is not running, and against one that goes on by
+// its copy when the agent is back and does not answer.
+TEST_F(PushedList, ServesWhileTheAgentIsNotRunningAndNotAfterItsReturn) {
+  ListService agent("", Mode::unresponsive);
+  start_with_confirmed_list(agent);
+  agent.stop();
+  for (const auto until = Steady::now() + kObservation; Steady::now() < until;) {
+    ASSERT_TRUE(dials_for_a_session());
+  }
+  agent.publish(3, targets("DRAINING"));
+  agent.restart(Mode::unresponsive);
+  expect_no_dials(Steady::now() + kTolerance);
+  agent.set_mode(Mode::normal);
+  expect_dials_to_the_second_host_only();
+}
+
+// Guards against a node that stops serving because its agent falls silent, as it does while discovery is
+// down: it learns nothing then. Nor may a new configuration let it use its copy beyond the deadline of a
+// switch.
+TEST_F(PushedList, ServesWhileTheAgentIsSilentUntilTheDeadlineOfASighup) {
+  ListService agent("", Mode::unresponsive), other("", Mode::unresponsive);
+  start_with_confirmed_list(agent);
+  agent.set_mode(Mode::unresponsive);
+  for (const auto until = Steady::now() + kObservation; Steady::now() < until;) {
+    ASSERT_TRUE(dials_for_a_session());
+  }
+  const auto switched_at = Steady::now();
+  reload_with(other.port());
+  other.publish(3, targets("DRAINING"));
+  EXPECT_TRUE(dials_for_a_session());
+  expect_no_dials(switched_at + kStaleAfterSwitch + kTolerance);
+  other.set_mode(Mode::normal);
+  expect_dials_to_the_second_host_only();
+}
+
 }  // namespace
 }  // namespace flintweir::node_tests
--- a/tests/staleness_clock_test.cpp
+++ b/tests/staleness_clock_test.cpp
@@ -17,7 +17,7 @@
 using Failure = StalenessClock::Failure;
 
 constexpr Micros kNever = StalenessClock::kNever;
-constexpr Micros kOutageThreshold = 10s;
+constexpr Micros kOutageThreshold = 10s, kAgentRetryDelay = 25ms;
 
 // Tests each deadline at its limit and just beyond it.
 TEST(StalenessClock, SetsADeadlineForAPendingRequest) {
@@ -99,7 +99,7 @@
 TEST(StalenessClock, IsStaleFromTheStartUntilTheFirstPushedList) {
   for (const Failure failure : {Failure::timeout, Failure::error_response, Failure::connection_closed,
                                 Failure::connection_refused, Failure::truncated}) {
-    StalenessClock clock = StalenessClock::pushed(kOutageThreshold);
+    StalenessClock clock = StalenessClock::pushed(kAgentRetryDelay);
     clock.started(100s);
     EXPECT_EQ(clock.stale_from(), 100s);
     EXPECT_TRUE(clock.is_catching_up());
@@ -119,6 +119,76 @@
   }
 }
 
+// Guards against deadlines of a service that is asked, which allow seconds, where an agent holds the list:
+// what a failed request of an agent did not report binds the node at once.
+TEST(StalenessClock, IsStaleAfterAnyFailureOfAnAgentThatRuns) {
+  for (const Failure failure : {Failure::error_response, Failure::connection_closed, Failure::truncated}) {
+    StalenessClock clock = StalenessClock::pushed(kAgentRetryDelay);
+    clock.started(90s);
+    clock.request_sent(90s, 0s);
+    clock.list_received();
+    clock.request_sent(90s, 20s);
+    EXPECT_EQ(clock.stale_from(), 112s);
+    clock.request_failed(100s, failure);
+    EXPECT_EQ(clock.stale_from(), 100s);
+    clock.request_sent(100s + kAgentRetryDelay, 0s);
+    clock.request_failed(100s + kAgentRetryDelay, Failure::error_response);
+    for (Micros at = 101s; at < 200s; at += kAgentRetryDelay) {  // no outage is assumed, however long
+      clock.request_sent(at, 0s);
+      clock.request_failed(at, Failure::connection_refused);
+      EXPECT_EQ(clock.stale_from(), 100s);
+    }
+    clock.list_received();
+    EXPECT_EQ(clock.stale_from(), kNever);
+  }
+}
+
+// While no agent runs, there is no list that binds the node; its return is noticed by the next request.
+TEST(StalenessClock, IsNotStaleWhileNoAgentRuns) {
+  StalenessClock clock = StalenessClock::pushed(kAgentRetryDelay);
+  clock.request_sent(90s, 20s);
+  clock.request_failed(100s, Failure::connection_closed);
+  EXPECT_EQ(clock.stale_from(), 100s);
+  Micros at = 100s;
+  for (; at < 110s; at += kAgentRetryDelay) {
+    clock.request_sent(at, 0s);
+    clock.request_failed(at, Failure::connection_refused);
+    EXPECT_EQ(clock.stale_from(), at + 2 * kAgentRetryDelay);
+  }
+  // A new configuration that names this agent or another one: their lists bind the node 4 s later.
+  StalenessClock reread = clock, switched = clock;
+  reread.configuration_reread(110s);
+  reread.request_sent(110s, 0s);
+  reread.request_failed(110s, Failure::connection_refused);
+  EXPECT_EQ(reread.stale_from(), 110s + 2 * kAgentRetryDelay);
+  switched.service_switched(110s);
+  for (const Failure failure : {Failure::error_response, Failure::connection_refused, Failure::truncated}) {
+    switched.request_sent(111s, 0s);
+    switched.request_failed(111s, failure);
+    EXPECT_EQ(switched.stale_from(), 114s);
+  }
+  // Between two requests that are farther apart the agent may have run, and held a change.
+  StalenessClock delayed = clock;
+  delayed.request_sent(at + kAgentRetryDelay + 1us, 0s);
+  delayed.request_failed(at + kAgentRetryDelay + 1us, Failure::connection_refused);
+  EXPECT_EQ(delayed.stale_from(), at + kAgentRetryDelay);
+  // The agent is back and does not answer.
+  clock.request_sent(at, 0s);
+  EXPECT_EQ(clock.stale_from(), at + kAgentRetryDelay);
+  clock.request_failed(at + 1ms, Failure::connection_closed);
+  EXPECT_LE(clock.stale_from(), at + 1ms);
+}
+
+TEST(StalenessClock, KeepsThePushedCopyForFourSecondsAfterTheSameAgentIsNamedAgain) {
+  StalenessClock clock = StalenessClock::pushed(kAgentRetryDelay);
+  clock.request_sent(90s, 20s);
+  clock.configuration_reread(100s);
+  clock.request_sent(100s, 0s);
+  EXPECT_EQ(clock.stale_from(), 104s);
+  clock.request_failed(104s, Failure::timeout);
+  EXPECT_EQ(clock.stale_from(), 104s);
+}
+
 TEST(StalenessClock, CountsFromTheReturnOfAnUnreachableService) {
   StalenessClock clock(kOutageThreshold);
   const auto unreachable = [&](Micros at) {
@@ -467,5 +537,134 @@
   EXPECT_GT(stale_ticks, kSeeds * 5);
 }
 
+// Simulates an agent with a known state over time and a node that sends it requests as Discovery does for a
+// pushed list. Compares the clock with the earliest moment at which the agent may have held a change that the
+// node has not received.
+class AgentSimulation {
+ public:
+  explicit AgentSimulation(unsigned seed) : rng_(seed) {}
+
+  // Returns the first error found; empty if there is none.
+  std::string run() {
+    clock_.started(now_);
+    send_request();
+    for (; now_ < kDuration && error_.empty(); now_ += kTick) {
+      if (now_ >= state_until_) change_state();
+      serve_request();
+      if (!request_pending_ && now_ >= retry_at_) send_request();
+      check();
+    }
+    return error_;
+  }
+  unsigned lists_received() const { return lists_received_; }
+  unsigned stale_ticks() const { return stale_ticks_; }
+  unsigned current_ticks() const { return current_ticks_; }
+
+ private:
+  static constexpr Micros kDuration = 60s, kTick = 1ms, kResponseTimeout = 4s, kWait = 15s;
+  // A change binds the node so long after the agent has it.
+  static constexpr Micros kGrace = 4 * kAgentRetryDelay;
+  enum class State {
+    healthy,
+    silent,      // discovery is down: no request is answered, and no change arrives
+    erroring,    // answers each request with an error
+    closing,     // closes each connection
+    truncating,  // answers each request with half a list
+    absent       // does not run
+  };
+
+  void change_state() {
+    constexpr State kStates[] = {State::silent, State::erroring,   State::closing,
+                                 State::absent, State::truncating, State::silent};
+    const State before = state_;
+    state_ = rng_() % 2 == 0 ? State::healthy : kStates[rng_() % std::size(kStates)];
+    state_until_ = now_ + Micros{std::uniform_int_distribution<std::int64_t>(5'000, 3'000'000)(rng_)};
+    // An agent that was away may have fetched a list before it fell silent.
+    if (before == State::absent && state_ == State::silent) change_possible();
+    if (state_ == State::absent && request_pending_) fail(Failure::connection_closed);
+  }
+  void change_possible() {
+    if (!watching_ && changed_since_ == kNever) changed_since_ = now_;
+  }
+  void send_request() {
+    const bool immediate = clock_.is_catching_up();
+    requested_at_ = now_;
+    clock_.request_sent(now_, immediate ? Micros{0} : kWait);
+    request_pending_ = true;
+    is_watch_ = !immediate;
+    serve_request();
+  }
+  void serve_request() {
+    if (!request_pending_) return;
+    switch (state_) {
+      case State::silent:
+        if (now_ - requested_at_ >= (is_watch_ ? kWait + 500ms : kResponseTimeout)) fail(Failure::timeout);
+        return;
+      case State::absent:
+        return fail(Failure::connection_refused);
+      case State::erroring:
+        return fail(Failure::error_response);
+      case State::closing:
+        return fail(Failure::connection_closed);
+      case State::truncating:
+        return fail(Failure::truncated);
+      case State::healthy:
+        if (is_watch_ && now_ - requested_at_ < kWait) return;
+        clock_.list_received();
+        ++lists_received_;
+        changed_since_ = kNever;
+        watching_ = true;
+        send_request();
+    }
+  }
+  void fail(Failure failure) {
+    const bool first = !clock_.is_catching_up();
+    request_pending_ = watching_ = false;
+    clock_.request_failed(now_, failure);
+    const bool immediate = first && now_ - requested_at_ >= kAgentRetryDelay;
+    retry_at_ = immediate ? now_ : now_ + kAgentRetryDelay;
+  }
+  void check() {
+    if (state_ != State::silent && state_ != State::absent) change_possible();
+    const bool stale = clock_.stale_from() <= now_;
+    stale_ticks_ += stale;
+    current_ticks_ += !stale;
+    if (changed_since_ != kNever && now_ > changed_since_ + kGrace && !stale) fail_check("uses a stale list");
+    // The pending watch shows that the copy is current.
+    if (changed_since_ == kNever && watching_ && stale) fail_check("does not use a current list");
+  }
+  void fail_check(const char* error) {
+    error_ = std::string(error) + " at " + std::to_string(now_.count()) + " us";
+  }
+
+  std::mt19937 rng_;
+  StalenessClock clock_ = StalenessClock::pushed(kAgentRetryDelay);
+  State state_ = State::silent;
+  Micros now_{0}, state_until_{0}, requested_at_{0}, retry_at_{0};
+  Micros changed_since_{
+      0};  // from then on the agent may hold a change; at its start the node has an old list
+  bool request_pending_ = false, is_watch_ = false, watching_ = false;
+  unsigned lists_received_ = 0, stale_ticks_ = 0, current_ticks_ = 0;
+  std::string error_;
+};
+
+// Guards against any sequence of troubles of an agent in which the node uses a list that may have changed, or
+// does not use one that has not.
+TEST(StalenessClock, FollowsAnAgentThroughAnySequenceOfFailures) {
+  constexpr unsigned kSeeds = 300;
+  unsigned lists_received = 0, stale_ticks = 0, current_ticks = 0;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    AgentSimulation simulation(seed);
+    EXPECT_EQ(simulation.run(), "") << "seed " << seed;
+    lists_received += simulation.lists_received();
+    stale_ticks += simulation.stale_ticks();
+    current_ticks += simulation.current_ticks();
+  }
+  // The simulation covers both states often enough.
+  EXPECT_GT(lists_received, kSeeds * 5);
+  EXPECT_GT(stale_ticks, kSeeds * 5000);
+  EXPECT_GT(current_ticks, kSeeds * 5000);
+}
+
 }  // namespace
 }  // namespace flintweir
