Keep serving while an agent is away, also after a hold-up or a connection closed twice

Seen: no session is dialled while connections to the agent are refused; the log says "the list is stale in -1372 ms" after each refusal. Causes: (1) two refusals more than two retries apart (20 ms here) did not count as proof that no agent ran in between, so that one hold-up of the node ended service until the agent's return; (2) an agent that ends may close the connection of the renewed watch too, and the second close voided the explanation of the first.

Change: refusals up to 2 s apart are proof, as for a service that is asked; a second close within two retries of the first belongs to the same end. The rule's side is unchanged: a close without a refusal makes the copy stale at once.

--- a/src/node/staleness_clock.cpp
+++ b/src/node/staleness_clock.cpp
@@ -6,6 +6,10 @@
 namespace flintweir::node {
 namespace {
 
+// Two requests at most this far apart that both found the service down prove that it was down in between. If
+// they are farther apart, the service may have been up between them, with a change that did not reach this
+// node.
+constexpr Micros kContinuousOutage = StalenessClock::kLongPollDeadline;
 // A request that fails within this time may have been queued at the service all along, so that no change
 // could be reported on it.
 constexpr Micros kMaxQueueTime = StalenessClock::kChangeDeadline - StalenessClock::kLongPollDeadline;
@@ -16,7 +20,7 @@
   StalenessClock clock(kNever);
   clock.pushed_ = true;
   // While no agent is running, each retry proves it well before the copy would become stale.
-  clock.delays_ = {Micros{0}, 2 * retry_delay, 2 * retry_delay};
+  clock.delays_ = {Micros{0}, 2 * retry_delay};
   return clock;
 }
 
@@ -77,17 +81,22 @@
 // The service answered with an error or closed the connection: it may have been up.
 void StalenessClock::request_rejected(Micros now, Failure failure, Micros unreported_delay) {
   const bool is_first = failure_deadline_ == kNever && outage_proven_at_ == kNever;
+  // An agent that ends may also close a connection that the retry has just opened.
+  const bool closed_again = pushed_ && failure == Failure::connection_closed &&
+                            connection_closed_at_ != kNever &&
+                            now - connection_closed_at_ <= delays_.service_return;
+  const Micros closed_before = connection_closed_at_;
   service_was_reachable();
   failure_deadline_ = std::min(failure_deadline_, unreported_since(now) + unreported_delay);
   if (is_first && failure == Failure::connection_closed) connection_closed_at_ = now;
+  if (closed_again) connection_closed_at_ = closed_before;
 }
 
 void StalenessClock::service_down(Micros now) {
   // The connection was closed because the service went down: the outage explains that failure.
-  if (connection_closed_at_ != kNever && now - connection_closed_at_ <= delays_.continuous_outage)
+  if (connection_closed_at_ != kNever && now - connection_closed_at_ <= kContinuousOutage)
     failure_deadline_ = kNever;
-  if (outage_proven_at_ != kNever && now - outage_proven_at_ > delays_.continuous_outage)
-    service_was_reachable();
+  if (outage_proven_at_ != kNever && now - outage_proven_at_ > kContinuousOutage) service_was_reachable();
   connection_closed_at_ = kNever;
   outage_proven_at_ = now;
 }
@@ -130,7 +139,7 @@
   const Micros in_time = stale_from() - kLongPollDeadline - kLongPollDeadline / 4;
   const bool is_urgent = is_catching_up() && (outage_proven_at_ != kNever || stale_from() <= failed_at_);
   if (!is_urgent) return in_time;
-  const Micros to_prove_outage = failed_at_ + delays_.continuous_outage;
+  const Micros to_prove_outage = failed_at_ + kContinuousOutage;
   return in_time > failed_at_ ? std::min(in_time, to_prove_outage) : to_prove_outage;
 }
 
--- a/src/node/staleness_clock.h
+++ b/src/node/staleness_clock.h
@@ -64,10 +64,8 @@
  private:
   // How long after a change was missed it binds this node, by how it was missed.
   struct Delays {
-    Micros unreported;         // a request failed without an answer
-    Micros service_return;     // made after the service was last known to be down
-    Micros continuous_outage;  // two requests at most this far apart that both found the service down prove
-                               // that it was down in between
+    Micros unreported;      // a request failed without an answer
+    Micros service_return;  // made after the service was last known to be down
   };
   void end_request(Micros now, Failure failure, Micros unreported_delay);
   void request_rejected(Micros now, Failure failure, Micros unreported_delay);
@@ -78,7 +76,7 @@
 
   bool pushed_ = false;
   bool awaiting_agent_ = false;  // it has not answered since the start or the latest switch
-  Delays delays_{kChangeDeadline, kChangeDeadline, kLongPollDeadline};
+  Delays delays_{kChangeDeadline, kChangeDeadline};
   Micros outage_threshold_;                // kNever: no outage is assumed
   Micros started_at_ = kNever;             // until the first list is received
   Micros requested_at_{0}, failed_at_{0};  // the latest request, and the latest failure
--- a/tests/list_service.h
+++ b/tests/list_service.h
@@ -44,9 +44,9 @@
   void stop() {
     stopped_ = true;
     if (thread_.joinable()) thread_.join();
+    acceptor_.close();
     for (Request& request : requests_) request.peer.reset();
     requests_.clear();
-    acceptor_.close();
   }
   // Listens again at the same port after stop().
   void restart(Mode mode) {
