Schedule no timer for a list that has no deadline

Where the list is asked for there is none yet, and the delay to "never" overflowed in the timer's arithmetic: undefined behaviour, in practice a timer that is due at once and renews itself until the first request goes out, up to half of askEvery after the start. The plain suites did not notice.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -78,7 +78,8 @@
 void Discovery::update_staleness() {
   const Micros now = timers_.now();
   const Micros stale_from = clock_.stale_from();
-  if (stale_from > now) timers_.schedule(stale_from - now, *this, token(Timer::stale));
+  if (stale_from > now && stale_from != StalenessClock::kNever)
+    timers_.schedule(stale_from - now, *this, token(Timer::stale));
   const bool stale = stale_from <= now;
   if (stale == std::exchange(stale_, stale)) return;
   if (stale) {
