Share the fixture of stale lists, and derive two fields of Discovery

No change of behaviour. Both use DiallingNode in list_service.h now. The copy's times become those of the other, 300 ms and 3 s instead of 200 ms and 2 s without a dial: stricter. No assertion went away. - Discovery kept the time of its request beside the clock's, and a flag for the first list beside Sessions' readiness. It asks the clock, and tells of each list; a node that is ready already ignores that. - request_rejected saved a field, let a callee clear it, and put it back; it works out the value once.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -64,8 +64,7 @@
   // would dial no host until the next change.
   const bool immediate = !version_ || clock_.is_catching_up();
   const std::chrono::milliseconds wait(immediate ? 0 : random_wait(rng_));
-  requested_at_ = timers_.now();
-  clock_.request_sent(requested_at_, wait);
+  clock_.request_sent(timers_.now(), wait);
   update_staleness();
   log_line("list: requested %s",
            version_ ? ("changes since " + std::to_string(*version_)).c_str() : "the whole list");
@@ -107,7 +106,7 @@
     log_line("list: taken version=%llu", static_cast<unsigned long long>(*version_));
   clock_.list_received();
   send_request();
-  if (!std::exchange(list_received_, true)) events_.first_list_received();
+  events_.list_received();
 }
 
 void Discovery::http_failed(const char* reason, RequestFailure failure) {
@@ -144,7 +143,7 @@
   if (agent_retry_delay_) {
     // A watch that has broken is renewed without a gap. An agent that breaks each one at once gets no more
     // requests than one that fails them.
-    const bool immediate = first && timers_.now() - requested_at_ >= *agent_retry_delay_;
+    const bool immediate = first && timers_.now() - clock_.requested_at() >= *agent_retry_delay_;
     if (immediate) return send_request();
     return timers_.schedule(*agent_retry_delay_, *this, token(Timer::agent_retry));
   }
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -21,7 +21,7 @@
   class Events {
    public:
     virtual Balancer& balancer_now() = 0;  // its time has been set
-    virtual void first_list_received() = 0;
+    virtual void list_received() = 0;
 
    protected:
     ~Events() = default;
@@ -81,10 +81,9 @@
   TimerQueue& timers_;
   Events& events_;
   StalenessClock clock_;
-  Micros requested_at_{0};
   simdjson::dom::parser parser_;
   std::optional<std::uint64_t> version_;  // changes since this one are requested; if unset, the whole list
-  bool polling_ = false, list_received_ = false, stale_ = false;
+  bool polling_ = false, stale_ = false;
   std::uint64_t service_generation_ = 0;  // increases with each switch, which invalidates earlier timers
 };
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -43,7 +43,7 @@
   Balancer& balancer_now() override { return sessions_.balancer_now(); }
   void timer_expired(std::uint64_t timer) override;
   void connection_pending() override { accept_clients(); }
-  void first_list_received() override { sessions_.become_ready(); }
+  void list_received() override { sessions_.become_ready(); }
   // Applies the whole change and returns an empty text, or applies nothing and returns the reason.
   std::string apply_change(const changes::Change& change);
   void use_discovery(const Address& service);
--- a/src/node/staleness_clock.cpp
+++ b/src/node/staleness_clock.cpp
@@ -82,14 +82,12 @@
 void StalenessClock::request_rejected(Micros now, Failure failure, Micros unreported_delay) {
   const bool is_first = failure_deadline_ == kNever && outage_proven_at_ == kNever;
   // An agent that ends may also close a connection that the retry has just opened.
-  const bool closed_again = pushed_ && failure == Failure::connection_closed &&
-                            connection_closed_at_ != kNever &&
-                            now - connection_closed_at_ <= delays_.service_return;
-  const Micros closed_before = connection_closed_at_;
+  const bool closed_again =
+      pushed_ && connection_closed_at_ != kNever && now - connection_closed_at_ <= delays_.service_return;
+  const Micros closed_at = is_first ? now : closed_again ? connection_closed_at_ : kNever;
   service_was_reachable();
   failure_deadline_ = std::min(failure_deadline_, unreported_since(now) + unreported_delay);
-  if (is_first && failure == Failure::connection_closed) connection_closed_at_ = now;
-  if (closed_again) connection_closed_at_ = closed_before;
+  if (failure == Failure::connection_closed) connection_closed_at_ = closed_at;
 }
 
 void StalenessClock::service_down(Micros now) {
--- a/src/node/staleness_clock.h
+++ b/src/node/staleness_clock.h
@@ -44,6 +44,8 @@
   // `wait` is how long the service may hold the request until the list changes; zero for a request that is to
   // be answered immediately.
   void request_sent(Micros now, Micros wait);
+  // When the latest request was sent.
+  Micros requested_at() const { return requested_at_; }
   // The copy is up to date.
   void list_received();
   void request_failed(Micros now, Failure failure);
--- a/tests/list_service.h
+++ b/tests/list_service.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <list>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 #include "node_fixture.h"
@@ -111,4 +112,44 @@
   std::thread thread_;  // last, because it uses all other members
 };
 
+// A node that may have to stop dialling because its copy of the list is stale.
+class DiallingNode : public Node {
+ protected:
+  static constexpr auto kObservation = 3s;  // how long no host may be dialled
+
+  void reload_with(int discovery_port) {
+    program->write_config(config(discovery_port));
+    program->send_signal(SIGHUP);
+    EXPECT_FALSE(program->wait_for_log("reload: discovery at ").empty());
+  }
+  // Whether the node dials a host for a new session.
+  bool dials_for_a_session(Steady::duration within = 300ms) {
+    program->wait_for_log("(no such line)", 100ms);  // reads the log, as a full pipe would block the node
+    while (dialled_host(0ms)) continue;
+    const Peer client = open_session();
+    return dialled_host(within).has_value();
+  }
+  void expect_no_dials(Steady::time_point from, const char* why) {
+    while (Steady::now() < from) wait_readable(-1, 5ms);
+    while (Steady::now() < from + kObservation) ASSERT_FALSE(dials_for_a_session()) << why;
+  }
+  // The host that is dialled next. Its connection stays open, because closing it would make the node dial
+  // another host.
+  std::optional<std::size_t> dialled_host(Steady::duration within) {
+    std::vector<pollfd> acceptors;
+    for (const Acceptor& host : hosts) acceptors.push_back({host.fd(), POLLIN, 0});
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(within).count();
+    if (poll(acceptors.data(), acceptors.size(), static_cast<int>(ms)) <= 0) return std::nullopt;
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+      if (!(acceptors[i].revents & POLLIN)) continue;
+      host_connections_.push_back(hosts[i].accept());
+      return i;
+    }
+    return std::nullopt;
+  }
+
+ private:
+  std::vector<Peer> host_connections_;
+};
+
 }  // namespace flintweir::node_tests
--- a/tests/node_pushed_list_test.cpp
+++ b/tests/node_pushed_list_test.cpp
@@ -8,13 +8,12 @@
 
 using Mode = ListService::Mode;
 
-class PushedList : public Node {
+class PushedList : public DiallingNode {
  protected:
   // From the protocol: the agent's list binds a node so long after SIGHUP has named the agent.
   static constexpr auto kStaleAfterSwitch = 4s;
   // The tolerance of sockets, and as much for a busy machine.
   static constexpr auto kTolerance = 100ms;
-  static constexpr auto kObservation = 2s;
 
   PushedList() { pushed = true; }
 
@@ -38,22 +37,6 @@
     return target_json(host_name(0), hosts[0].port(), state_of_first) + "," +
            target_json(host_name(1), hosts[1].port());
   }
-  void reload_with(int discovery_port) {
-    program->write_config(config(discovery_port));
-    program->send_signal(SIGHUP);
-    ASSERT_FALSE(program->wait_for_log("reload: discovery at ").empty());
-  }
-  // Whether the node dials a host for a new session.
-  bool dials_for_a_session(Steady::duration within = 200ms) {
-    program->wait_for_log("(no such line)", 50ms);  // reads the log, as a full pipe would block the node
-    while (dialled_host(0ms)) continue;
-    const Peer client = open_session();
-    return dialled_host(within).has_value();
-  }
-  void expect_no_dials(Steady::time_point from = Steady::now()) {
-    while (Steady::now() < from) wait_readable(-1, 5ms);
-    while (Steady::now() < from + kObservation) ASSERT_FALSE(dials_for_a_session());
-  }
   // Expects that sessions are served by the agent's list, in which the first host drains.
   void expect_dials_to_the_second_host_only() {
     ASSERT_FALSE(program->wait_for_log("list: taken version=").empty());
@@ -63,22 +46,6 @@
       EXPECT_EQ(dialled_host(kMaxWait), 1u);
     }
   }
-
- private:
-  // The connection to the host stays open, because closing it would make the node dial another host.
-  std::optional<std::size_t> dialled_host(Steady::duration within) {
-    std::vector<pollfd> acceptors;
-    for (const Acceptor& host : hosts) acceptors.push_back({host.fd(), POLLIN, 0});
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(within).count();
-    if (poll(acceptors.data(), acceptors.size(), static_cast<int>(ms)) <= 0) return std::nullopt;
-    for (std::size_t i = 0; i < hosts.size(); ++i) {
-      if (!(acceptors[i].revents & POLLIN)) continue;
-      host_connections_.push_back(hosts[i].accept());
-      return i;
-    }
-    return std::nullopt;
-  }
-  std::vector<Peer> host_connections_;
 };
 
 class PushedListAtStart : public PushedList, public testing::WithParamInterface<Mode> {};
@@ -93,7 +60,7 @@
   EXPECT_EQ(front.read_line(3s), "PONG");  // it refuses, but answers
   Peer client = open_session();
   EXPECT_EQ(client.read_line(1500ms), "BUSY");
-  expect_no_dials();
+  expect_no_dials(Steady::now(), "the agent has not answered yet");
   agent.set_mode(Mode::normal);
   expect_dials_to_the_second_host_only();
 }
@@ -132,7 +99,7 @@
   ListService agent("");
   agent.stop();
   start_with_outdated_list(agent);
-  expect_no_dials();
+  expect_no_dials(Steady::now(), "the agent has not answered yet");
   agent.restart(Mode::normal);
   expect_dials_to_the_second_host_only();
 }
@@ -143,7 +110,7 @@
   ListService first("", Mode::unresponsive), second("", Mode::unresponsive);
   start_with_outdated_list(first);
   reload_with(second.port());
-  expect_no_dials();
+  expect_no_dials(Steady::now(), "the agent has not answered yet");
   second.publish(3, targets("DRAINING"));
   second.set_mode(Mode::normal);
   expect_dials_to_the_second_host_only();
@@ -157,7 +124,7 @@
   ListService agent("", Mode::unresponsive);
   start_with_confirmed_list(agent);
   agent.reset_connections(GetParam(), 3, targets("DRAINING"));
-  expect_no_dials(Steady::now() + kTolerance);
+  expect_no_dials(Steady::now() + kTolerance, "the agent may hold a later list");
   agent.set_mode(Mode::normal);
   expect_dials_to_the_second_host_only();
 }
@@ -172,7 +139,7 @@
   agent.set_mode(Mode::truncating);
   agent.publish(3, targets("DRAINING"));
   ASSERT_FALSE(program->wait_for_log("malformed or stale").empty());
-  expect_no_dials(Steady::now() + kTolerance);
+  expect_no_dials(Steady::now() + kTolerance, "the agent may hold a later list");
   agent.set_mode(Mode::normal);
   expect_dials_to_the_second_host_only();
 }
@@ -188,7 +155,7 @@
   }
   agent.publish(3, targets("DRAINING"));
   agent.restart(Mode::unresponsive);
-  expect_no_dials(Steady::now() + kTolerance);
+  expect_no_dials(Steady::now() + kTolerance, "the agent may hold a later list");
   agent.set_mode(Mode::normal);
   expect_dials_to_the_second_host_only();
 }
@@ -207,7 +174,7 @@
   reload_with(other.port());
   other.publish(3, targets("DRAINING"));
   EXPECT_TRUE(dials_for_a_session(kMaxWait));
-  expect_no_dials(switched_at + kStaleAfterSwitch + kTolerance);
+  expect_no_dials(switched_at + kStaleAfterSwitch + kTolerance, "the new agent has not answered");
   other.set_mode(Mode::normal);
   expect_dials_to_the_second_host_only();
 }
--- a/tests/node_stale_list_test.cpp
+++ b/tests/node_stale_list_test.cpp
@@ -6,48 +6,21 @@
 namespace flintweir::node_tests {
 namespace {
 
-class StaleList : public Node {
+class StaleList : public DiallingNode {
  protected:
   using Mode = ListService::Mode;
-  // The protocol's deadlines, the tolerance beyond them, and how long no host may be dialled after that.
+  // The protocol's deadlines, and the tolerance beyond them.
   static constexpr auto kStaleAfterSwitch = 4s, kStaleAfterChange = 6s;
   static constexpr auto kTolerance = 350ms;
-  static constexpr auto kObservation = 3s;
 
   std::string targets() const {
     return target_json(host_name(0), hosts[0].port()) + "," + target_json(host_name(1), hosts[1].port());
   }
   Steady::time_point switch_discovery(int discovery_port) {
     const auto now = Steady::now();
-    program->write_config(config(discovery_port));
-    program->send_signal(SIGHUP);
-    EXPECT_FALSE(program->wait_for_log("reload: discovery at ").empty());
+    reload_with(discovery_port);
     return now;
   }
-  // Whether the node dials a host for a new session. The connection to the host stays open, because closing
-  // it would make the node dial another host.
-  bool dials_for_a_session() {
-    program->wait_for_log("(no such line)", 100ms);  // reads the log, as a full pipe would block the node
-    while (dialled_within(0ms)) continue;
-    Peer client = open_session();
-    return dialled_within(300ms);
-  }
-  void expect_no_dials(Steady::time_point from, const char* why) {
-    while (Steady::now() < from) wait_readable(-1, 5ms);
-    while (Steady::now() < from + kObservation) ASSERT_FALSE(dials_for_a_session()) << why;
-  }
-
- private:
-  bool dialled_within(Steady::duration within) {
-    std::vector<pollfd> acceptors;
-    for (const Acceptor& host : hosts) acceptors.push_back({host.fd(), POLLIN, 0});
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(within).count();
-    if (poll(acceptors.data(), acceptors.size(), static_cast<int>(ms)) <= 0) return false;
-    for (std::size_t i = 0; i < hosts.size(); ++i)
-      if (acceptors[i].revents & POLLIN) host_connections_.push_back(hosts[i].accept());
-    return true;
-  }
-  std::vector<Peer> host_connections_;
 };
 
 // Guards against a refused connection that extends the deadline set by a new discovery address.
