--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,15 +1,16 @@
-// Discovery is crowded for a minute: new calls wait for too long and end with 503. A host begins to drain meanwhile.
-// Rule: nothing new goes to it later than the grace after its draining counts as told, which is 6 s after discovery had
-// it at the latest.
+// Open watches fall silent, a quarter of the hosts begin to drain, and discovery goes down for 8 s. What a silent watch
+// misses counts as told 2 s after its wait is over. Rule: nothing new goes to those hosts later than the grace after that.
 #include "rig.h"
 
 using namespace rig;
 
 namespace {
 
-constexpr double kLatestTold = 6, kGrace = 0.3, kSlack = 0.05;
-constexpr double kQueue = 3;     // a call waits so long before it fails
-constexpr double kCrowded = 62;  // after the draining began
+constexpr int kHosts = 12, kDraining = 3;
+constexpr double kGrace = 0.3, kSlack = 0.05;
+constexpr double kSilence = 6, kAfterWait = 2;  // what a silent watch misses counts as told so long after
+constexpr double kOutage = 8;
+constexpr double kReachable = 2;  // discovery has the drains and takes calls for so long before it goes down
 
 }  // namespace
 
@@ -17,35 +18,38 @@
   begin(argc, argv);
   SettingsText settings;
   const char* const zones[] = {"bangkok", "chiang-mai", "hat-yai"};
-  Discovery discovery;
+  // One service; each node reaches it at an address of its own, so that its watch is known.
+  std::vector<std::unique_ptr<Discovery>> services;
+  for (int i = 0; i < 3; ++i) services.push_back(std::make_unique<Discovery>());
   std::vector<std::unique_ptr<Host>> hosts;
-  double told_at = 1e9;
-  int late = 0, sent_before = 0;
-  std::map<Host*, int> opens;
-  for (int i = 0; i < 10; ++i) {
+  std::map<std::string, std::size_t> node_of;  // by the id of a client's connection
+  std::vector<double> told_at(3, 1e9);
+  int late = 0, before = 0;
+  for (int i = 0; i < kHosts; ++i) {
     hosts.push_back(std::make_unique<Host>("s-" + std::to_string(i + 1), zones[i % 3], i % 3));
-    hosts.back()->start();
-    hosts.back()->load_of = [](const std::string&) { return "12000"; };
-    hosts.back()->answer = [&](Host& host, const std::string& id, const std::string&) -> std::optional<std::string> {
-      ++opens[&host];
-      if (host.state != "DRAINING") return "UP r-" + host.uid + "-" + id;
-      if (now_s() > told_at + kGrace + kSlack) {
+    Host* const host = hosts.back().get();
+    host->start();
+    host->load_of = [](const std::string&) { return "12000"; };
+    host->answer = [&](Host& at, const std::string& id, const std::string&) -> std::optional<std::string> {
+      if (at.state != "DRAINING") return "UP r-" + at.uid + "-" + id;
+      const std::size_t node = node_of.at(id);
+      if (now_s() > told_at[node] + kGrace + kSlack) {
         ++late;
-        record("SENT to draining host %s, %.3f s after it counts as told: %s", host.uid.c_str(), now_s() - told_at,
-               id.c_str());
+        record("SENT by n%zu to draining host %s, %.3f s after it counts as told: %s", node + 1, at.uid.c_str(),
+               now_s() - told_at[node], id.c_str());
       } else {
-        ++sent_before;
+        ++before;
       }
       return "BUSY";
     };
-    discovery.hosts.push_back(hosts.back().get());
+    for (auto& service : services) service->hosts.push_back(host);
   }
-  discovery.start();
+  for (auto& service : services) service->start();
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<Node*> all;
   for (int i = 0; i < 3; ++i) {
     nodes.push_back(std::make_unique<Node>("n" + std::to_string(i + 1)));
-    nodes.back()->configure(discovery.port, discovery.whole(), settings.text(), i);
+    nodes.back()->configure(services[static_cast<std::size_t>(i)]->port, services[0]->whole(), settings.text(), i);
     nodes.back()->start();
     all.push_back(nodes.back().get());
   }
@@ -56,6 +60,9 @@
   int up = 0, refused = 0;
   std::function<void()> come = [&] {
     const auto client = std::make_shared<Client>();
+    const std::size_t node = random() % nodes.size();
+    client->id = Client::new_id();
+    node_of[client->id] = node;
     client->on_change = [&](Client& c) {
       if (c.ended) return;
       ++(c.up ? up : refused);
@@ -65,54 +72,58 @@
       });
     };
     clients.push_back(client);
-    client->start(nodes[random() % nodes.size()]->port);
+    client->start(nodes[node]->port);
     std::erase_if(clients, [](const Client::Ptr& c) { return c->ended; });
-    loop.after(0.08, come);
+    loop.after(0.05, come);
   };
   come();
-  loop.run_until(now_s() + 3);
+  loop.run_until(now_s() + 2);
+  for (const auto& service : services)
+    if (service->watches() != 1) cannot_run("a node has no watch");
 
-  // Another caller, whose watch may wait for 60 s, and so is open all the time: what it hears, discovery could tell.
-  double witness_told_at = 0;
-  const Conn::Ptr witness = Conn::connect(discovery.port);
-  witness->raw = true;
-  witness->on_line = [&](std::string text) {
-    if (text.find("DRAINING") == text.npos) return;
-    witness_told_at = now_s();
-    record("another caller's watch is answered: s-1 is DRAINING");
-  };
-  witness->send("GET /api/targets?since=" + std::to_string(discovery.rev()) +
-                "&timeout_ms=60000 HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n");
-  loop.run_until(now_s() + 0.2);
+  // The outage begins half a second before the first of the watches has waited for its time.
+  double outage_at = 1e9;
+  const double silent_at = now_s();
+  for (std::size_t i = 0; i < 3; ++i) {
+    const double wait_over = services[i]->watched_at + services[i]->watch_wait;
+    outage_at = std::min(outage_at, wait_over - 0.5);
+    told_at[i] = std::max(silent_at + kSilence, wait_over + kAfterWait);
+    record("n%zu watches since %.3f for %.3f s: what it misses counts as told at %.3f", i + 1, services[i]->watched_at,
+           services[i]->watch_wait, told_at[i]);
+  }
   if (trouble) {
-    record("discovery is crowded from now on");
-    discovery.mode = Discovery::Mode::crowded;
-    discovery.answer_delay = kQueue;
+    record("open watches fall silent");
+    for (auto& service : services) service->silence_watches();
   }
-  // The nodes' watches end in their own time.
-  const double until = now_s() + 25;
-  while (trouble && discovery.watches() > 1 && now_s() < until) loop.run_until(now_s() + 0.05);
-  if (trouble && discovery.watches() > 1) cannot_run("a node's watch is still open");
-  loop.run_until(now_s() + 0.5);
-
-  Host& leaving = *hosts[0];
-  told_at = now_s() + kLatestTold;
-  discovery.set_state(leaving, "DRAINING");
-  // A draining host sends all its clients away at once.
-  for (auto& [number, session] : leaving.sessions)
-    if (session.up) {
-      session.conn->send("MOVE\r\n");
-      session.conn->shutdown_send();
-    }
-  const double end = now_s() + (trouble ? kCrowded : 20);
-  while (now_s() < end && late == 0) loop.run_until(now_s() + 0.5);
-  loop.run_until(now_s() + 1);
-  if (witness_told_at == 0) cannot_run("the other caller has not been told");
+  loop.run_until(outage_at - kReachable);
+  for (int h = 0; h < kDraining; ++h) {
+    Host& host = *hosts[static_cast<std::size_t>(h * 4)];
+    for (auto& service : services) service->set_state(host, "DRAINING");
+    // A draining runner sends all its clients away at once.
+    for (auto& [number, session] : host.sessions)
+      if (session.up) {
+        session.conn->send("MOVE\r\n");
+        session.conn->shutdown_send();
+      }
+  }
+  if (!trouble)
+    for (double& told : told_at) told = now_s();  // written on the watches
+  loop.run_until(outage_at);
+  if (trouble) {
+    record("discovery goes down");
+    for (auto& service : services) service->stop();
+  }
+  loop.run_until(outage_at + kOutage);
+  if (trouble) {
+    record("discovery is back");
+    for (auto& service : services) service->start();
+  }
+  loop.run_until(now_s() + 4);
   for (Node* node : all)
     if (!node->running()) cannot_run("a node has ended");
   char why[200];
   std::snprintf(why, sizeof why,
-                "%d sent to the draining host after it counted as told, %d before; of all clients %d were served, %d not",
-                late, sent_before, up, refused);
+                "%d sent to draining hosts after that counted as told, %d before; of all clients %d were served, %d not", late,
+                before, up, refused);
   return verdict(late > 0, why);
 }
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -397,7 +397,7 @@
       ::close(listener_);
       listener_ = -1;
     }
-    for (auto& c : callers_) c->conn->close();
+    for (auto& c : callers_) c->conn->close(true);
     callers_.clear();
   }
   ~Discovery() { stop(); }
@@ -415,6 +415,16 @@
     return n;
   }
   std::string whole() const { return list(-1); }
+  // Open watches fall silent: their connections stay open and are answered nothing any more. New calls are answered.
+  void silence_watches() {
+    for (auto& c : callers_) {
+      if (!c->watching) continue;
+      c->watching = false;
+      ++c->turn;
+    }
+  }
+  // When the last watch of this service came, and how long it may wait, in seconds.
+  double watched_at = 0, watch_wait = 0;
   // Each watch that is out ends with 503, as a call that has waited for too long.
   void fail_watches() {
     for (auto& c : callers_)
@@ -466,6 +476,8 @@
     if (since < 0 || rev_ > since) return reply(c, since);
     c->watching = true;
     c->since = since;
+    watched_at = now_s();
+    watch_wait = static_cast<double>(timeout) / 1000;
     const int turn = c->turn;
     const std::weak_ptr<Caller> weak = c;
     loop.after(static_cast<double>(std::clamp(timeout, 0ll, 60000ll)) / 1000, [this, weak, turn] {
